--- /dev/null
+++ b/src/main/java/org/papayawalk/cli/ApplyResult.java
@@ -0,0 +1,13 @@
+package org.papayawalk.cli;
+
+/** How a change of the configuration ended. Immutable. */
+enum ApplyResult {
+    /** It is accepted. */
+    ACCEPTED,
+    /** Another change came first; this one is not and will not be accepted. */
+    CONFLICT,
+    /** It was not accepted. */
+    REFUSED,
+    /** It may have been accepted. */
+    UNKNOWN
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/cli/ConfigClient.java
@@ -0,0 +1,185 @@
+package org.papayawalk.cli;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
+import org.papayawalk.core.config.Configuration;
+import org.papayawalk.core.config.RowChange;
+import org.papayawalk.core.id.ConfigVersion;
+import org.papayawalk.core.port.TableRow;
+import org.papayawalk.core.port.TableService;
+import org.papayawalk.core.port.TableWrite;
+import org.papayawalk.platform.ConfigCodec;
+import org.papayawalk.platform.ConfigTables;
+import org.papayawalk.platform.Json;
+
+/**
+ * Reads and changes the accepted configuration. A change and its audit row are written in one
+ * transaction that depends on the version that the operator saw. Holds no changeable state.
+ */
+final class ConfigClient {
+    /** Attempts to learn what became of a write whose answer was lost. */
+    private static final int READ_BACK_ATTEMPTS = 5;
+
+    /** Most audit rows read at once. */
+    private static final int AUDIT_PAGE = 1000;
+
+    /** Table service. */
+    private final TableService table;
+
+    /**
+     * Creates a client.
+     *
+     * @param table table service
+     */
+    ConfigClient(TableService table) {
+        this.table = table;
+    }
+
+    /**
+     * Reads the accepted configuration.
+     *
+     * @return configuration, the empty one if none was accepted, or a fault
+     */
+    Either<Fault, Accepted> read() {
+        return table.read(ConfigTables.CONFIG, ConfigTables.HEAD_KEY)
+                .flatMap(
+                        head -> {
+                            if (head.isEmpty()) {
+                                return Either.right(
+                                        new Accepted(Configuration.EMPTY, TableWrite.ABSENT));
+                            }
+                            return ConfigTables.readHead(head.get())
+                                    .flatMap(this::readVersion)
+                                    .map(c -> new Accepted(c, head.get().revision()));
+                        });
+    }
+
+    /**
+     * Reads one version.
+     *
+     * @param version version
+     * @return configuration, or a fault
+     */
+    Either<Fault, Configuration> readVersion(ConfigVersion version) {
+        return table.read(ConfigTables.CONFIG, ConfigTables.documentKey(version))
+                .flatMap(
+                        row ->
+                                row.map(r -> ConfigCodec.read(r.value(), "table"))
+                                        .orElseGet(() -> Either.left(missing(version))));
+    }
+
+    /**
+     * Writes the next configuration.
+     *
+     * @param base configuration that the change is made to
+     * @param next configuration that follows it
+     * @param operator who makes the change
+     * @param now present time
+     * @return how it ended
+     */
+    ApplyResult write(Accepted base, Configuration next, String operator, Instant now) {
+        List<RowChange> changes = RowChange.between(base.configuration().rows(), next.rows());
+        AuditEntry audit =
+                new AuditEntry(
+                        next.version(),
+                        base.configuration().version(),
+                        next.changeId(),
+                        operator,
+                        now,
+                        changes);
+        List<TableWrite> writes =
+                List.of(
+                        new TableWrite(
+                                ConfigTables.CONFIG,
+                                ConfigTables.HEAD_KEY,
+                                base.headRevision(),
+                                ConfigTables.writeHead(next.version())),
+                        new TableWrite(
+                                ConfigTables.CONFIG,
+                                ConfigTables.documentKey(next.version()),
+                                TableWrite.ABSENT,
+                                ConfigCodec.write(next)),
+                        new TableWrite(
+                                ConfigTables.AUDIT,
+                                ConfigTables.auditKey(next.version()),
+                                TableWrite.ABSENT,
+                                Json.write(audit)));
+        Either<Fault, Long> result = table.commit(writes);
+        if (result.isRight()) {
+            return ApplyResult.ACCEPTED;
+        }
+        return switch (result.getLeft().kind()) {
+            case CONFLICT -> ApplyResult.CONFLICT;
+            case UNKNOWN_OUTCOME -> resolve(next);
+            default -> ApplyResult.REFUSED;
+        };
+    }
+
+    /**
+     * Reads the audit trail.
+     *
+     * @return entries, oldest first, or a fault
+     */
+    Either<Fault, List<AuditEntry>> audit() {
+        return table.scan(ConfigTables.AUDIT, "", AUDIT_PAGE)
+                .flatMap(
+                        rows -> {
+                            try {
+                                List<AuditEntry> entries = new ArrayList<>();
+                                for (TableRow r : rows) {
+                                    entries.add(Json.read(r.value(), AuditEntry.class));
+                                }
+                                return Either.right(entries);
+                            } catch (IOException e) {
+                                return Either.left(
+                                        Fault.of(FaultKind.CORRUPT, "read-audit", "table", e));
+                            }
+                        });
+    }
+
+    /**
+     * Learns what became of a write whose answer was lost, by the id of the change.
+     *
+     * @param next configuration that was written
+     * @return accepted if the version's row has the change's id, a conflict if it has another
+     */
+    private ApplyResult resolve(Configuration next) {
+        for (int i = 0; i < READ_BACK_ATTEMPTS; i++) {
+            Either<Fault, Optional<TableRow>> row =
+                    table.read(ConfigTables.CONFIG, ConfigTables.documentKey(next.version()));
+            if (row.isRight() && row.get().isPresent()) {
+                boolean ours =
+                        ConfigCodec.read(row.get().get().value(), "table")
+                                .map(c -> c.changeId().equals(next.changeId()))
+                                .getOrElse(false);
+                return ours ? ApplyResult.ACCEPTED : ApplyResult.CONFLICT;
+            }
+        }
+        return ApplyResult.UNKNOWN;
+    }
+
+    /**
+     * Makes the fault of a version without row.
+     *
+     * @param version version
+     * @return fault
+     */
+    private static Fault missing(ConfigVersion version) {
+        String reason = "configuration version " + version + " does not exist";
+        return new Fault(FaultKind.REFUSED, "read-config", "table", reason);
+    }
+
+    /**
+     * Accepted configuration with the revision to depend on. Immutable.
+     *
+     * @param configuration configuration
+     * @param headRevision revision of the row that names its version, 0 if there is none
+     */
+    record Accepted(Configuration configuration, long headRevision) {}
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/cli/OutcomeCommand.java
@@ -0,0 +1,104 @@
+package org.papayawalk.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.Outcome;
+import org.papayawalk.core.once.OnceRecord;
+import org.papayawalk.core.port.TableRow;
+import org.papayawalk.platform.Json;
+import org.papayawalk.platform.OnceTables;
+import org.papayawalk.settings.SettingChecks;
+
+/** Tells what became of a non-idempotent call. */
+final class OutcomeCommand implements Command {
+    /** Options. */
+    private final Options options = new Options();
+
+    @Override
+    public String name() {
+        return "outcome";
+    }
+
+    @Override
+    public CommonOptions options() {
+        return options;
+    }
+
+    @Override
+    public ExitCode run(CommandContext context) {
+        String key = OnceTables.key(options.team, options.keys.get(0));
+        Either<Fault, Optional<TableRow>> row = context.table(options).read(OnceTables.TABLE, key);
+        if (row.isLeft()) {
+            context.note("cannot read the call's row: " + row.getLeft());
+            return ExitCode.UNKNOWN;
+        }
+        if (row.get().isEmpty()) {
+            return report(context, Outcome.NOT_RUN, "no row", "");
+        }
+        try {
+            OnceRecord record = Json.read(row.get().get().value(), OnceRecord.class);
+            String phase = record.phase().name().toLowerCase(Locale.ROOT);
+            Outcome outcome =
+                    switch (record.phase()) {
+                        case ANSWERED -> Outcome.ANSWERED;
+                        case STARTED -> Outcome.UNKNOWN;
+                        default -> Outcome.NOT_RUN;
+                    };
+            return report(context, outcome, phase, record.holder());
+        } catch (IOException e) {
+            context.note("cannot read the call's row: " + e.getMessage());
+            return ExitCode.UNKNOWN;
+        }
+    }
+
+    /**
+     * Reports an outcome.
+     *
+     * @param context context
+     * @param outcome outcome
+     * @param phase phase of the row
+     * @param holder host that wrote the row last
+     * @return exit code
+     */
+    private ExitCode report(CommandContext context, Outcome outcome, String phase, String holder) {
+        if (options.json) {
+            context.json(Map.of("outcome", outcome.label(), "phase", phase, "holder", holder));
+        } else {
+            context.print(
+                    "outcome=%s phase=%s holder=%s".formatted(outcome.label(), phase, holder));
+        }
+        return switch (outcome) {
+            case ANSWERED -> ExitCode.OK;
+            case NOT_RUN -> ExitCode.REFUSED;
+            default -> ExitCode.UNKNOWN;
+        };
+    }
+
+    /** Options of the command. Filled once. */
+    @Parameters(commandDescription = "Tell what became of a non-idempotent call")
+    private static final class Options extends CommonOptions {
+        /** Key. */
+        @Parameter(description = "IDEMPOTENCY-KEY")
+        List<String> keys = new ArrayList<>();
+
+        /** Team. */
+        @Parameter(names = "--team", description = "Team that sent the call")
+        String team = "default";
+
+        @Override
+        SettingChecks checks() {
+            return super.checks()
+                    .address("--table-address", tableAddress)
+                    .name("--team", team)
+                    .require(keys.size() == 1, "IDEMPOTENCY-KEY", keys, "is not one key");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tool. */
+package org.papayawalk.cli;
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/api/package-info.java
@@ -0,0 +1,2 @@
+/** Names of the callers' interface that several programs share. */
+package org.papayawalk.core.api;
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/member/NeighbourPolicy.java
@@ -0,0 +1,114 @@
+package org.papayawalk.core.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.papayawalk.core.Rendezvous;
+import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.HostId;
+
+/**
+ * Chooses the bounded set of hosts that a daemon exchanges heartbeats with, so that the cost of a
+ * daemon does not grow with the deployment. Holds no state; safe from any thread.
+ */
+public final class NeighbourPolicy {
+    /** Agents of its own failure domain that an entry talks to. */
+    public static final int OWN_DOMAIN_AGENTS = 96;
+
+    /** Agents of each other failure domain that an entry talks to. */
+    public static final int OTHER_DOMAIN_AGENTS = 8;
+
+    /** Entries that an entry talks to. */
+    public static final int ENTRIES = 6;
+
+    /** Entries of its own failure domain that an agent talks to. */
+    public static final int AGENT_ENTRIES = 3;
+
+    /** Agents that an agent talks to besides its predecessors in a rollout. */
+    public static final int AGENT_AGENTS = 4;
+
+    /**
+     * Chooses neighbours.
+     *
+     * @param self the daemon's own line of the host list
+     * @param all every known host
+     * @return hosts to talk to, without the daemon itself
+     */
+    public Set<HostId> neighbours(HostRecord self, Collection<HostRecord> all) {
+        List<HostRecord> others = all.stream().filter(r -> !r.host().equals(self.host())).toList();
+        return self.role() == HostRole.ENTRY ? ofEntry(self, others) : ofAgent(self, others);
+    }
+
+    /**
+     * Chooses neighbours of an entry.
+     *
+     * @param self the entry
+     * @param others all other hosts
+     * @return its neighbours
+     */
+    private static Set<HostId> ofEntry(HostRecord self, List<HostRecord> others) {
+        Map<DomainId, List<HostId>> agents = new HashMap<>();
+        List<HostId> entries = new ArrayList<>();
+        for (HostRecord r : others) {
+            if (r.role() == HostRole.ENTRY) {
+                entries.add(r.host());
+            } else {
+                agents.computeIfAbsent(r.domain(), d -> new ArrayList<>()).add(r.host());
+            }
+        }
+        Set<HostId> chosen = new LinkedHashSet<>(first(entries, self, ENTRIES));
+        agents.forEach(
+                (domain, hosts) -> {
+                    boolean own = domain.equals(self.domain());
+                    int limit = own ? OWN_DOMAIN_AGENTS : OTHER_DOMAIN_AGENTS;
+                    chosen.addAll(first(hosts, self, limit));
+                });
+        return chosen;
+    }
+
+    /**
+     * Chooses neighbours of an agent.
+     *
+     * @param self the agent
+     * @param others all other hosts
+     * @return its neighbours
+     */
+    private static Set<HostId> ofAgent(HostRecord self, List<HostRecord> others) {
+        List<HostId> entries = new ArrayList<>();
+        List<HostId> agents = new ArrayList<>();
+        for (HostRecord r : others) {
+            if (!r.domain().equals(self.domain())) {
+                continue;
+            }
+            if (r.role() == HostRole.ENTRY) {
+                entries.add(r.host());
+            } else {
+                agents.add(r.host());
+            }
+        }
+        Set<HostId> chosen = new LinkedHashSet<>(first(entries, self, AGENT_ENTRIES));
+        chosen.addAll(first(agents, self, AGENT_AGENTS));
+        if (entries.isEmpty()) {
+            List<HostId> any = others.stream().map(HostRecord::host).toList();
+            chosen.addAll(first(any, self, AGENT_AGENTS));
+        }
+        return chosen;
+    }
+
+    /**
+     * Returns the first hosts in a daemon's own order.
+     *
+     * @param hosts hosts to choose from
+     * @param self the daemon
+     * @param limit number to choose
+     * @return at most that many hosts
+     */
+    private static List<HostId> first(List<HostId> hosts, HostRecord self, int limit) {
+        List<HostId> ordered = Rendezvous.order(hosts, "neighbours/" + self.host());
+        return ordered.subList(0, Math.min(limit, ordered.size()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/route/AffinityRouter.java
@@ -0,0 +1,88 @@
+package org.papayawalk.core.route;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.papayawalk.core.Rendezvous;
+import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.HostId;
+
+/**
+ * Prefers the entry's own failure domain, then the host whose prefix cache is likely warm as long
+ * as its load is near the mean, then the less loaded of two random hosts. Holds no state; safe from
+ * any thread.
+ */
+public final class AffinityRouter implements Router {
+    /** Share of the mean utilization up to which affinity is followed. */
+    private static final double LOAD_BOUND = 1.25;
+
+    /** Utilization that a host may always have when affinity is followed. */
+    private static final double ALWAYS_FINE = 0.5;
+
+    /** Hosts in a key's order that affinity tries. */
+    private static final int AFFINITY_CHOICES = 2;
+
+    @Override
+    public Optional<Candidate> choose(
+            List<Candidate> candidates, DomainId own, String affinityKey, RandomGenerator random) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        List<Candidate> pool = pool(candidates, own);
+        if (!affinityKey.isEmpty()) {
+            Optional<Candidate> warm = byAffinity(pool, affinityKey);
+            if (warm.isPresent()) {
+                return warm;
+            }
+        }
+        return Optional.of(lessLoaded(pool, random));
+    }
+
+    /**
+     * Returns the hosts of the own failure domain while one of them has room, else all hosts.
+     *
+     * @param candidates all hosts, at least one
+     * @param own failure domain of the entry
+     * @return hosts to choose from, at least one
+     */
+    private static List<Candidate> pool(List<Candidate> candidates, DomainId own) {
+        List<Candidate> near = candidates.stream().filter(c -> c.domain().equals(own)).toList();
+        boolean room = near.stream().anyMatch(c -> c.utilization() < 1);
+        return room ? near : candidates;
+    }
+
+    /**
+     * Follows the key's order of hosts within the load bound.
+     *
+     * @param pool hosts to choose from
+     * @param key affinity key
+     * @return the first host of the order whose load is within the bound
+     */
+    private static Optional<Candidate> byAffinity(List<Candidate> pool, String key) {
+        double mean = pool.stream().mapToDouble(Candidate::utilization).average().orElse(0);
+        double bound = Math.max(ALWAYS_FINE, mean * LOAD_BOUND);
+        Map<HostId, Candidate> byHost = new HashMap<>();
+        pool.forEach(c -> byHost.put(c.host(), c));
+        return Rendezvous.order(byHost.keySet(), key).stream()
+                .limit(AFFINITY_CHOICES)
+                .map(byHost::get)
+                .filter(c -> c.utilization() <= bound)
+                .findFirst();
+    }
+
+    /**
+     * Returns the less loaded of two random hosts.
+     *
+     * @param pool hosts to choose from, at least one
+     * @param random source of the choice
+     * @return the chosen host
+     */
+    private static Candidate lessLoaded(List<Candidate> pool, RandomGenerator random) {
+        Candidate a = pool.get(random.nextInt(pool.size()));
+        Candidate b = pool.get(random.nextInt(pool.size()));
+        return Comparator.comparingDouble(Candidate::utilization).compare(a, b) <= 0 ? a : b;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/stream/StreamOrder.java
@@ -0,0 +1,43 @@
+package org.papayawalk.core.stream;
+
+/**
+ * Checks that the parts of a response arrive whole and in order. Not thread-safe: confined to the
+ * thread that reads the response.
+ */
+public final class StreamOrder {
+    /** Number expected next. */
+    private long expected;
+
+    /**
+     * Takes the number of a part.
+     *
+     * @param sequence number of the part, from 0
+     * @return true if it is the next part, false if it is a repetition or comes after a gap
+     */
+    public boolean accept(long sequence) {
+        if (sequence != expected) {
+            return false;
+        }
+        expected++;
+        return true;
+    }
+
+    /**
+     * Tells whether the end mark fits the parts taken.
+     *
+     * @param count number of parts that the sender sent
+     * @return true if all of them were taken
+     */
+    public boolean complete(long count) {
+        return expected == count;
+    }
+
+    /**
+     * Returns the number of parts taken.
+     *
+     * @return 0 or more
+     */
+    public long count() {
+        return expected;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/weight/OfferBook.java
@@ -0,0 +1,141 @@
+package org.papayawalk.core.weight;
+
+import java.time.Instant;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.papayawalk.core.id.HostId;
+
+/**
+ * Chunks that peers offer, and the conduct of these peers. Not thread-safe: confined to its
+ * download's thread.
+ */
+final class OfferBook {
+    /** Requests under way at one peer. */
+    private static final int MAX_PER_PEER = 2;
+
+    /** Chunks offered, by peer. */
+    private final Map<HostId, BitSet> offers = new HashMap<>();
+
+    /** Conduct of peers. */
+    private final Map<HostId, PeerStanding> standings = new HashMap<>();
+
+    /** Requests under way. */
+    private final OpenRequests open;
+
+    /**
+     * Creates an empty book.
+     *
+     * @param open requests under way
+     */
+    OfferBook(OpenRequests open) {
+        this.open = open;
+    }
+
+    /**
+     * Records the chunks that a peer offers.
+     *
+     * @param peer host that offers
+     * @param held chunks that it holds
+     */
+    void offered(HostId peer, BitSet held) {
+        offers.put(peer, (BitSet) held.clone());
+    }
+
+    /**
+     * Strikes a chunk from a peer's offer.
+     *
+     * @param peer host that did not deliver
+     * @param index index of the chunk
+     */
+    void strike(HostId peer, int index) {
+        BitSet held = offers.get(peer);
+        if (held != null) {
+            held.clear(index);
+        }
+    }
+
+    /**
+     * Returns the standing of a peer.
+     *
+     * @param peer peer to look up
+     * @return its standing, new if it was unknown
+     */
+    PeerStanding standing(HostId peer) {
+        return standings.computeIfAbsent(peer, p -> new PeerStanding());
+    }
+
+    /**
+     * Counts the peers that offer a chunk and may be asked now.
+     *
+     * @param index index of the chunk
+     * @param now present time
+     * @return number of peers with a free slot
+     */
+    int count(int index, Instant now) {
+        int count = 0;
+        for (Map.Entry<HostId, BitSet> e : offers.entrySet()) {
+            if (e.getValue().get(index) && askable(e.getKey(), index, now)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /**
+     * Tells whether any peer offers a chunk, usable now or not.
+     *
+     * @param index index of the chunk
+     * @return true if one does
+     */
+    boolean offeredByAny(int index) {
+        for (BitSet held : offers.values()) {
+            if (held.get(index)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns the peer with the fewest requests among those that offer a chunk.
+     *
+     * @param index index of the chunk
+     * @param now present time
+     * @param random source of tie-breaks
+     * @return the peer, or null if none may be asked
+     */
+    HostId leastBusy(int index, Instant now, SplittableRandom random) {
+        HostId best = null;
+        int fewest = Integer.MAX_VALUE;
+        int ties = 0;
+        for (Map.Entry<HostId, BitSet> e : offers.entrySet()) {
+            if (!e.getValue().get(index) || !askable(e.getKey(), index, now)) {
+                continue;
+            }
+            int n = standing(e.getKey()).outstanding();
+            ties = n < fewest ? 1 : ties + 1;
+            if (n < fewest || (n == fewest && random.nextInt(ties) == 0)) {
+                best = e.getKey();
+                fewest = n;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Tells whether a peer may be asked for a chunk.
+     *
+     * @param peer peer to ask
+     * @param index index of the chunk
+     * @param now present time
+     * @return true if it is usable, has a free slot and is not already asked for the chunk
+     */
+    boolean askable(HostId peer, int index, Instant now) {
+        PeerStanding standing = standing(peer);
+        return standing.usable(now)
+                && standing.outstanding() < MAX_PER_PEER
+                && !open.asked(index, peer);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/AgentCall.java
@@ -0,0 +1,148 @@
+package org.papayawalk.daemon.agent;
+
+import java.time.Instant;
+import org.papayawalk.core.admit.Ticket;
+import org.papayawalk.platform.HttpStream;
+import org.papayawalk.wire.PeerChannel;
+import org.papayawalk.wire.proto.Envelope;
+import org.papayawalk.wire.proto.UpstreamRequest;
+
+/** Request of an entry at the agent. Thread-safe. */
+final class AgentCall {
+    /** Message that carried the request. */
+    private final Envelope message;
+
+    /** Connection to the entry. */
+    private final PeerChannel entry;
+
+    /** Place in the admission. */
+    private final Ticket ticket;
+
+    /** Answer that is being read, or null. */
+    private HttpStream stream;
+
+    /** Whether the caller has gone. */
+    private boolean cancelled;
+
+    /** When the request was forwarded, or null. */
+    private volatile Instant forwardedAt;
+
+    /**
+     * Creates a call.
+     *
+     * @param message message that carried the request
+     * @param entry connection to the entry
+     * @param ticket place in the admission
+     */
+    AgentCall(Envelope message, PeerChannel entry, Ticket ticket) {
+        this.message = message;
+        this.entry = entry;
+        this.ticket = ticket;
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @return request of the entry
+     */
+    UpstreamRequest request() {
+        return message.getUpstreamRequest();
+    }
+
+    /**
+     * Returns the number of the call on its connection.
+     *
+     * @return number
+     */
+    long number() {
+        return message.getCall();
+    }
+
+    /**
+     * Returns the connection to the entry.
+     *
+     * @return connection
+     */
+    PeerChannel entry() {
+        return entry;
+    }
+
+    /**
+     * Returns the place in the admission.
+     *
+     * @return ticket
+     */
+    Ticket ticket() {
+        return ticket;
+    }
+
+    /**
+     * Tells whether the call may run at most once.
+     *
+     * @return true for a non-idempotent call
+     */
+    boolean once() {
+        return !request().getOnceKey().isEmpty();
+    }
+
+    /**
+     * Sends a reply.
+     *
+     * @param reply reply without its call number
+     */
+    void send(Envelope.Builder reply) {
+        entry.send(reply.setCall(number()).build());
+    }
+
+    /**
+     * Notes that the request was forwarded.
+     *
+     * @param now present time
+     */
+    void forwarded(Instant now) {
+        forwardedAt = now;
+    }
+
+    /**
+     * Returns when the request was forwarded.
+     *
+     * @return time, or null if it was not
+     */
+    Instant forwardedAt() {
+        return forwardedAt;
+    }
+
+    /**
+     * Notes the answer that is being read, so that it can be broken off.
+     *
+     * @param answer answer
+     */
+    synchronized void reading(HttpStream answer) {
+        stream = answer;
+        if (cancelled) {
+            answer.close();
+        }
+    }
+
+    /** Breaks the call off. A non-idempotent call goes on, so that its answer is kept. */
+    void cancel() {
+        if (once()) {
+            return;
+        }
+        synchronized (this) {
+            cancelled = true;
+            if (stream != null) {
+                stream.close();
+            }
+        }
+    }
+
+    /**
+     * Tells whether the call was broken off.
+     *
+     * @return true if it was
+     */
+    synchronized boolean cancelled() {
+        return cancelled;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/AgentRole.java
@@ -0,0 +1,340 @@
+package org.papayawalk.daemon.agent;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.papayawalk.core.config.FleetPlan;
+import org.papayawalk.core.config.UpstreamKind;
+import org.papayawalk.core.id.Digest;
+import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.member.HostRole;
+import org.papayawalk.core.member.Member;
+import org.papayawalk.core.port.Engine;
+import org.papayawalk.core.port.ObjectStore;
+import org.papayawalk.core.port.Origin;
+import org.papayawalk.core.weight.SwarmPeer;
+import org.papayawalk.daemon.node.Node;
+import org.papayawalk.daemon.node.RoleHandler;
+import org.papayawalk.daemon.once.OnceTable;
+import org.papayawalk.log.Event;
+import org.papayawalk.platform.HttpCaller;
+import org.papayawalk.platform.HttpEngine;
+import org.papayawalk.wire.Lane;
+import org.papayawalk.wire.PeerChannel;
+import org.papayawalk.wire.proto.CrashNotice;
+import org.papayawalk.wire.proto.Envelope;
+import org.papayawalk.wire.proto.Heartbeat;
+
+/**
+ * Role of the process before one upstream: wires the door, the swarm and the rollout together.
+ * Thread-safe; its tick runs on the control thread.
+ */
+public final class AgentRole implements RoleHandler, AutoCloseable {
+    /** Longest silence of an upstream within an answer. */
+    private static final Duration UPSTREAM_SILENCE = Duration.ofSeconds(30);
+
+    /** Longest silence of an upstream that is asked for its health. */
+    private static final Duration PROBE_SILENCE = Duration.ofSeconds(1);
+
+    /** Longest silence of an engine that takes an order. */
+    private static final Duration ORDER_SILENCE = Duration.ofSeconds(30);
+
+    /** Connections to the upstream at once. */
+    private static final int UPSTREAM_CONNECTIONS = 4096;
+
+    /** Connections for orders and probes at once. */
+    private static final int ORDER_CONNECTIONS = 16;
+
+    /** Time between probes of the upstream. */
+    private static final Duration PROBE_INTERVAL = Duration.ofMillis(500);
+
+    /** Node. */
+    private final Node node;
+
+    /** Settings. */
+    private final AgentSettings settings;
+
+    /** HTTP callers to close at the end. */
+    private final List<HttpCaller> callers = new ArrayList<>();
+
+    /** Asks the upstream for its state. */
+    private final UpstreamProbe probe;
+
+    /** Door for requests. */
+    private final UpstreamDoor door;
+
+    /** Fetches and offers weights. */
+    private final Swarm swarm;
+
+    /** Answers peers' requests for chunks. */
+    private final ChunkServer chunkServer;
+
+    /** Advances the rollout. */
+    private final RolloutDriver rollout;
+
+    /** Whether a probe is under way. */
+    private boolean probing;
+
+    /** When the last probe was sent. */
+    private Instant probedAt = Instant.MIN;
+
+    /** Incarnation of the upstream, for notices of crashes. */
+    private final AtomicLong incarnation = new AtomicLong();
+
+    /**
+     * Creates the role.
+     *
+     * @param node node
+     * @param settings settings
+     * @param origin origin of the weights
+     * @param objects object store
+     * @param transport messages about chunks
+     */
+    public AgentRole(
+            Node node,
+            AgentSettings settings,
+            Origin origin,
+            ObjectStore objects,
+            ChunkTransport transport) {
+        this.node = node;
+        this.settings = settings;
+        String upstream = settings.upstreamAddress();
+        probe = new UpstreamProbe(caller(PROBE_SILENCE, 2, true), upstream, node.clock());
+        HostId self = node.self().host();
+        OnceTable onceTable = new OnceTable(node.platform().table(), node.clock());
+        Forwarder forwarder =
+                new Forwarder(
+                        caller(UPSTREAM_SILENCE, UPSTREAM_CONNECTIONS, true),
+                        caller(UPSTREAM_SILENCE, UPSTREAM_CONNECTIONS, false),
+                        upstream,
+                        new OnceGate(onceTable, objects, self, node.clock()),
+                        this::crashed,
+                        node.clock());
+        door = new UpstreamDoor(forwarder, node.clock(), node.work());
+        Engine engine = new HttpEngine(caller(ORDER_SILENCE, ORDER_CONNECTIONS, true), upstream);
+        swarm =
+                new Swarm(
+                        new SwarmPeer(self, node.self().region()),
+                        settings.weights(),
+                        node.clock(),
+                        node.work(),
+                        transport,
+                        origin,
+                        new ChunkStager(engine),
+                        this::swarmPeers);
+        chunkServer =
+                new ChunkServer(
+                        swarm, settings.weights().uplinkBytesPerSecond(), node.clock(), node);
+        LeaseKeeper leases = new LeaseKeeper(node.platform().table(), self, node.clock());
+        rollout = new RolloutDriver(node, engine, swarm, door, leases);
+    }
+
+    @Override
+    public void describe(Heartbeat.Builder heartbeat) {
+        Instant now = node.clock().instant();
+        UpstreamState upstream = door.upstream();
+        WeightProgress progress = swarm.progress();
+        int capacity = plan().map(p -> p.spec().maxInFlight()).orElse(0);
+        Digest wanted = plan().map(p -> p.spec().digest()).orElse(Digest.NONE);
+        heartbeat
+                .setDraining(door.draining())
+                .setServingDigest(upstream.serving().value())
+                .setRolloutStep(rollout.step().name())
+                .setInFlight(door.inFlight())
+                .setQueued(door.queued())
+                .setCapacity(capacity)
+                .setUpstreamHealthy(upstream.healthy(now))
+                .setWantedDigest(wanted.value())
+                .setChunksHeld(progress.held())
+                .setChunksTotal(progress.total());
+    }
+
+    @Override
+    public Collection<HostId> extraNeighbours(List<Member> members) {
+        return plan().map(p -> rollout.predecessors(p.spec(), members)).orElse(List.of());
+    }
+
+    @Override
+    public void received(Envelope message, PeerChannel from) {
+        switch (message.getBodyCase()) {
+            case UPSTREAM_REQUEST -> door.request(message, from);
+            case CANCEL_REQUEST -> door.cancel(from, message.getCall());
+            case CHUNK_REQUEST, MANIFEST_REQUEST -> chunkServer.received(message, from);
+            case CHUNK_AVAILABILITY -> {
+                var offer = message.getChunkAvailability();
+                BitSet held = BitSet.valueOf(offer.getBitmap().toByteArray());
+                swarm.offered(new HostId(offer.getHost()), new Digest(offer.getDigest()), held);
+            }
+            default ->
+                    Event.named("message-ignored")
+                            .with("kind", message.getBodyCase())
+                            .with("peer", from.remote())
+                            .warn();
+        }
+    }
+
+    @Override
+    public void closed(PeerChannel from) {
+        door.closed(from);
+    }
+
+    @Override
+    public void tick(Instant now) {
+        door.plan(plan().orElse(null));
+        door.expire();
+        probeUpstream(now);
+        plan().ifPresent(p -> rollout.advance(p.spec(), door.upstream(), now));
+    }
+
+    @Override
+    public void drain(String reason) {
+        if (!door.draining()) {
+            Event.named("draining").with("reason", reason).info();
+        }
+        door.drain();
+        node.announce();
+    }
+
+    @Override
+    public List<String> notes() {
+        List<String> notes = new ArrayList<>();
+        if (plan().isEmpty()) {
+            notes.add("the configuration does not list fleet \"" + settings.fleet() + "\"");
+        }
+        if (!rollout.remark().isEmpty()) {
+            notes.add(rollout.remark());
+        }
+        if (door.draining()) {
+            notes.add("leaving, " + door.inFlight() + " requests still run");
+        }
+        return notes;
+    }
+
+    /**
+     * Returns the number of requests that run.
+     *
+     * @return 0 or more
+     */
+    public int inFlight() {
+        return door.inFlight();
+    }
+
+    @Override
+    public void close() {
+        swarm.close();
+        callers.forEach(HttpCaller::close);
+    }
+
+    /**
+     * Creates a caller that is closed with the role.
+     *
+     * @param silence longest wait for the next byte
+     * @param connections connections at once
+     * @param reuse whether connections are used again
+     * @return the caller
+     */
+    private HttpCaller caller(Duration silence, int connections, boolean reuse) {
+        HttpCaller caller = new HttpCaller(silence, connections, reuse);
+        callers.add(caller);
+        return caller;
+    }
+
+    /**
+     * Returns the plan of the agent's fleet.
+     *
+     * @return plan in force, or empty if the configuration does not list the fleet
+     */
+    private Optional<FleetPlan> plan() {
+        return node.configuration().fleet(settings.fleet());
+    }
+
+    /**
+     * Asks the upstream for its state if that is due. Called on the control thread.
+     *
+     * @param now present time
+     */
+    private void probeUpstream(Instant now) {
+        if (probing || probedAt.plus(PROBE_INTERVAL).isAfter(now)) {
+            return;
+        }
+        probing = true;
+        probedAt = now;
+        node.work()
+                .execute(
+                        () -> {
+                            var result = probe.ask();
+                            node.control()
+                                    .run(
+                                            () -> {
+                                                probing = false;
+                                                result.peek(this::probed);
+                                            });
+                        });
+    }
+
+    /**
+     * Takes the upstream's state.
+     *
+     * @param state state
+     */
+    private void probed(UpstreamState state) {
+        incarnation.set(state.incarnation());
+        door.report(state);
+    }
+
+    /**
+     * Asks the upstream whether it is still the same process, and tells others of a crash.
+     *
+     * @return true if it crashed
+     */
+    private boolean crashed() {
+        long before = incarnation.get();
+        var state = probe.ask();
+        if (state.isRight() && state.get().incarnation() == before) {
+            return false;
+        }
+        for (String fingerprint : door.runningFingerprints()) {
+            CrashNotice notice =
+                    CrashNotice.newBuilder()
+                            .setFingerprint(fingerprint)
+                            .setHost(node.self().host().value())
+                            .setUpstreamIncarnation(before)
+                            .build();
+            Envelope message = Envelope.newBuilder().setCrashNotice(notice).build();
+            node.members().stream()
+                    .filter(m -> m.record().role() == HostRole.ENTRY)
+                    .filter(m -> m.presumedAlive(node.clock().instant()))
+                    .forEach(m -> node.client().tell(m.record().address(), Lane.LIVE, message));
+        }
+        return true;
+    }
+
+    /**
+     * Returns the agents that want a version.
+     *
+     * @param digest digest of the manifest
+     * @param now present time
+     * @return agents of model fleets that want it
+     */
+    private List<SwarmPeer> swarmPeers(Digest digest, Instant now) {
+        List<String> fleets =
+                node.configuration().fleets().stream()
+                        .filter(p -> p.spec().kind() == UpstreamKind.MODEL)
+                        .filter(p -> p.spec().digest().equals(digest))
+                        .map(p -> p.spec().fleet().value())
+                        .toList();
+        return node.members().stream()
+                .filter(m -> m.record().role() == HostRole.AGENT)
+                .filter(m -> fleets.contains(m.record().fleet()))
+                .filter(m -> m.host().equals(node.self().host()) || m.presumedAlive(now))
+                .map(m -> new SwarmPeer(m.host(), m.record().region()))
+                .sorted(Comparator.comparing(SwarmPeer::host))
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/AgentSettings.java
@@ -0,0 +1,12 @@
+package org.papayawalk.daemon.agent;
+
+import org.papayawalk.core.id.FleetId;
+
+/**
+ * Settings of an agent. Immutable.
+ *
+ * @param fleet fleet of the upstream
+ * @param upstreamAddress IP number and port of the upstream
+ * @param weights settings of the distribution of weights
+ */
+public record AgentSettings(FleetId fleet, String upstreamAddress, WeightSettings weights) {}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/ChunkAnswer.java
@@ -0,0 +1,16 @@
+package org.papayawalk.daemon.agent;
+
+import java.util.BitSet;
+import org.papayawalk.core.weight.FetchResult;
+
+/**
+ * Answer of a source to a request for a chunk, before verification. Immutable by convention.
+ *
+ * @param result {@code VERIFIED} if bytes came, although they are not verified yet; else why not
+ * @param data bytes, empty if none came
+ * @param held chunks that the source says it holds, or null if it did not say
+ */
+public record ChunkAnswer(FetchResult result, byte[] data, BitSet held) {
+    /** Answer in place of one that did not come. */
+    public static final ChunkAnswer FAILED = new ChunkAnswer(FetchResult.FAILED, new byte[0], null);
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/FoundManifest.java
@@ -0,0 +1,12 @@
+package org.papayawalk.daemon.agent;
+
+import org.papayawalk.core.weight.Manifest;
+
+/**
+ * Manifest with the bytes whose digest names it. Immutable by convention: the bytes are not
+ * changed.
+ *
+ * @param data bytes as they were published
+ * @param manifest their content
+ */
+public record FoundManifest(byte[] data, Manifest manifest) {}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/HeldVersion.java
@@ -0,0 +1,109 @@
+package org.papayawalk.daemon.agent;
+
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Optional;
+import org.papayawalk.core.id.Digest;
+import org.papayawalk.core.weight.FetchResult;
+import org.papayawalk.core.weight.Manifest;
+
+/**
+ * Version whose manifest is known, with its chunks held in memory. Not thread-safe: confined to the
+ * weights thread.
+ */
+final class HeldVersion {
+    /** Chunks held. */
+    private final ChunkStore store;
+
+    /** Digest of the manifest, none if no manifest is known. */
+    private Digest digest = Digest.NONE;
+
+    /** Manifest, or null. */
+    private FoundManifest found;
+
+    /**
+     * Creates a version without manifest.
+     *
+     * @param store chunks held
+     */
+    HeldVersion(ChunkStore store) {
+        this.store = store;
+    }
+
+    /**
+     * Turns to a version. Chunks that it lacks are dropped.
+     *
+     * @param newDigest digest of the manifest
+     * @param manifest manifest
+     */
+    void turnTo(Digest newDigest, FoundManifest manifest) {
+        digest = newDigest;
+        found = manifest;
+        store.retain(new HashSet<>(manifest.manifest().chunks()));
+    }
+
+    /**
+     * Looks up a manifest.
+     *
+     * @param wanted digest of the manifest
+     * @return manifest, or empty if it is not that of this version
+     */
+    Optional<FoundManifest> manifest(Digest wanted) {
+        return wanted.equals(digest) ? Optional.ofNullable(found) : Optional.empty();
+    }
+
+    /**
+     * Returns the chunks held.
+     *
+     * @return their indexes
+     */
+    BitSet chunks() {
+        return found == null ? new BitSet() : store.held(found.manifest().chunks());
+    }
+
+    /**
+     * Reads a chunk.
+     *
+     * @param index index of the chunk
+     * @return its bytes, or empty if it is not held
+     */
+    Optional<byte[]> chunk(int index) {
+        if (found == null || index < 0 || index >= found.manifest().chunkCount()) {
+            return Optional.empty();
+        }
+        return store.get(found.manifest().chunks().get(index));
+    }
+
+    /**
+     * Holds a verified chunk.
+     *
+     * @param index index of the chunk
+     * @param data its bytes
+     */
+    void put(int index, byte[] data) {
+        Manifest m = found.manifest();
+        store.put(m.chunks().get(index), data);
+    }
+
+    /**
+     * Builds the answer to a request for a chunk.
+     *
+     * @param wanted digest of the manifest
+     * @param index index of the chunk
+     * @param coming whether the chunk is being fetched
+     * @return the answer
+     */
+    ChunkAnswer answer(Digest wanted, int index, boolean coming) {
+        if (!wanted.equals(digest)) {
+            return new ChunkAnswer(FetchResult.NOT_HELD, new byte[0], new BitSet());
+        }
+        return chunk(index)
+                .map(data -> new ChunkAnswer(FetchResult.VERIFIED, data, chunks()))
+                .orElseGet(
+                        () ->
+                                new ChunkAnswer(
+                                        coming ? FetchResult.BUSY : FetchResult.NOT_HELD,
+                                        new byte[0],
+                                        chunks()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/ManifestFinder.java
@@ -0,0 +1,117 @@
+package org.papayawalk.daemon.agent;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
+import org.papayawalk.core.Rendezvous;
+import org.papayawalk.core.id.Digest;
+import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.port.Origin;
+import org.papayawalk.core.weight.SwarmPeer;
+import org.papayawalk.platform.ManifestCodec;
+
+/**
+ * Finds the manifest of a version. The host that comes first in the order asks the origin at once;
+ * the others ask hosts before them, and the origin only after as many attempts as there are hosts
+ * before them, so that one copy usually leaves the origin. Thread-safe.
+ */
+final class ManifestFinder {
+    /** Peers asked before the origin. */
+    private static final int PEER_ATTEMPTS = 3;
+
+    /** Name of this host. */
+    private final HostId self;
+
+    /** Messages to peers. */
+    private final ChunkTransport transport;
+
+    /** Origin. */
+    private final Origin origin;
+
+    /** Threads for calls that block. */
+    private final Executor work;
+
+    /**
+     * Creates a finder.
+     *
+     * @param self name of this host
+     * @param transport messages to peers
+     * @param origin origin
+     * @param work threads for calls that block
+     */
+    ManifestFinder(HostId self, ChunkTransport transport, Origin origin, Executor work) {
+        this.self = self;
+        this.transport = transport;
+        this.origin = origin;
+        this.work = work;
+    }
+
+    /**
+     * Finds a manifest.
+     *
+     * @param digest digest of the manifest
+     * @param peers hosts that want the version
+     * @param attempt number of earlier attempts
+     * @return the verified manifest or a fault; never completes exceptionally
+     */
+    CompletableFuture<Either<Fault, FoundManifest>> find(
+            Digest digest, List<SwarmPeer> peers, int attempt) {
+        List<HostId> hosts = peers.stream().map(SwarmPeer::host).toList();
+        List<HostId> order = Rendezvous.order(hosts, digest + "/manifest");
+        int own = order.indexOf(self);
+        int before = own < 0 ? order.size() : own;
+        int from = before == 0 ? 0 : attempt % before;
+        int to = Math.min(before, from + PEER_ATTEMPTS);
+        return ask(digest, order.subList(from, to), before <= attempt);
+    }
+
+    /**
+     * Asks peers in turn, then the origin.
+     *
+     * @param digest digest of the manifest
+     * @param left peers not asked yet
+     * @param originAllowed whether the origin may be asked
+     * @return the verified manifest or a fault
+     */
+    private CompletableFuture<Either<Fault, FoundManifest>> ask(
+            Digest digest, List<HostId> left, boolean originAllowed) {
+        if (left.isEmpty() && !originAllowed) {
+            String reason = "no peer has the manifest yet";
+            return CompletableFuture.completedFuture(
+                    Either.left(new Fault(FaultKind.REFUSED, "find-manifest", "peers", reason)));
+        }
+        if (left.isEmpty()) {
+            return CompletableFuture.supplyAsync(
+                    () -> origin.manifest(digest).flatMap(d -> read(d, digest, "origin")), work);
+        }
+        HostId peer = left.get(0);
+        return transport
+                .manifest(peer, digest)
+                .thenCompose(
+                        data -> {
+                            if (data.isPresent()) {
+                                Either<Fault, FoundManifest> read =
+                                        read(data.get(), digest, peer.value());
+                                if (read.isRight()) {
+                                    return CompletableFuture.completedFuture(read);
+                                }
+                            }
+                            return ask(digest, left.subList(1, left.size()), originAllowed);
+                        });
+    }
+
+    /**
+     * Reads and verifies a manifest.
+     *
+     * @param data bytes received
+     * @param digest digest that they must have
+     * @param source where they came from
+     * @return the verified manifest or a fault
+     */
+    private static Either<Fault, FoundManifest> read(byte[] data, Digest digest, String source) {
+        return ManifestCodec.read(data, digest, source).map(m -> new FoundManifest(data, m));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/OnceGate.java
@@ -0,0 +1,158 @@
+package org.papayawalk.daemon.agent;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.once.OncePhase;
+import org.papayawalk.core.once.OnceRecord;
+import org.papayawalk.core.once.OnceRules;
+import org.papayawalk.core.once.StoredAnswer;
+import org.papayawalk.core.port.ObjectStore;
+import org.papayawalk.daemon.once.OnceRow;
+import org.papayawalk.daemon.once.OnceTable;
+import org.papayawalk.daemon.once.WriteResult;
+import org.papayawalk.log.Event;
+
+/**
+ * The agent's part of the at-most-once protocol: it forwards a call only after it has itself moved
+ * the call's row to {@code STARTED}. Thread-safe.
+ */
+public final class OnceGate {
+    /** Longest time to try a change of the row. */
+    private static final Duration WRITE_LIMIT = Duration.ofSeconds(3);
+
+    /** Longest time to try to keep an answer. */
+    private static final Duration KEEP_LIMIT = Duration.ofSeconds(20);
+
+    /** Largest body kept in the row, in bytes; larger ones go to the object store. */
+    private static final int MAX_ROW_BODY_BYTES = 16 * 1024;
+
+    /** Rows. */
+    private final OnceTable table;
+
+    /** Object store for large answers. */
+    private final ObjectStore objects;
+
+    /** Name of this host. */
+    private final HostId self;
+
+    /** Clock. */
+    private final InstantSource clock;
+
+    /** Rules. */
+    private final OnceRules rules = new OnceRules();
+
+    /**
+     * Creates a gate.
+     *
+     * @param table rows
+     * @param objects object store for large answers
+     * @param self name of this host
+     * @param clock clock
+     */
+    public OnceGate(OnceTable table, ObjectStore objects, HostId self, InstantSource clock) {
+        this.table = table;
+        this.objects = objects;
+        this.self = self;
+        this.clock = clock;
+    }
+
+    /**
+     * Moves a call's row to {@code STARTED}.
+     *
+     * @param key key of the row
+     * @param token token that came with the request
+     * @return the row as started, or empty if the call must not be forwarded
+     */
+    public Optional<OnceRow> start(String key, String token) {
+        Either<Fault, Optional<OnceRow>> row = table.read(key);
+        Optional<OnceRecord> record = row.getOrElse(Optional.empty()).map(OnceRow::record);
+        if (!rules.mayStart(record, token)) {
+            return Optional.empty();
+        }
+        Instant now = clock.instant();
+        OnceRecord started = record.get().move(OncePhase.STARTED, self.value(), now, null);
+        long revision = row.get().get().revision();
+        WriteResult result = table.write(key, revision, started, now.plus(WRITE_LIMIT));
+        if (result != WriteResult.WRITTEN) {
+            return Optional.empty();
+        }
+        return table.read(key)
+                .getOrElse(Optional.empty())
+                .filter(r -> rules.startedBy(Optional.of(r.record()), token, self.value()));
+    }
+
+    /**
+     * Keeps the answer of a call.
+     *
+     * @param key key of the row
+     * @param started row as started
+     * @param answer answer of the upstream
+     * @return true if it is kept
+     */
+    public boolean keep(String key, OnceRow started, StoredAnswer answer) {
+        Optional<StoredAnswer> stored = stored(started.record().token(), answer);
+        if (stored.isEmpty()) {
+            return false;
+        }
+        return move(key, started, OncePhase.ANSWERED, stored.get(), KEEP_LIMIT);
+    }
+
+    /**
+     * Gives a call back that was not forwarded.
+     *
+     * @param key key of the row
+     * @param started row as started
+     * @return true if it may be claimed again
+     */
+    public boolean release(String key, OnceRow started) {
+        return move(key, started, OncePhase.RELEASED, null, WRITE_LIMIT);
+    }
+
+    /**
+     * Moves a started row on.
+     *
+     * @param key key of the row
+     * @param started row as started
+     * @param phase phase to move to
+     * @param answer answer to keep, or null
+     * @param limit longest time to try
+     * @return true if the row was moved
+     */
+    private boolean move(
+            String key, OnceRow started, OncePhase phase, StoredAnswer answer, Duration limit) {
+        Instant now = clock.instant();
+        OnceRecord next = started.record().move(phase, self.value(), now, answer);
+        WriteResult result = table.write(key, started.revision(), next, now.plus(limit));
+        if (result != WriteResult.WRITTEN) {
+            Event.named("once-move-failed")
+                    .with("key", key)
+                    .with("phase", phase)
+                    .with("result", result)
+                    .warn();
+        }
+        return result == WriteResult.WRITTEN;
+    }
+
+    /**
+     * Puts a large body into the object store.
+     *
+     * @param token token of the attempt, which names the object
+     * @param answer answer of the upstream
+     * @return answer to put into the row, or empty if the store failed
+     */
+    private Optional<StoredAnswer> stored(String token, StoredAnswer answer) {
+        if (answer.body().length <= MAX_ROW_BODY_BYTES) {
+            return Optional.of(answer);
+        }
+        String name = "answer-" + token;
+        return objects.put(name, answer.body())
+                .peekLeft(f -> Event.named("answer-not-kept").with("fault", f).warn())
+                .map(n -> new StoredAnswer(answer.status(), answer.contentType(), null, name))
+                .toJavaOptional();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/SwarmView.java
@@ -0,0 +1,19 @@
+package org.papayawalk.daemon.agent;
+
+import java.time.Instant;
+import java.util.List;
+import org.papayawalk.core.id.Digest;
+import org.papayawalk.core.weight.SwarmPeer;
+
+/** Tells which hosts want a version. Implementations are safe from any thread. */
+public interface SwarmView {
+
+    /**
+     * Returns the hosts that want a version and are presumed alive.
+     *
+     * @param digest digest of the manifest
+     * @param now present time
+     * @return those hosts, this one among them
+     */
+    List<SwarmPeer> peers(Digest digest, Instant now);
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/UpstreamProbe.java
@@ -0,0 +1,64 @@
+package org.papayawalk.daemon.agent;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.time.InstantSource;
+import java.util.Map;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
+import org.papayawalk.core.id.Digest;
+import org.papayawalk.platform.HttpCall;
+import org.papayawalk.platform.HttpCaller;
+import org.papayawalk.platform.Json;
+
+/** Asks an upstream of either kind for its state. Thread-safe. */
+public final class UpstreamProbe {
+    /** Sends the requests. */
+    private final HttpCaller http;
+
+    /** Address of the upstream. */
+    private final String address;
+
+    /** Clock. */
+    private final InstantSource clock;
+
+    /**
+     * Creates a probe.
+     *
+     * @param http sends the requests
+     * @param address IP number and port of the upstream
+     * @param clock clock
+     */
+    public UpstreamProbe(HttpCaller http, String address, InstantSource clock) {
+        this.http = http;
+        this.address = address;
+        this.clock = clock;
+    }
+
+    /**
+     * Asks the upstream.
+     *
+     * @return its state, or a fault
+     */
+    public Either<Fault, UpstreamState> ask() {
+        HttpCall call = HttpCall.get("upstream-health", address, "/v1/health");
+        return http.call(call)
+                .flatMap(
+                        reply -> {
+                            try {
+                                Map<String, Object> health =
+                                        Json.read(reply.body(), new TypeReference<>() {});
+                                long incarnation = ((Number) health.get("incarnation")).longValue();
+                                Object serving = health.getOrDefault("serving", "");
+                                Digest digest = new Digest(String.valueOf(serving));
+                                return Either.right(
+                                        new UpstreamState(incarnation, digest, clock.instant()));
+                            } catch (IOException | RuntimeException e) {
+                                return Either.left(
+                                        Fault.of(
+                                                FaultKind.CORRUPT, call.step(), call.address(), e));
+                            }
+                        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/entry/AnswerHeaders.java
@@ -0,0 +1,32 @@
+package org.papayawalk.daemon.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.papayawalk.core.api.CallerHeaders;
+import org.papayawalk.core.route.Candidate;
+import org.papayawalk.platform.HttpHeader;
+import org.papayawalk.wire.proto.Header;
+import org.papayawalk.wire.proto.ResponseHead;
+
+/** Builds the headers of answers. Holds no state; safe from any thread. */
+final class AnswerHeaders {
+
+    /** Prevents instances. */
+    private AnswerHeaders() {}
+
+    /**
+     * Builds the headers of an answer.
+     *
+     * @param candidate agent
+     * @param head head of the upstream's answer
+     * @return headers for the caller
+     */
+    static List<HttpHeader> of(Candidate candidate, ResponseHead head) {
+        List<HttpHeader> headers = new ArrayList<>();
+        for (Header h : head.getHeadersList()) {
+            headers.add(new HttpHeader(h.getName(), h.getValue()));
+        }
+        headers.add(new HttpHeader(CallerHeaders.HOST, candidate.host().value()));
+        return headers;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/entry/EntryServices.java
@@ -0,0 +1,16 @@
+package org.papayawalk.daemon.entry;
+
+import java.time.InstantSource;
+import org.papayawalk.core.route.RetryBudget;
+import org.papayawalk.core.suspect.SuspectRegistry;
+
+/**
+ * What the calls of one entry share. Immutable; its parts are thread-safe.
+ *
+ * @param dispatcher dispatches to agents
+ * @param budget limits retries
+ * @param suspects requests that crashed upstreams
+ * @param clock clock
+ */
+record EntryServices(
+        Dispatcher dispatcher, RetryBudget budget, SuspectRegistry suspects, InstantSource clock) {}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/node/ConfigStore.java
@@ -0,0 +1,69 @@
+package org.papayawalk.daemon.node;
+
+import io.vavr.control.Either;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
+import org.papayawalk.core.config.Configuration;
+import org.papayawalk.core.id.ConfigVersion;
+import org.papayawalk.core.port.TableService;
+import org.papayawalk.platform.ConfigCodec;
+import org.papayawalk.platform.ConfigTables;
+
+/** Reads accepted configurations from the table service. Holds no state; safe from any thread. */
+final class ConfigStore {
+    /** Table service. */
+    private final TableService table;
+
+    /**
+     * Creates a reader.
+     *
+     * @param table table service
+     */
+    ConfigStore(TableService table) {
+        this.table = table;
+    }
+
+    /**
+     * Reads the configuration if it is later than a known one.
+     *
+     * @param known version known
+     * @return the accepted configuration, an empty one if none is later, or a fault
+     */
+    Either<Fault, Configuration> readLater(ConfigVersion known) {
+        return table.read(ConfigTables.CONFIG, ConfigTables.HEAD_KEY)
+                .flatMap(
+                        head -> {
+                            if (head.isEmpty()) {
+                                return Either.right(Configuration.EMPTY);
+                            }
+                            return ConfigTables.readHead(head.get())
+                                    .flatMap(
+                                            version ->
+                                                    version.isAfter(known)
+                                                            ? readDocument(version)
+                                                            : Either.right(Configuration.EMPTY));
+                        });
+    }
+
+    /**
+     * Reads the configuration of a version.
+     *
+     * @param version version to read
+     * @return the configuration, or a fault
+     */
+    private Either<Fault, Configuration> readDocument(ConfigVersion version) {
+        return table.read(ConfigTables.CONFIG, ConfigTables.documentKey(version))
+                .flatMap(
+                        row ->
+                                row.isPresent()
+                                        ? ConfigCodec.read(row.get().value(), "table")
+                                        : Either.left(
+                                                new Fault(
+                                                        FaultKind.CORRUPT,
+                                                        "read-config",
+                                                        "table",
+                                                        "configuration version "
+                                                                + version
+                                                                + " has no row")));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/node/PeerDocuments.java
@@ -0,0 +1,46 @@
+package org.papayawalk.daemon.node;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import org.papayawalk.core.config.Configuration;
+import org.papayawalk.core.member.HostRecord;
+import org.papayawalk.core.member.Member;
+import org.papayawalk.platform.ConfigCodec;
+import org.papayawalk.platform.Json;
+import org.papayawalk.wire.proto.ConfigDocument;
+import org.papayawalk.wire.proto.Envelope;
+import org.papayawalk.wire.proto.HostsDocument;
+
+/** Builds messages that carry whole documents. Holds no state; safe from any thread. */
+final class PeerDocuments {
+
+    /** Prevents instances. */
+    private PeerDocuments() {}
+
+    /**
+     * Builds the message that carries a configuration.
+     *
+     * @param configuration configuration
+     * @return message
+     */
+    static Envelope.Builder of(Configuration configuration) {
+        ConfigDocument.Builder document =
+                ConfigDocument.newBuilder()
+                        .setVersion(configuration.version().number())
+                        .setDocument(ByteString.copyFrom(ConfigCodec.write(configuration)));
+        return Envelope.newBuilder().setConfigDocument(document);
+    }
+
+    /**
+     * Builds the message that carries the known hosts.
+     *
+     * @param members known hosts
+     * @return message
+     */
+    static Envelope.Builder of(List<Member> members) {
+        List<HostRecord> records = members.stream().map(Member::record).toList();
+        HostsDocument.Builder document =
+                HostsDocument.newBuilder().setDocument(ByteString.copyFrom(Json.write(records)));
+        return Envelope.newBuilder().setHostsDocument(document);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/once/package-info.java
@@ -0,0 +1,2 @@
+/** Rows of non-idempotent calls in the table service, for entries and agents. */
+package org.papayawalk.daemon.once;
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/standin/Bodies.java
@@ -0,0 +1,100 @@
+package org.papayawalk.lab.standin;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.papayawalk.platform.Json;
+
+/** Reads and writes bodies of stand-ins. Holds no state; safe from any thread. */
+final class Bodies {
+
+    /** Prevents instances. */
+    private Bodies() {}
+
+    /**
+     * Reads the body of a request.
+     *
+     * @param request request
+     * @return body, empty if there is none
+     * @throws IOException if the connection was lost
+     */
+    static byte[] read(ClassicHttpRequest request) throws IOException {
+        if (request.getEntity() == null) {
+            return new byte[0];
+        }
+        return EntityUtils.toByteArray(request.getEntity());
+    }
+
+    /**
+     * Answers with JSON.
+     *
+     * @param response response to fill
+     * @param status HTTP status
+     * @param value value
+     */
+    static void json(ClassicHttpResponse response, int status, Object value) {
+        response.setCode(status);
+        response.setEntity(new ByteArrayEntity(Json.write(value), ContentType.APPLICATION_JSON));
+    }
+
+    /**
+     * Answers with bytes.
+     *
+     * @param response response to fill
+     * @param data bytes
+     */
+    static void bytes(ClassicHttpResponse response, byte[] data) {
+        response.setCode(200);
+        response.setEntity(new ByteArrayEntity(data, ContentType.APPLICATION_OCTET_STREAM));
+    }
+
+    /**
+     * Answers with an error.
+     *
+     * @param response response to fill
+     * @param status HTTP status
+     * @param message what is wrong
+     */
+    static void error(ClassicHttpResponse response, int status, String message) {
+        json(response, status, Map.of("error", message));
+    }
+
+    /**
+     * Reads the query of a request.
+     *
+     * @param request request
+     * @return values by name
+     */
+    static Map<String, String> query(ClassicHttpRequest request) {
+        Map<String, String> values = new HashMap<>();
+        String uri = request.getRequestUri();
+        int start = uri.indexOf('?');
+        if (start < 0) {
+            return values;
+        }
+        for (String pair : uri.substring(start + 1).split("&")) {
+            int equals = pair.indexOf('=');
+            if (equals > 0) {
+                values.put(pair.substring(0, equals), pair.substring(equals + 1));
+            }
+        }
+        return values;
+    }
+
+    /**
+     * Returns the path without the query.
+     *
+     * @param request request
+     * @return path
+     */
+    static String path(ClassicHttpRequest request) {
+        String path = request.getPath();
+        int query = path.indexOf('?');
+        return query < 0 ? path : path.substring(0, query);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
@@ -0,0 +1,341 @@
+package org.papayawalk.lab.standin;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.entity.EntityTemplate;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.papayawalk.core.api.CallerHeaders;
+import org.papayawalk.core.id.Digest;
+import org.papayawalk.core.port.EngineStatus;
+import org.papayawalk.core.weight.Manifest;
+import org.papayawalk.platform.Json;
+import org.papayawalk.platform.VersionChange;
+
+/**
+ * Model engine that generates computable text at a set pace, with a prefix cache, resume, cancel,
+ * staging and orders. A prompt with the word {@value #POISON} crashes it. Thread-safe.
+ */
+public final class EngineStandIn implements HttpRequestHandler {
+    /** Word that crashes the engine. */
+    public static final String POISON = "poison-pill";
+
+    /** Start of the paths of orders. */
+    private static final String STAGING = "/v1/engine/staging/";
+
+    /** Prompts that the prefix cache holds. */
+    private static final int CACHE_SIZE = 64;
+
+    /** Tokens generated if the request does not say. */
+    private static final int DEFAULT_TOKENS = 16;
+
+    /** Status of a full engine. */
+    private static final int UNAVAILABLE = 503;
+
+    /** Status of a failed condition. */
+    private static final int CONFLICT = 409;
+
+    /** Status of something that does not exist. */
+    private static final int NOT_FOUND = 404;
+
+    /** Settings. */
+    private final EngineSettings settings;
+
+    /** Versions. */
+    private final EngineVersions versions;
+
+    /** Requests that run. */
+    private final AtomicInteger running = new AtomicInteger();
+
+    /** Requests started. */
+    private final AtomicLong started = new AtomicLong();
+
+    /** Crashes. */
+    private final AtomicInteger crashes = new AtomicInteger();
+
+    /** Prompts cached, least recently used first. */
+    private final Map<String, Boolean> cache =
+            new LinkedHashMap<>(CACHE_SIZE, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                    return size() > CACHE_SIZE;
+                }
+            };
+
+    /**
+     * Creates an engine that serves nothing.
+     *
+     * @param settings settings
+     */
+    public EngineStandIn(EngineSettings settings) {
+        this.settings = settings;
+        this.versions = new EngineVersions(settings.checksFencing());
+    }
+
+    /**
+     * Returns the version that serves.
+     *
+     * @return digest, or none
+     */
+    public Digest serving() {
+        return versions.serving();
+    }
+
+    @Override
+    public void handle(
+            ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
+            throws IOException {
+        String path = Bodies.path(request);
+        if (path.equals("/v1/chat/completions")) {
+            chat(request, response);
+        } else if (path.equals("/v1/health")) {
+            EngineStatus status = versions.status(running.get());
+            Bodies.json(
+                    response,
+                    200,
+                    Map.of("incarnation", status.incarnation(), "serving", status.serving()));
+        } else if (path.equals("/v1/engine")) {
+            Bodies.json(response, 200, versions.status(running.get()));
+        } else if (path.equals("/v1/engine/switch")) {
+            change(Json.read(Bodies.read(request), VersionChange.class), response);
+        } else if (path.startsWith(STAGING)) {
+            stage(path.substring(STAGING.length()).split("/"), request, response);
+        } else if (path.equals("/lab/counters")) {
+            Bodies.json(
+                    response,
+                    200,
+                    Map.of(
+                            "started", started.get(),
+                            "running", running.get(),
+                            "crashes", crashes.get()));
+        } else {
+            Bodies.error(response, NOT_FOUND, "path " + path + " does not exist");
+        }
+    }
+
+    /**
+     * Carries out an order to change the version.
+     *
+     * @param change order
+     * @param response response to fill
+     */
+    private void change(VersionChange change, ClassicHttpResponse response) {
+        Optional<String> refusal = versions.change(change);
+        if (refusal.isPresent()) {
+            Bodies.error(response, CONFLICT, refusal.get());
+        } else {
+            Bodies.json(response, 200, versions.status(running.get()));
+        }
+    }
+
+    /**
+     * Carries out a step of staging.
+     *
+     * @param parts digest and step
+     * @param request request
+     * @param response response to fill
+     * @throws IOException if the connection was lost
+     */
+    private void stage(String[] parts, ClassicHttpRequest request, ClassicHttpResponse response)
+            throws IOException {
+        Digest digest = new Digest(parts[0]);
+        byte[] body = Bodies.read(request);
+        String step = parts.length > 1 ? parts[1] : "";
+        switch (step) {
+            case "" -> {
+                versions.begin(digest, Json.read(body, Manifest.class));
+                Bodies.json(response, 200, versions.status(running.get()));
+            }
+            case "bytes" -> {
+                int offset = Integer.parseInt(Bodies.query(request).get("offset"));
+                if (versions.write(digest, offset, body)) {
+                    Bodies.json(response, 200, body.length);
+                } else {
+                    Bodies.error(response, CONFLICT, "another version is being staged");
+                }
+            }
+            case "seal" -> {
+                Optional<Digest> whole = versions.seal(digest);
+                if (whole.isPresent()) {
+                    Bodies.json(response, 200, whole.get());
+                } else {
+                    Bodies.error(response, CONFLICT, "another version is being staged");
+                }
+            }
+            default -> Bodies.error(response, NOT_FOUND, "step " + step + " does not exist");
+        }
+    }
+
+    /**
+     * Runs a request.
+     *
+     * @param request request
+     * @param response response to fill
+     * @throws IOException if the connection was lost or the engine crashes
+     */
+    private void chat(ClassicHttpRequest request, ClassicHttpResponse response) throws IOException {
+        Map<String, Object> body = Json.read(Bodies.read(request), new TypeReference<>() {});
+        String prompt = String.valueOf(body.get("messages"));
+        Digest version = versions.serving();
+        if (!version.isPresent() || running.get() >= settings.maxRunning()) {
+            Bodies.error(response, UNAVAILABLE, "the engine is full or serves nothing");
+            return;
+        }
+        started.incrementAndGet();
+        int tokens = number(body.get("max_tokens"), DEFAULT_TOKENS);
+        int from = number(header(request, CallerHeaders.RESUME_FROM), 0);
+        int epoch = crashes.get();
+        if (prompt.contains(POISON)) {
+            versions.crash();
+            crashes.incrementAndGet();
+            throw new ConnectionClosedException("the engine crashed");
+        }
+        response.setCode(200);
+        response.setHeader(CallerHeaders.MODEL_DIGEST, version.value());
+        Generation g = new Generation(version, prompt, tokens, from, epoch);
+        if (Boolean.TRUE.equals(body.get("stream"))) {
+            response.setEntity(
+                    new EntityTemplate(
+                            -1, ContentType.TEXT_EVENT_STREAM, null, out -> stream(g, out)));
+        } else {
+            response.setEntity(
+                    new EntityTemplate(
+                            -1, ContentType.APPLICATION_JSON, null, out -> whole(g, out)));
+        }
+    }
+
+    /**
+     * Streams the tokens of a request.
+     *
+     * @param g what to generate
+     * @param out connection
+     * @throws IOException if the connection was lost or the engine crashes
+     */
+    private void stream(Generation g, OutputStream out) throws IOException {
+        running.incrementAndGet();
+        try {
+            prefill(g.prompt());
+            for (int i = g.from(); i < g.tokens(); i++) {
+                checkAlive(g);
+                Object delta = Map.of("content", EngineText.token(g.version(), g.prompt(), i));
+                Object choice = Map.of("index", 0, "delta", delta);
+                event(out, new String(Json.write(Map.of("choices", List.of(choice)))));
+                FaultSwitch.pause(settings.tokenMillis());
+            }
+            if (g.from() <= g.tokens()) {
+                event(out, "[DONE]");
+            }
+        } finally {
+            running.decrementAndGet();
+        }
+    }
+
+    /**
+     * Generates a whole answer.
+     *
+     * @param g what to generate
+     * @param out connection
+     * @throws IOException if the connection was lost or the engine crashes
+     */
+    private void whole(Generation g, OutputStream out) throws IOException {
+        running.incrementAndGet();
+        try {
+            prefill(g.prompt());
+            FaultSwitch.pause(settings.tokenMillis() * g.tokens());
+            checkAlive(g);
+            String text = EngineText.text(g.version(), g.prompt(), g.tokens());
+            Object message = Map.of("role", "assistant", "content", text);
+            out.write(
+                    Json.write(Map.of("choices", List.of(Map.of("index", 0, "message", message)))));
+        } finally {
+            running.decrementAndGet();
+        }
+    }
+
+    /**
+     * Breaks a request off if the engine has crashed since it started.
+     *
+     * @param g request
+     * @throws IOException if the engine has crashed
+     */
+    private void checkAlive(Generation g) throws IOException {
+        if (crashes.get() != g.epoch()) {
+            throw new ConnectionClosedException("the engine crashed");
+        }
+    }
+
+    /**
+     * Spends the time to the first token, less if the prompt is cached.
+     *
+     * @param prompt text of the messages
+     * @throws IOException if the thread is interrupted
+     */
+    private void prefill(String prompt) throws IOException {
+        boolean cached;
+        synchronized (cache) {
+            cached = cache.put(prompt, true) != null;
+        }
+        FaultSwitch.pause(cached ? settings.prefillMillis() / 4 : settings.prefillMillis());
+    }
+
+    /**
+     * Sends an event.
+     *
+     * @param out connection
+     * @param data data of the event
+     * @throws IOException if the connection was lost
+     */
+    private static void event(OutputStream out, String data) throws IOException {
+        out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    /**
+     * Returns a header.
+     *
+     * @param request request
+     * @param name name of the header
+     * @return value, or null
+     */
+    private static String header(ClassicHttpRequest request, String name) {
+        Header h = request.getFirstHeader(name);
+        return h == null ? null : h.getValue();
+    }
+
+    /**
+     * Reads a number.
+     *
+     * @param value number, text or null
+     * @param otherwise value if there is none
+     * @return number
+     */
+    private static int number(Object value, int otherwise) {
+        return value == null ? otherwise : Integer.parseInt(String.valueOf(value));
+    }
+
+    /**
+     * What to generate for a request. Immutable.
+     *
+     * @param version version
+     * @param prompt text of the messages
+     * @param tokens number of tokens
+     * @param from tokens that the caller already has
+     * @param epoch crashes of the engine when the request started
+     */
+    private record Generation(Digest version, String prompt, int tokens, int from, int epoch) {}
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/standin/EngineVersions.java
@@ -0,0 +1,137 @@
+package org.papayawalk.lab.standin;
+
+import java.util.Optional;
+import org.papayawalk.core.id.Digest;
+import org.papayawalk.core.port.EngineStatus;
+import org.papayawalk.core.weight.Manifest;
+import org.papayawalk.platform.VersionChange;
+
+/** Versions of an engine stand-in: the one that serves and the one that is staged. Thread-safe. */
+final class EngineVersions {
+    /** Whether old fencing numbers are refused. */
+    private final boolean checksFencing;
+
+    /** Version that serves. */
+    private Digest serving = Digest.NONE;
+
+    /** Version that is being staged. */
+    private Digest staging = Digest.NONE;
+
+    /** Bytes written to the staging area. */
+    private byte[] staged = new byte[0];
+
+    /** Whether the staged version was sealed. */
+    private boolean sealed;
+
+    /** Highest fencing number. */
+    private long fencing;
+
+    /** Start time of the engine. */
+    private long incarnation = System.currentTimeMillis();
+
+    /**
+     * Creates the versions of an engine that serves nothing.
+     *
+     * @param checksFencing whether old fencing numbers are refused
+     */
+    EngineVersions(boolean checksFencing) {
+        this.checksFencing = checksFencing;
+    }
+
+    /**
+     * Returns the version that serves.
+     *
+     * @return digest, or none
+     */
+    synchronized Digest serving() {
+        return serving;
+    }
+
+    /**
+     * Reports the state.
+     *
+     * @param running requests that run
+     * @return report
+     */
+    synchronized EngineStatus status(int running) {
+        return new EngineStatus(
+                incarnation, serving, sealed ? staging : Digest.NONE, running, fencing);
+    }
+
+    /** Forgets the staging area, as a crash does. What served is loaded again. */
+    synchronized void crash() {
+        incarnation = Math.max(incarnation + 1, System.currentTimeMillis());
+        staging = Digest.NONE;
+        staged = new byte[0];
+        sealed = false;
+    }
+
+    /**
+     * Begins staging, or goes on with it.
+     *
+     * @param digest digest of the manifest
+     * @param manifest manifest
+     */
+    synchronized void begin(Digest digest, Manifest manifest) {
+        if (!digest.equals(staging)) {
+            staging = digest;
+            staged = new byte[(int) manifest.sizeBytes()];
+            sealed = false;
+        }
+    }
+
+    /**
+     * Writes to the staging area.
+     *
+     * @param digest digest of the manifest
+     * @param offset place in bytes
+     * @param data bytes
+     * @return false if another version is being staged
+     */
+    synchronized boolean write(Digest digest, int offset, byte[] data) {
+        if (!digest.equals(staging) || offset + data.length > staged.length) {
+            return false;
+        }
+        System.arraycopy(data, 0, staged, offset, data.length);
+        return true;
+    }
+
+    /**
+     * Seals the staged version.
+     *
+     * @param digest digest of the manifest
+     * @return digest of the whole weights, or empty if another version is being staged
+     */
+    synchronized Optional<Digest> seal(Digest digest) {
+        if (!digest.equals(staging)) {
+            return Optional.empty();
+        }
+        sealed = true;
+        return Optional.of(Digest.of(staged));
+    }
+
+    /**
+     * Changes the version that serves.
+     *
+     * @param change order
+     * @return empty if it was carried out, else why not
+     */
+    synchronized Optional<String> change(VersionChange change) {
+        if (checksFencing && change.fencing() <= fencing) {
+            return Optional.of(
+                    "fencing number %d is not above %d".formatted(change.fencing(), fencing));
+        }
+        fencing = Math.max(fencing, change.fencing());
+        if (!change.expected().equals(serving)) {
+            return Optional.of("another version serves");
+        }
+        if (!sealed || !change.target().equals(staging)) {
+            return Optional.of("the version is not staged and sealed");
+        }
+        serving = change.target();
+        staging = Digest.NONE;
+        staged = new byte[0];
+        sealed = false;
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins that speak the published protocols and fail on order. */
+package org.papayawalk.lab.standin;
--- /dev/null
+++ b/src/main/java/org/papayawalk/platform/ConfigCodec.java
@@ -0,0 +1,39 @@
+package org.papayawalk.platform;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
+import org.papayawalk.core.config.Configuration;
+
+/** Writes and reads configurations as JSON. Holds no state; safe from any thread. */
+public final class ConfigCodec {
+
+    /** Prevents instances. */
+    private ConfigCodec() {}
+
+    /**
+     * Writes a configuration.
+     *
+     * @param configuration configuration to write
+     * @return UTF-8 text
+     */
+    public static byte[] write(Configuration configuration) {
+        return Json.write(configuration);
+    }
+
+    /**
+     * Reads a configuration.
+     *
+     * @param data UTF-8 text
+     * @param peer where it came from
+     * @return the configuration, or a fault if it cannot be read
+     */
+    public static Either<Fault, Configuration> read(byte[] data, String peer) {
+        try {
+            return Either.right(Json.read(data, Configuration.class));
+        } catch (IOException e) {
+            return Either.left(Fault.of(FaultKind.CORRUPT, "read-config", peer, e));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/platform/HttpReplies.java
@@ -0,0 +1,76 @@
+package org.papayawalk.platform;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.vavr.control.Either;
+import java.io.IOException;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
+
+/** Turns answers of the platform into values and faults. Holds no state; safe from any thread. */
+final class HttpReplies {
+    /** Status of a failed condition. */
+    private static final int CONFLICT = 409;
+
+    /** First status that stands for a failure of the server. */
+    private static final int SERVER_ERROR = 500;
+
+    /** Longest text of an answer that goes into a fault. */
+    private static final int MAX_MESSAGE = 200;
+
+    /** Prevents instances. */
+    private HttpReplies() {}
+
+    /**
+     * Makes the fault of an answer without success. A server's own failure may have come after the
+     * effect.
+     *
+     * @param call request
+     * @param reply its answer
+     * @return the fault
+     */
+    static Fault fault(HttpCall call, HttpReply reply) {
+        FaultKind kind = FaultKind.REFUSED;
+        if (reply.status() == CONFLICT) {
+            kind = FaultKind.CONFLICT;
+        } else if (reply.status() >= SERVER_ERROR) {
+            kind = FaultKind.UNKNOWN_OUTCOME;
+        }
+        String text = reply.text();
+        String shown = text.length() > MAX_MESSAGE ? text.substring(0, MAX_MESSAGE) : text;
+        return new Fault(kind, call.step(), call.address(), "HTTP " + reply.status() + " " + shown);
+    }
+
+    /**
+     * Demands success.
+     *
+     * @param call request
+     * @param reply its answer
+     * @return the answer, or a fault
+     */
+    static Either<Fault, HttpReply> success(HttpCall call, HttpReply reply) {
+        return reply.ok() ? Either.right(reply) : Either.left(fault(call, reply));
+    }
+
+    /**
+     * Reads a JSON body.
+     *
+     * @param call request
+     * @param reply its answer
+     * @param type type of the value
+     * @param <T> type of the value
+     * @return the value, or a fault
+     */
+    static <T> Either<Fault, T> value(HttpCall call, HttpReply reply, TypeReference<T> type) {
+        return success(call, reply)
+                .flatMap(
+                        r -> {
+                            try {
+                                return Either.right(Json.read(r.body(), type));
+                            } catch (IOException e) {
+                                return Either.left(
+                                        Fault.of(
+                                                FaultKind.CORRUPT, call.step(), call.address(), e));
+                            }
+                        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/platform/HttpStream.java
@@ -0,0 +1,71 @@
+package org.papayawalk.platform;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+
+/**
+ * HTTP answer that is read while it arrives. For one reading thread; {@link #close()} may be called
+ * from another to break the reading off.
+ */
+public final class HttpStream implements AutoCloseable {
+    /** Answer. */
+    private final ClassicHttpResponse response;
+
+    /**
+     * Wraps an answer.
+     *
+     * @param response answer whose body was not read
+     */
+    HttpStream(ClassicHttpResponse response) {
+        this.response = response;
+    }
+
+    /**
+     * Returns the status.
+     *
+     * @return HTTP status
+     */
+    public int status() {
+        return response.getCode();
+    }
+
+    /**
+     * Returns the headers.
+     *
+     * @return headers in their order
+     */
+    public List<HttpHeader> headers() {
+        List<HttpHeader> headers = new ArrayList<>();
+        for (Header h : response.getHeaders()) {
+            headers.add(new HttpHeader(h.getName(), h.getValue()));
+        }
+        return headers;
+    }
+
+    /**
+     * Returns the body.
+     *
+     * @return stream that ends at the end of the body and fails if the connection is lost before
+     * @throws IOException if the connection was lost
+     */
+    public InputStream body() throws IOException {
+        if (response.getEntity() == null) {
+            return InputStream.nullInputStream();
+        }
+        return response.getEntity().getContent();
+    }
+
+    @Override
+    public void close() {
+        try {
+            response.close();
+        } catch (IOException e) {
+            // The answer is given up; a failure to close its connection changes nothing.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/platform/ManifestCodec.java
@@ -0,0 +1,51 @@
+package org.papayawalk.platform;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
+import org.papayawalk.core.id.Digest;
+import org.papayawalk.core.weight.Manifest;
+
+/** Writes and reads manifests as JSON. Holds no state; safe from any thread. */
+public final class ManifestCodec {
+
+    /** Prevents instances. */
+    private ManifestCodec() {}
+
+    /**
+     * Writes a manifest.
+     *
+     * @param manifest manifest to write
+     * @return UTF-8 text, whose digest names the version
+     */
+    public static byte[] write(Manifest manifest) {
+        return Json.write(manifest);
+    }
+
+    /**
+     * Reads a manifest and checks that it is the one named.
+     *
+     * @param data UTF-8 text
+     * @param digest digest that the text must have
+     * @param peer where it came from
+     * @return the manifest, or a fault
+     */
+    public static Either<Fault, Manifest> read(byte[] data, Digest digest, String peer) {
+        Digest actual = Digest.of(data);
+        if (!actual.equals(digest)) {
+            String reason = "manifest has digest %s, expected %s";
+            return Either.left(
+                    new Fault(
+                            FaultKind.CORRUPT,
+                            "read-manifest",
+                            peer,
+                            reason.formatted(actual, digest)));
+        }
+        try {
+            return Either.right(Json.read(data, Manifest.class));
+        } catch (IOException e) {
+            return Either.left(Fault.of(FaultKind.CORRUPT, "read-manifest", peer, e));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/platform/OnceTables.java
@@ -0,0 +1,21 @@
+package org.papayawalk.platform;
+
+/** Names of the rows of non-idempotent calls. Holds no state; safe from any thread. */
+public final class OnceTables {
+    /** Name of the table. */
+    public static final String TABLE = "once";
+
+    /** Prevents instances. */
+    private OnceTables() {}
+
+    /**
+     * Returns the key of a call's row.
+     *
+     * @param team team of the caller
+     * @param idempotencyKey key that the caller gave
+     * @return key, unique to team and key
+     */
+    public static String key(String team, String idempotencyKey) {
+        return team + "/" + idempotencyKey;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/wire/MessageHandler.java
@@ -0,0 +1,25 @@
+package org.papayawalk.wire;
+
+import org.papayawalk.wire.proto.Envelope;
+
+/**
+ * Takes the messages that other processes send to this one. Called on event loops, so it must not
+ * block.
+ */
+public interface MessageHandler {
+
+    /**
+     * Takes a message.
+     *
+     * @param message message received
+     * @param from connection to answer on
+     */
+    void received(Envelope message, PeerChannel from);
+
+    /**
+     * Learns that a connection was closed.
+     *
+     * @param from the connection
+     */
+    void closed(PeerChannel from);
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/wire/PeerConnection.java
@@ -0,0 +1,148 @@
+package org.papayawalk.wire;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
+import org.papayawalk.wire.proto.Envelope;
+
+/**
+ * Client's side of a connection. Replies go to the listener of their call. Every listener hears of
+ * the loss of the connection exactly once unless its call was forgotten before. Thread-safe.
+ */
+final class PeerConnection extends SimpleChannelInboundHandler<Envelope> {
+    /** Address of the peer. */
+    private final String address;
+
+    /** Listeners by call. */
+    private final Map<Long, ReplyListener> calls = new ConcurrentHashMap<>();
+
+    /** Number of the last call. */
+    private final AtomicLong lastCall = new AtomicLong();
+
+    /** Counter of bytes written, shared by the client. */
+    private final AtomicLong bytesWritten;
+
+    /** Connection, set once it is active. */
+    private volatile Channel channel;
+
+    /** Whether the connection was closed. */
+    private volatile boolean closed;
+
+    /**
+     * Creates a connection.
+     *
+     * @param address address of the peer
+     * @param bytesWritten counter to add sent bytes to
+     */
+    PeerConnection(String address, AtomicLong bytesWritten) {
+        this.address = address;
+        this.bytesWritten = bytesWritten;
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param message message without its call number
+     * @param listener takes the replies
+     * @return number of the call
+     */
+    long call(Envelope.Builder message, ReplyListener listener) {
+        long number = lastCall.incrementAndGet();
+        calls.put(number, listener);
+        Envelope envelope = message.setCall(number).build();
+        if (closed) {
+            lose(number, FaultKind.UNREACHABLE, "the connection is closed");
+            return number;
+        }
+        bytesWritten.addAndGet(envelope.getSerializedSize());
+        channel.writeAndFlush(envelope)
+                .addListener(
+                        done -> {
+                            if (!done.isSuccess()) {
+                                lose(number, FaultKind.UNKNOWN_OUTCOME, "the send failed");
+                            }
+                        });
+        return number;
+    }
+
+    /**
+     * Sends a message that belongs to a call, or to none.
+     *
+     * @param message message with its call number set
+     */
+    void send(Envelope message) {
+        bytesWritten.addAndGet(message.getSerializedSize());
+        channel.writeAndFlush(message, channel.voidPromise());
+    }
+
+    /**
+     * Drops the listener of a call.
+     *
+     * @param number number of the call
+     */
+    void forget(long number) {
+        calls.remove(number);
+    }
+
+    /**
+     * Tells whether the connection was closed.
+     *
+     * @return true if it was
+     */
+    boolean isClosed() {
+        return closed;
+    }
+
+    /** Closes the connection. */
+    void close() {
+        Channel c = channel;
+        if (c != null) {
+            c.close();
+        }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        closed = true;
+        for (Long number : calls.keySet()) {
+            lose(number, FaultKind.UNKNOWN_OUTCOME, "the connection was lost");
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope message) {
+        ReplyListener listener = calls.get(message.getCall());
+        if (listener != null) {
+            listener.reply(message);
+        }
+    }
+
+    /**
+     * Tells a listener that its call is lost.
+     *
+     * @param number number of the call
+     * @param kind whether the call may have been received
+     * @param reason what happened
+     */
+    private void lose(long number, FaultKind kind, String reason) {
+        ReplyListener listener = calls.remove(number);
+        if (listener != null) {
+            listener.lost(new Fault(kind, "peer-call", address, reason));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between papayawalk processes: protobuf over Netty, many calls on one connection. */
+package org.papayawalk.wire;
