Measure bursts side by side; mend what the measurement and properties found

Ruled out: garbage collection (longest pause 27 ms), processor (2.5 of 8 cores), the origin's link (its copy left by 9 s of 20).

Change: numbers as host names; offers of blocked peers do not count, a failed peer's offer is dropped; predecessors announce to successors; the rarest of 6 random offered chunks; requests to the origin and source walks do not take request slots; smaller and more frequent offers; planners behind an interface; papayawalk-lab burst with the ways to compare.

--- a/src/main/java/org/papayawalk/cli/ApplyCommand.java
+++ b/src/main/java/org/papayawalk/cli/ApplyCommand.java
@@ -18,6 +18,9 @@
 import org.papayawalk.core.config.RowChange;
 import org.papayawalk.core.config.SheetFault;
 import org.papayawalk.core.config.SheetParser;
+import org.papayawalk.platform.ApplyResult;
+import org.papayawalk.platform.AuditEntry;
+import org.papayawalk.platform.ConfigClient;
 import org.papayawalk.settings.SettingChecks;
 
 /** Checks a sheet, shows its difference and has it accepted, or only does the first two. */
--- a/src/main/java/org/papayawalk/cli/AuditCommand.java
+++ b/src/main/java/org/papayawalk/cli/AuditCommand.java
@@ -4,6 +4,8 @@
 import io.vavr.control.Either;
 import java.util.List;
 import org.papayawalk.core.Fault;
+import org.papayawalk.platform.AuditEntry;
+import org.papayawalk.platform.ConfigClient;
 import org.papayawalk.settings.SettingChecks;
 
 /** Shows the audit trail. */
--- a/src/main/java/org/papayawalk/cli/StatusCommand.java
+++ b/src/main/java/org/papayawalk/cli/StatusCommand.java
@@ -11,6 +11,7 @@
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.member.HostRecord;
+import org.papayawalk.platform.ConfigClient;
 import org.papayawalk.settings.SettingChecks;
 
 /** Shows how far every host is, or waits until every host has reached the accepted sheet. */
--- a/src/main/java/org/papayawalk/core/rollout/WaveGate.java
+++ b/src/main/java/org/papayawalk/core/rollout/WaveGate.java
@@ -45,6 +45,20 @@
         return chain;
     }
 
+    /**
+     * Returns the host that waits for a host, so that it can be told at once.
+     *
+     * @param self host that asks
+     * @param order hosts of the fleet and failure domain in the order of the rollout
+     * @param maxUnavailable hosts that may switch at once, at least 1
+     * @return successor in its chain, or empty for the last
+     */
+    public Optional<HostId> successor(HostId self, List<HostId> order, int maxUnavailable) {
+        int place = order.indexOf(self);
+        int next = place + maxUnavailable;
+        return place < 0 || next >= order.size() ? Optional.empty() : Optional.of(order.get(next));
+    }
+
     /**
      * Tells whether a host may switch now.
      *
--- a/src/main/java/org/papayawalk/core/weight/Download.java
+++ b/src/main/java/org/papayawalk/core/weight/Download.java
@@ -19,13 +19,16 @@
  * SourceWalk}. A chunk counts as had only after {@link FetchResult#VERIFIED}. Not thread-safe:
  * confined to one thread of its caller.
  */
-public final class Download {
+public final class Download implements ChunkPlanner {
     /** Neighbours that availability is exchanged with. */
     public static final int NEIGHBOURS = 10;
 
     /** Requests under way along source walks of chunks that other hosts are to fetch first. */
     private static final int MAX_WALKS = 2;
 
+    /** Offered chunks among which the rarest is chosen. */
+    private static final int RAREST_OF = 6;
+
     /** Pause before the origin is asked again after a failure. */
     private static final Duration ORIGIN_PAUSE = Duration.ofMillis(500);
 
@@ -103,11 +106,7 @@
         swarm(List.of());
     }
 
-    /**
-     * Sets the hosts that want the version and are presumed alive.
-     *
-     * @param hosts those hosts, with or without this one
-     */
+    @Override
     public void swarm(Collection<SwarmPeer> hosts) {
         if (walk != null && peers.equals(hosts)) {
             return;
@@ -115,40 +114,27 @@
         peers = List.copyOf(hosts);
         walk = new SourceWalk(self, region, settings.originRegion(), digest.value(), peers);
         turns.update(walk);
+        offers.retain(peers.stream().map(SwarmPeer::host).toList());
         if (extraOriginChunks < 0 && !peers.isEmpty()) {
             boolean time = settings.policy() == DistributionPolicy.TIME;
             extraOriginChunks = time ? chunkCount / (peers.size() + 1) : 0;
         }
     }
 
-    /**
-     * Returns the neighbours to exchange availability with.
-     *
-     * @return bounded list of hosts of the own region
-     */
+    @Override
     public List<HostId> neighbours() {
         return walk.neighbours(NEIGHBOURS);
     }
 
-    /**
-     * Records the chunks that a peer offers.
-     *
-     * @param peer host that offers
-     * @param held chunks that it holds
-     */
+    @Override
     public void offered(HostId peer, BitSet held) {
         offers.offered(peer, held);
     }
 
-    /**
-     * Chooses the requests to send now. Each is counted as under way until {@link #ended}.
-     *
-     * @param now present time
-     * @return requests, at most as many as there are free slots
-     */
+    @Override
     public List<FetchOrder> next(Instant now) {
         List<FetchOrder> orders = new ArrayList<>();
-        while (open.count() < settings.maxRequests()) {
+        while (open.count() - open.originCount() - walksOpen(now) < settings.maxRequests()) {
             FetchOrder order = choose(now);
             if (order == null) {
                 break;
@@ -162,13 +148,7 @@
         return orders;
     }
 
-    /**
-     * Records the end of a request.
-     *
-     * @param order the request
-     * @param result how it ended
-     * @param now present time
-     */
+    @Override
     public void ended(FetchOrder order, FetchResult result, Instant now) {
         if (!open.remove(order)) {
             return;
@@ -190,53 +170,30 @@
         if (result == FetchResult.VERIFIED || result == FetchResult.BUSY) {
             return;
         }
-        offers.strike(peer, index);
+        if (result == FetchResult.FAILED) {
+            offers.forget(peer);
+        } else {
+            offers.strike(peer, index);
+        }
         walkPlaces.merge(index, 1, Integer::sum);
     }
 
-    /**
-     * Marks a chunk as had without a request, such as one kept from another version.
-     *
-     * @param index index of the chunk
-     */
+    @Override
     public void keep(int index) {
         have.set(index);
     }
 
-    /**
-     * Tells whether a chunk was verified.
-     *
-     * @param index index of the chunk
-     * @return true if it was
-     */
-    public boolean has(int index) {
-        return have.get(index);
-    }
-
-    /**
-     * Returns the number of verified chunks.
-     *
-     * @return 0 up to the number of chunks
-     */
+    @Override
     public int haveCount() {
         return have.cardinality();
     }
 
-    /**
-     * Tells whether every chunk was verified.
-     *
-     * @return true if none is missing
-     */
+    @Override
     public boolean complete() {
         return have.cardinality() == chunkCount;
     }
 
-    /**
-     * Tells whether a chunk is being fetched.
-     *
-     * @param index index of the chunk
-     * @return true if a request for it is under way
-     */
+    @Override
     public boolean fetching(int index) {
         return open.contains(index);
     }
@@ -256,7 +213,7 @@
         if (offered != null) {
             return offered;
         }
-        FetchOrder walked = walksOpen() < MAX_WALKS ? chooseWalk(now, false) : null;
+        FetchOrder walked = walksOpen(now) < MAX_WALKS ? chooseWalk(now, false) : null;
         if (walked != null) {
             return walked;
         }
@@ -265,29 +222,32 @@
     }
 
     /**
-     * Chooses the rarest chunk that a usable peer offers.
+     * Chooses the rarest of some chunks that usable peers offer. Looking at all of them would send
+     * every host to the same few peers at once.
      *
      * @param now present time
      * @param hedge whether to double a request that takes long
      * @return the request, or null
      */
     private FetchOrder chooseOffered(Instant now, boolean hedge) {
+        int start = random.nextInt(chunkCount);
         int best = -1;
         int bestCount = Integer.MAX_VALUE;
-        int ties = 0;
-        for (int i = have.nextClearBit(0); i < chunkCount; i = have.nextClearBit(i + 1)) {
-            if (hedge ? !open.mayDouble(i, now) : open.contains(i)) {
+        int sampled = 0;
+        for (int k = 0; k < chunkCount && sampled < RAREST_OF; k++) {
+            int i = (start + k) % chunkCount;
+            if (have.get(i) || (hedge ? !open.mayDouble(i, now) : open.contains(i))) {
                 continue;
             }
             int count = offers.count(i, now);
-            if (count == 0 || count > bestCount) {
+            if (count == 0) {
                 continue;
             }
-            ties = count < bestCount ? 1 : ties + 1;
-            if (ties == 1 || random.nextInt(ties) == 0) {
+            sampled++;
+            if (count < bestCount) {
                 best = i;
+                bestCount = count;
             }
-            bestCount = count;
         }
         if (best < 0) {
             return null;
@@ -308,7 +268,8 @@
         for (int k = 0; k < chunkCount; k++) {
             int i = (start + k) % chunkCount;
             boolean idle = !have.get(i) && !open.contains(i);
-            if (own != turns.own(i) || !turns.due(i, now) || !idle || offers.offeredByAny(i)) {
+            boolean due = own == turns.own(i) && turns.due(i, now);
+            if (!due || !idle || offers.offeredByAny(i, now)) {
                 continue;
             }
             FetchOrder order = step(i, now);
@@ -380,12 +341,13 @@
     /**
      * Counts the chunks of other hosts' turns that are sought along their source walk.
      *
+     * @param now present time
      * @return number of chunks
      */
-    private int walksOpen() {
+    private int walksOpen(Instant now) {
         int count = 0;
         for (int index : open.chunks()) {
-            count += !turns.own(index) && !offers.offeredByAny(index) ? 1 : 0;
+            count += !turns.own(index) && !offers.offeredByAny(index, now) ? 1 : 0;
         }
         return count;
     }
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/weight/DownloadFactory.java
@@ -0,0 +1,34 @@
+package org.papayawalk.core.weight;
+
+import java.time.Instant;
+import java.util.SplittableRandom;
+import org.papayawalk.core.id.Digest;
+
+/** Creates downloads, with tie-breaks that differ between hosts. Immutable. */
+public final class DownloadFactory implements PlannerFactory {
+    /** Settings. */
+    private final DownloadSettings settings;
+
+    /**
+     * Creates a factory.
+     *
+     * @param settings settings of every download
+     */
+    public DownloadFactory(DownloadSettings settings) {
+        this.settings = settings;
+    }
+
+    @Override
+    public ChunkPlanner create(
+            SwarmPeer self, Digest digest, Manifest manifest, Instant startedAt) {
+        long seed = self.host().hashCode() * 31L + digest.hashCode();
+        return new Download(
+                self.host(),
+                self.region(),
+                digest,
+                manifest.chunkCount(),
+                settings,
+                new SplittableRandom(seed),
+                startedAt);
+    }
+}
--- a/src/main/java/org/papayawalk/core/weight/OfferBook.java
+++ b/src/main/java/org/papayawalk/core/weight/OfferBook.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -43,6 +44,24 @@
         offers.put(peer, (BitSet) held.clone());
     }
 
+    /**
+     * Drops the whole offer of a peer that does not answer. Its next offer counts again.
+     *
+     * @param peer host that failed
+     */
+    void forget(HostId peer) {
+        offers.remove(peer);
+    }
+
+    /**
+     * Drops the offers of hosts that take no part any more.
+     *
+     * @param present hosts that take part
+     */
+    void retain(Collection<HostId> present) {
+        offers.keySet().retainAll(present);
+    }
+
     /**
      * Strikes a chunk from a peer's offer.
      *
@@ -84,14 +103,15 @@
     }
 
     /**
-     * Tells whether any peer offers a chunk, usable now or not.
+     * Tells whether any peer that is trusted offers a chunk, although it may be busy now.
      *
      * @param index index of the chunk
+     * @param now present time
      * @return true if one does
      */
-    boolean offeredByAny(int index) {
-        for (BitSet held : offers.values()) {
-            if (held.get(index)) {
+    boolean offeredByAny(int index, Instant now) {
+        for (Map.Entry<HostId, BitSet> e : offers.entrySet()) {
+            if (e.getValue().get(index) && !standing(e.getKey()).blocked(now)) {
                 return true;
             }
         }
--- a/src/main/java/org/papayawalk/core/weight/OpenRequests.java
+++ b/src/main/java/org/papayawalk/core/weight/OpenRequests.java
@@ -12,7 +12,7 @@
 /** Requests for chunks that are under way. Not thread-safe: confined to its download's thread. */
 final class OpenRequests {
     /** Time after which a request may be doubled at another source. */
-    private static final Duration HEDGE_AFTER = Duration.ofMillis(1500);
+    private static final Duration HEDGE_AFTER = Duration.ofMillis(700);
 
     /** Requests for one chunk that may be under way at once. */
     private static final int MAX_COPIES = 2;
--- a/src/main/java/org/papayawalk/core/weight/PeerStanding.java
+++ b/src/main/java/org/papayawalk/core/weight/PeerStanding.java
@@ -23,8 +23,11 @@
     /** Number of times that corrupt bytes came. */
     private int corruptCount;
 
-    /** Time before which the peer is not asked. */
-    private Instant pausedUntil = Instant.MIN;
+    /** Time before which the peer is busy. */
+    private Instant busyUntil = Instant.MIN;
+
+    /** Time before which the peer is not trusted to deliver. */
+    private Instant blockedUntil = Instant.MIN;
 
     /** Records a request that was sent. */
     void sent() {
@@ -39,16 +42,14 @@
      */
     void ended(FetchResult result, Instant now) {
         outstanding--;
-        Duration pause =
-                switch (result) {
-                    case VERIFIED, NOT_HELD -> Duration.ZERO;
-                    case BUSY -> BUSY_PAUSE;
-                    case FAILED -> FAILURE_PAUSE;
-                    case CORRUPT -> CORRUPT_PAUSE.multipliedBy(++corruptCount);
-                };
-        Instant until = now.plus(pause);
-        if (until.isAfter(pausedUntil)) {
-            pausedUntil = until;
+        switch (result) {
+            case BUSY -> busyUntil = now.plus(BUSY_PAUSE);
+            case FAILED -> block(now.plus(FAILURE_PAUSE));
+            case CORRUPT -> block(now.plus(CORRUPT_PAUSE.multipliedBy(++corruptCount)));
+            default -> {
+                // A chunk that came, or that the peer never claimed to have, tells nothing against
+                // it.
+            }
         }
     }
 
@@ -56,10 +57,20 @@
      * Tells whether the peer may be asked.
      *
      * @param now present time
-     * @return true if no pause is in force
+     * @return true if it is neither busy nor blocked
      */
     boolean usable(Instant now) {
-        return !now.isBefore(pausedUntil);
+        return !now.isBefore(busyUntil) && !blocked(now);
+    }
+
+    /**
+     * Tells whether the peer is not trusted to deliver, so that its offers do not count.
+     *
+     * @param now present time
+     * @return true after a failure or corrupt bytes, for a while
+     */
+    boolean blocked(Instant now) {
+        return now.isBefore(blockedUntil);
     }
 
     /**
@@ -70,4 +81,15 @@
     int outstanding() {
         return outstanding;
     }
+
+    /**
+     * Extends the time in which the peer is not trusted.
+     *
+     * @param until end of that time
+     */
+    private void block(Instant until) {
+        if (until.isAfter(blockedUntil)) {
+            blockedUntil = until;
+        }
+    }
 }
--- a/src/main/java/org/papayawalk/core/weight/TurnTable.java
+++ b/src/main/java/org/papayawalk/core/weight/TurnTable.java
@@ -10,7 +10,7 @@
  */
 final class TurnTable {
     /** Time in which neighbours may offer a chunk before its first fetcher asks the origin. */
-    private static final Duration OFFER_GRACE = Duration.ofMillis(300);
+    private static final Duration OFFER_GRACE = Duration.ofMillis(150);
 
     /** Time before a host that is not the first fetcher starts on a chunk's source walk. */
     private static final Duration WALK_DELAY = Duration.ofSeconds(1);
--- a/src/main/java/org/papayawalk/daemon/Daemon.java
+++ b/src/main/java/org/papayawalk/daemon/Daemon.java
@@ -18,6 +18,7 @@
 import org.papayawalk.core.member.HostRecord;
 import org.papayawalk.core.member.HostRole;
 import org.papayawalk.core.member.HostState;
+import org.papayawalk.core.weight.DownloadFactory;
 import org.papayawalk.core.weight.DownloadSettings;
 import org.papayawalk.daemon.agent.AgentRole;
 import org.papayawalk.daemon.agent.AgentSettings;
@@ -186,7 +187,7 @@
                         MAX_ORIGIN_REQUESTS);
         WeightSettings weights =
                 new WeightSettings(
-                        download,
+                        new DownloadFactory(download),
                         settings.uplinkBytesPerSecond,
                         settings.downlinkBytesPerSecond,
                         settings.chunkMemoryBytes);
--- a/src/main/java/org/papayawalk/daemon/NodeMetrics.java
+++ b/src/main/java/org/papayawalk/daemon/NodeMetrics.java
@@ -40,7 +40,7 @@
                 .register(registry);
         CounterWithCallback.builder()
                 .name("papayawalk_control_bytes_sent_total")
-                .help("Bytes of messages sent to peers outside the bulk lane")
+                .help("Bytes of control messages sent to peers")
                 .callback(c -> c.call(node.controlBytesSent()))
                 .register(registry);
     }
--- a/src/main/java/org/papayawalk/daemon/agent/AgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/agent/AgentRole.java
@@ -157,7 +157,7 @@
 
     @Override
     public Collection<HostId> extraNeighbours(List<Member> members) {
-        return plan().map(p -> rollout.predecessors(p.spec(), members)).orElse(List.of());
+        return plan().map(p -> rollout.chain(p.spec(), members)).orElse(List.of());
     }
 
     @Override
@@ -169,7 +169,7 @@
             case CHUNK_AVAILABILITY -> {
                 var offer = message.getChunkAvailability();
                 BitSet held = BitSet.valueOf(offer.getBitmap().toByteArray());
-                swarm.offered(new HostId(offer.getHost()), new Digest(offer.getDigest()), held);
+                swarm.offered(new HostId(offer.getHost()), offer.getDigestPrefix(), held);
             }
             default ->
                     Event.named("message-ignored")
--- a/src/main/java/org/papayawalk/daemon/agent/ChunkServer.java
+++ b/src/main/java/org/papayawalk/daemon/agent/ChunkServer.java
@@ -19,7 +19,7 @@
 /** Answers peers' requests for chunks and manifests, at the pace of the uplink. Thread-safe. */
 final class ChunkServer {
     /** Time that sends may be queued on the uplink before further requests are put off. */
-    private static final Duration MAX_BACKLOG = Duration.ofMillis(500);
+    private static final Duration MAX_BACKLOG = Duration.ofMillis(300);
 
     /** Chunks held. */
     private final Swarm swarm;
--- a/src/main/java/org/papayawalk/daemon/agent/ManifestFinder.java
+++ b/src/main/java/org/papayawalk/daemon/agent/ManifestFinder.java
@@ -15,13 +15,16 @@
 
 /**
  * Finds the manifest of a version. The host that comes first in the order asks the origin at once;
- * the others ask hosts before them, and the origin only after as many attempts as there are hosts
+ * the others ask hosts before them, and the origin only after a number of attempts for each host
  * before them, so that one copy usually leaves the origin. Thread-safe.
  */
 final class ManifestFinder {
     /** Peers asked before the origin. */
     private static final int PEER_ATTEMPTS = 3;
 
+    /** Attempts for each host before this one until the origin may be asked. */
+    private static final int ATTEMPTS_PER_RANK = 5;
+
     /** Name of this host. */
     private final HostId self;
 
@@ -65,7 +68,7 @@
         int before = own < 0 ? order.size() : own;
         int from = before == 0 ? 0 : attempt % before;
         int to = Math.min(before, from + PEER_ATTEMPTS);
-        return ask(digest, order.subList(from, to), before <= attempt);
+        return ask(digest, order.subList(from, to), before * ATTEMPTS_PER_RANK <= attempt);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/agent/ManifestSeeker.java
+++ b/src/main/java/org/papayawalk/daemon/agent/ManifestSeeker.java
@@ -14,7 +14,7 @@
  */
 final class ManifestSeeker {
     /** Pause between attempts. */
-    private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
 
     /** Finds manifests. */
     private final ManifestFinder finder;
--- a/src/main/java/org/papayawalk/daemon/agent/OfferExchange.java
+++ b/src/main/java/org/papayawalk/daemon/agent/OfferExchange.java
@@ -26,10 +26,10 @@
     private static final Duration MEMORY = Duration.ofSeconds(10);
 
     /** Bytes of an offer besides its bitmap. */
-    private static final int FIXED_BYTES = 100;
+    private static final int FIXED_BYTES = 40;
 
     /** Bytes a second that offers may take. */
-    private static final double MAX_BYTES_PER_SECOND = 12_000;
+    private static final double MAX_BYTES_PER_SECOND = 16_000;
 
     /** Messages to peers. */
     private final ChunkTransport transport;
--- a/src/main/java/org/papayawalk/daemon/agent/RolloutDriver.java
+++ b/src/main/java/org/papayawalk/daemon/agent/RolloutDriver.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -113,13 +114,28 @@
     }
 
     /**
-     * Returns the hosts whose progress decides when this one may switch.
+     * Returns the hosts of this host's chain in the rollout that it keeps in touch with.
      *
      * @param spec row of the fleet
      * @param members all known hosts
-     * @return predecessors, nearest first
+     * @return predecessors and successor, a bounded number
      */
-    public List<HostId> predecessors(FleetSpec spec, List<Member> members) {
+    public List<HostId> chain(FleetSpec spec, List<Member> members) {
+        List<HostId> order = order(spec, members);
+        HostId self = node.self().host();
+        List<HostId> chain = new ArrayList<>(gate.predecessors(self, order, spec.maxUnavailable()));
+        gate.successor(self, order, spec.maxUnavailable()).ifPresent(chain::add);
+        return chain;
+    }
+
+    /**
+     * Returns the order in which the hosts of the fleet and failure domain switch.
+     *
+     * @param spec row of the fleet
+     * @param members all known hosts
+     * @return hosts, first to switch first
+     */
+    private List<HostId> order(FleetSpec spec, List<Member> members) {
         List<HostId> hosts =
                 members.stream()
                         .filter(m -> m.record().role() == HostRole.AGENT)
@@ -127,8 +143,7 @@
                         .filter(m -> m.record().domain().equals(node.self().domain()))
                         .map(Member::host)
                         .toList();
-        List<HostId> order = Rendezvous.order(hosts, "rollout/" + spec.fleet());
-        return gate.predecessors(node.self().host(), order, spec.maxUnavailable());
+        return Rendezvous.order(hosts, "rollout/" + spec.fleet());
     }
 
     /**
@@ -222,7 +237,9 @@
         List<Member> members = node.members();
         Map<HostId, Member> byHost = new HashMap<>();
         members.forEach(m -> byHost.put(m.host(), m));
-        return gate.maySwitch(predecessors(spec, members), byHost, target, sealedAt, now);
+        List<HostId> predecessors =
+                gate.predecessors(node.self().host(), order(spec, members), spec.maxUnavailable());
+        return gate.maySwitch(predecessors, byHost, target, sealedAt, now);
     }
 
     /** Lets the engine compute the digest of the staged weights and compares it. */
--- a/src/main/java/org/papayawalk/daemon/agent/Swarm.java
+++ b/src/main/java/org/papayawalk/daemon/agent/Swarm.java
@@ -5,13 +5,12 @@
 import java.time.InstantSource;
 import java.util.BitSet;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.port.Origin;
-import org.papayawalk.core.weight.Download;
+import org.papayawalk.core.weight.ChunkPlanner;
 import org.papayawalk.core.weight.FetchOrder;
 import org.papayawalk.core.weight.FetchResult;
 import org.papayawalk.core.weight.LinkPacer;
@@ -75,7 +74,7 @@
     private Digest wanted = Digest.NONE;
 
     /** Download of the wanted version, or null before its manifest is known. */
-    private Download download;
+    private ChunkPlanner download;
 
     /** Manifest of the wanted version, or null. */
     private Manifest manifest;
@@ -179,13 +178,13 @@
      * Takes a peer's offer.
      *
      * @param peer peer that offers
-     * @param digest digest of the manifest
+     * @param digestPrefix first digits of the manifest's digest
      * @param peerHeld chunks that it holds
      */
-    public void offered(HostId peer, Digest digest, BitSet peerHeld) {
+    public void offered(HostId peer, String digestPrefix, BitSet peerHeld) {
         thread.run(
                 () -> {
-                    if (!digest.equals(wanted) || download == null) {
+                    if (!wanted.shortText().equals(digestPrefix) || download == null) {
                         return;
                     }
                     download.offered(peer, peerHeld);
@@ -241,7 +240,7 @@
         download.swarm(view.peers(wanted, now));
         if (downlink.backlog(now).compareTo(MAX_BACKLOG) <= 0) {
             BitSet chunks = held.chunks();
-            Download current = download;
+            ChunkPlanner current = download;
             for (FetchOrder order : download.next(now)) {
                 fetcher.fetch(
                         order,
@@ -275,15 +274,7 @@
     private void start(FoundManifest found) {
         held.turnTo(wanted, found);
         manifest = found.manifest();
-        download =
-                new Download(
-                        self.host(),
-                        self.region(),
-                        wanted,
-                        manifest.chunkCount(),
-                        settings.download(),
-                        new SplittableRandom(self.host().hashCode() * 31L + wanted.hashCode()),
-                        clock.instant());
+        download = settings.planners().create(self, wanted, manifest, clock.instant());
         download.swarm(view.peers(wanted, clock.instant()));
         for (int i = 0; i < manifest.chunkCount(); i++) {
             int index = i;
@@ -304,7 +295,7 @@
      * @param answer answer, verified if it says so
      * @param forDownload download that sent the request
      */
-    private void arrived(FetchOrder order, ChunkAnswer answer, Download forDownload) {
+    private void arrived(FetchOrder order, ChunkAnswer answer, ChunkPlanner forDownload) {
         if (forDownload != download) {
             return;
         }
@@ -325,7 +316,7 @@
      * @param done records the chunk once the engine has it
      */
     private void stage(int index, byte[] data, Runnable done) {
-        Download current = download;
+        ChunkPlanner current = download;
         staging.write(
                 new StagingLine.Chunk(wanted, manifest, index, data),
                 () -> current == download,
--- a/src/main/java/org/papayawalk/daemon/agent/WeightSettings.java
+++ b/src/main/java/org/papayawalk/daemon/agent/WeightSettings.java
@@ -1,17 +1,17 @@
 package org.papayawalk.daemon.agent;
 
-import org.papayawalk.core.weight.DownloadSettings;
+import org.papayawalk.core.weight.PlannerFactory;
 
 /**
  * Settings of the distribution of weights. Immutable.
  *
- * @param download settings of the decisions
+ * @param planners creates the planner of each download
  * @param uplinkBytesPerSecond share of the link for sending chunks
  * @param downlinkBytesPerSecond share of the link for receiving chunks
  * @param memoryBytes most bytes of chunks held
  */
 public record WeightSettings(
-        DownloadSettings download,
+        PlannerFactory planners,
         double uplinkBytesPerSecond,
         double downlinkBytesPerSecond,
         long memoryBytes) {}
--- a/src/main/java/org/papayawalk/daemon/agent/WireChunkTransport.java
+++ b/src/main/java/org/papayawalk/daemon/agent/WireChunkTransport.java
@@ -88,7 +88,7 @@
         ChunkAvailability availability =
                 ChunkAvailability.newBuilder()
                         .setHost(node.self().host().value())
-                        .setDigest(digest.value())
+                        .setDigestPrefix(digest.shortText())
                         .setBitmap(ByteString.copyFrom(held.toByteArray()))
                         .build();
         Envelope message = Envelope.newBuilder().setChunkAvailability(availability).build();
--- a/src/main/java/org/papayawalk/daemon/node/Node.java
+++ b/src/main/java/org/papayawalk/daemon/node/Node.java
@@ -229,12 +229,12 @@
     }
 
     /**
-     * Returns the bytes of messages sent to peers outside the bulk lane.
+     * Returns the bytes of control messages sent to peers.
      *
      * @return bytes since the start
      */
     public long controlBytesSent() {
-        return client.bytesWritten(Lane.LIVE);
+        return client.controlBytes() + server.controlBytes();
     }
 
     /** Sends a heartbeat to every neighbour at once, such as after a step of the rollout. */
--- a/src/main/java/org/papayawalk/lab/LabMain.java
+++ b/src/main/java/org/papayawalk/lab/LabMain.java
@@ -6,12 +6,17 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.papayawalk.lab.burst.BurstCommand;
+import org.papayawalk.log.Event;
 
 /** Runs one command of the lab tool. */
 public final class LabMain {
     /** Exit code of a wrong command line. */
     private static final int USAGE = 2;
 
+    /** Exit code of a command that failed. */
+    private static final int FAILED = 1;
+
     /** Prevents instances. */
     private LabMain() {}
 
@@ -19,9 +24,8 @@
      * Runs a command. The process ends with it, unless it started stand-ins.
      *
      * @param arguments command and options
-     * @throws Exception if the command fails
      */
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Map<String, LabCommand> commands =
                 commands().stream()
                         .collect(Collectors.toMap(LabCommand::name, Function.identity()));
@@ -38,12 +42,27 @@
             parser.usage();
             System.exit(USAGE);
         }
-        int code = commands.get(parser.getParsedCommand()).run();
+        int code = run(commands.get(parser.getParsedCommand()));
         if (code != 0) {
             System.exit(code);
         }
     }
 
+    /**
+     * Runs a command.
+     *
+     * @param command command
+     * @return exit code
+     */
+    private static int run(LabCommand command) {
+        try {
+            return command.run();
+        } catch (Exception e) {
+            Event.named("lab-failed").with("command", command.name()).error(e);
+            return FAILED;
+        }
+    }
+
     /**
      * Returns new instances of all commands.
      *
@@ -55,6 +74,7 @@
                 new UpstreamCommand(),
                 new PublishCommand(),
                 new FaultCommand(),
-                new VerifyCommand());
+                new VerifyCommand(),
+                new BurstCommand());
     }
 }
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/burst/ParentPlanner.java
@@ -0,0 +1,134 @@
+package org.papayawalk.lab.burst;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.weight.ChunkPlanner;
+import org.papayawalk.core.weight.ChunkSource;
+import org.papayawalk.core.weight.FetchOrder;
+import org.papayawalk.core.weight.FetchResult;
+import org.papayawalk.core.weight.SwarmPeer;
+
+/**
+ * Takes all chunks in order from one parent: the origin, or a host by its place. Not thread-safe.
+ */
+final class ParentPlanner implements ChunkPlanner {
+    /** Name of this host. */
+    private final HostId self;
+
+    /** Children of each host; 0 if all take from the origin. */
+    private final int fanOut;
+
+    /** Number of chunks. */
+    private final int chunkCount;
+
+    /** Requests under way at most. */
+    private final int maxRequests;
+
+    /** Chunks verified. */
+    private final BitSet have = new BitSet();
+
+    /** Chunks asked for. */
+    private final Set<Integer> open = new TreeSet<>();
+
+    /** Chunks that the parent offers. */
+    private BitSet parentHas = new BitSet();
+
+    /** Parent, the origin for the first host. */
+    private ChunkSource parent = ChunkSource.ORIGIN;
+
+    /** Children. */
+    private List<HostId> children = List.of();
+
+    /**
+     * Creates a planner.
+     *
+     * @param self name of this host
+     * @param fanOut children of each host; 0 if all take from the origin
+     * @param chunkCount number of chunks
+     * @param maxRequests requests under way at most
+     */
+    ParentPlanner(HostId self, int fanOut, int chunkCount, int maxRequests) {
+        this.self = self;
+        this.fanOut = fanOut;
+        this.chunkCount = chunkCount;
+        this.maxRequests = maxRequests;
+    }
+
+    @Override
+    public void swarm(Collection<SwarmPeer> hosts) {
+        List<HostId> order = hosts.stream().map(SwarmPeer::host).sorted().toList();
+        int place = order.indexOf(self);
+        if (fanOut == 0 || place < 0) {
+            return;
+        }
+        parent = place == 0 ? ChunkSource.ORIGIN : new ChunkSource(order.get((place - 1) / fanOut));
+        List<HostId> below = new ArrayList<>();
+        for (int i = 1; i <= fanOut; i++) {
+            int child = place * fanOut + i;
+            if (child < order.size()) {
+                below.add(order.get(child));
+            }
+        }
+        children = below;
+    }
+
+    @Override
+    public List<HostId> neighbours() {
+        return children;
+    }
+
+    @Override
+    public void offered(HostId peer, BitSet held) {
+        if (!parent.isOrigin() && peer.equals(parent.host())) {
+            parentHas = (BitSet) held.clone();
+        }
+    }
+
+    @Override
+    public List<FetchOrder> next(Instant now) {
+        List<FetchOrder> orders = new ArrayList<>();
+        for (int i = have.nextClearBit(0); i < chunkCount; i = have.nextClearBit(i + 1)) {
+            if (open.size() >= maxRequests) {
+                break;
+            }
+            if ((parent.isOrigin() || parentHas.get(i)) && open.add(i)) {
+                orders.add(new FetchOrder(i, parent));
+            }
+        }
+        return orders;
+    }
+
+    @Override
+    public void ended(FetchOrder order, FetchResult result, Instant now) {
+        open.remove(order.index());
+        if (result == FetchResult.VERIFIED) {
+            have.set(order.index());
+        }
+    }
+
+    @Override
+    public void keep(int index) {
+        have.set(index);
+    }
+
+    @Override
+    public boolean fetching(int index) {
+        return open.contains(index);
+    }
+
+    @Override
+    public int haveCount() {
+        return have.cardinality();
+    }
+
+    @Override
+    public boolean complete() {
+        return have.cardinality() == chunkCount;
+    }
+}
--- a/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
@@ -166,7 +166,11 @@
                 if (versions.write(digest, offset, body)) {
                     Bodies.json(response, 200, body.length);
                 } else {
-                    Bodies.error(response, CONFLICT, "another version is being staged");
+                    String reason = "cannot write %d bytes at %d of %s, staging is %s";
+                    Bodies.error(
+                            response,
+                            CONFLICT,
+                            reason.formatted(body.length, offset, digest, versions));
                 }
             }
             case "seal" -> {
--- a/src/main/java/org/papayawalk/lab/standin/EngineVersions.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineVersions.java
@@ -134,4 +134,9 @@
         sealed = false;
         return Optional.empty();
     }
+
+    @Override
+    public synchronized String toString() {
+        return "%d bytes of %s".formatted(staged.length, staging.shortText());
+    }
 }
--- a/src/main/java/org/papayawalk/cli/ApplyResult.java
+++ b/src/main/java/org/papayawalk/platform/ApplyResult.java
@@ -1,7 +1,7 @@
-package org.papayawalk.cli;
+package org.papayawalk.platform;
 
 /** How a change of the configuration ended. Immutable. */
-enum ApplyResult {
+public enum ApplyResult {
     /** It is accepted. */
     ACCEPTED,
     /** Another change came first; this one is not and will not be accepted. */
--- a/src/main/java/org/papayawalk/cli/AuditEntry.java
+++ b/src/main/java/org/papayawalk/platform/AuditEntry.java
@@ -1,4 +1,4 @@
-package org.papayawalk.cli;
+package org.papayawalk.platform;
 
 import java.time.Instant;
 import java.util.List;
@@ -15,7 +15,7 @@
  * @param at when, by the operator's clock
  * @param changes difference by fleet
  */
-record AuditEntry(
+public record AuditEntry(
         ConfigVersion version,
         ConfigVersion base,
         String changeId,
--- a/src/main/java/org/papayawalk/cli/ConfigClient.java
+++ b/src/main/java/org/papayawalk/platform/ConfigClient.java
@@ -1,4 +1,4 @@
-package org.papayawalk.cli;
+package org.papayawalk.platform;
 
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -14,15 +14,12 @@
 import org.papayawalk.core.port.TableRow;
 import org.papayawalk.core.port.TableService;
 import org.papayawalk.core.port.TableWrite;
-import org.papayawalk.platform.ConfigCodec;
-import org.papayawalk.platform.ConfigTables;
-import org.papayawalk.platform.Json;
 
 /**
  * Reads and changes the accepted configuration. A change and its audit row are written in one
  * transaction that depends on the version that the operator saw. Holds no changeable state.
  */
-final class ConfigClient {
+public final class ConfigClient {
     /** Attempts to learn what became of a write whose answer was lost. */
     private static final int READ_BACK_ATTEMPTS = 5;
 
@@ -37,7 +34,7 @@
      *
      * @param table table service
      */
-    ConfigClient(TableService table) {
+    public ConfigClient(TableService table) {
         this.table = table;
     }
 
@@ -46,7 +43,7 @@
      *
      * @return configuration, the empty one if none was accepted, or a fault
      */
-    Either<Fault, Accepted> read() {
+    public Either<Fault, Accepted> read() {
         return table.read(ConfigTables.CONFIG, ConfigTables.HEAD_KEY)
                 .flatMap(
                         head -> {
@@ -66,7 +63,7 @@
      * @param version version
      * @return configuration, or a fault
      */
-    Either<Fault, Configuration> readVersion(ConfigVersion version) {
+    public Either<Fault, Configuration> readVersion(ConfigVersion version) {
         return table.read(ConfigTables.CONFIG, ConfigTables.documentKey(version))
                 .flatMap(
                         row ->
@@ -83,7 +80,7 @@
      * @param now present time
      * @return how it ended
      */
-    ApplyResult write(Accepted base, Configuration next, String operator, Instant now) {
+    public ApplyResult write(Accepted base, Configuration next, String operator, Instant now) {
         List<RowChange> changes = RowChange.between(base.configuration().rows(), next.rows());
         AuditEntry audit =
                 new AuditEntry(
@@ -126,7 +123,7 @@
      *
      * @return entries, oldest first, or a fault
      */
-    Either<Fault, List<AuditEntry>> audit() {
+    public Either<Fault, List<AuditEntry>> audit() {
         return table.scan(ConfigTables.AUDIT, "", AUDIT_PAGE)
                 .flatMap(
                         rows -> {
@@ -181,5 +178,5 @@
      * @param configuration configuration
      * @param headRevision revision of the row that names its version, 0 if there is none
      */
-    record Accepted(Configuration configuration, long headRevision) {}
+    public record Accepted(Configuration configuration, long headRevision) {}
 }
--- a/src/main/java/org/papayawalk/platform/HttpCaller.java
+++ b/src/main/java/org/papayawalk/platform/HttpCaller.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.ConnectException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
 import java.time.Duration;
@@ -77,8 +78,7 @@
      * @return the answer with any status, or a fault if none came
      */
     public Either<Fault, HttpStream> open(HttpCall call) {
-        InetSocketAddress address = Addresses.parse(call.address());
-        HttpHost host = new HttpHost("http", address.getAddress(), address.getPort());
+        HttpHost host = host(call.address());
         try {
             ClassicHttpResponse response =
                     requester.execute(host, request(call), CONNECT_LIMIT, HttpCoreContext.create());
@@ -95,6 +95,19 @@
         requester.close(CloseMode.IMMEDIATE);
     }
 
+    /**
+     * Builds the library's form of an address. It is given the number as the name too: without one
+     * it would ask the name service for each request.
+     *
+     * @param address IP number and port
+     * @return the same address
+     */
+    static HttpHost host(String address) {
+        InetSocketAddress socket = Addresses.parse(address);
+        InetAddress number = socket.getAddress();
+        return new HttpHost("http", number, number.getHostAddress(), socket.getPort());
+    }
+
     /**
      * Builds the library's form of a request.
      *
--- a/src/main/java/org/papayawalk/wire/PeerChannel.java
+++ b/src/main/java/org/papayawalk/wire/PeerChannel.java
@@ -9,8 +9,8 @@
     /** Connection. */
     private final Channel channel;
 
-    /** Counter of bytes written, shared by the process. */
-    private final AtomicLong bytesWritten;
+    /** Counter of bytes of control messages, shared by the server. */
+    private final AtomicLong controlBytes;
 
     /** Guards waits for room in the send buffer. */
     private final Object writable = new Object();
@@ -19,11 +19,11 @@
      * Wraps a connection.
      *
      * @param channel connection
-     * @param bytesWritten counter to add sent bytes to
+     * @param controlBytes counter to add sent bytes of control to
      */
-    PeerChannel(Channel channel, AtomicLong bytesWritten) {
+    PeerChannel(Channel channel, AtomicLong controlBytes) {
         this.channel = channel;
-        this.bytesWritten = bytesWritten;
+        this.controlBytes = controlBytes;
     }
 
     /**
@@ -32,7 +32,9 @@
      * @param message message to send
      */
     public void send(Envelope message) {
-        bytesWritten.addAndGet(message.getSerializedSize());
+        if (MessageKinds.isControl(message)) {
+            controlBytes.addAndGet(message.getSerializedSize());
+        }
         channel.writeAndFlush(message, channel.voidPromise());
     }
 
--- a/src/main/java/org/papayawalk/wire/PeerClient.java
+++ b/src/main/java/org/papayawalk/wire/PeerClient.java
@@ -30,9 +30,8 @@
     private final Map<Key, CompletableFuture<PeerConnection>> connections =
             new ConcurrentHashMap<>();
 
-    /** Bytes of messages sent, by lane. */
-    private final Map<Lane, AtomicLong> bytesWritten =
-            Map.of(Lane.LIVE, new AtomicLong(), Lane.BULK, new AtomicLong());
+    /** Bytes of control messages sent. */
+    private final AtomicLong controlBytes = new AtomicLong();
 
     /**
      * Creates a client.
@@ -110,13 +109,12 @@
     }
 
     /**
-     * Returns the bytes of messages sent.
+     * Returns the bytes of control messages sent.
      *
-     * @param lane kind of traffic
      * @return bytes since the start
      */
-    public long bytesWritten(Lane lane) {
-        return bytesWritten.get(lane).get();
+    public long controlBytes() {
+        return controlBytes.get();
     }
 
     @Override
@@ -156,7 +154,7 @@
      * @return the connection once it is active
      */
     private CompletableFuture<PeerConnection> connect(Key key) {
-        PeerConnection connection = new PeerConnection(key.address(), bytesWritten.get(key.lane()));
+        PeerConnection connection = new PeerConnection(key.address(), controlBytes);
         CompletableFuture<PeerConnection> future = new CompletableFuture<>();
         new Bootstrap()
                 .group(runtime.group())
--- a/src/main/java/org/papayawalk/wire/PeerConnection.java
+++ b/src/main/java/org/papayawalk/wire/PeerConnection.java
@@ -24,8 +24,8 @@
     /** Number of the last call. */
     private final AtomicLong lastCall = new AtomicLong();
 
-    /** Counter of bytes written, shared by the client. */
-    private final AtomicLong bytesWritten;
+    /** Counter of bytes of control messages, shared by the client. */
+    private final AtomicLong controlBytes;
 
     /** Connection, set once it is active. */
     private volatile Channel channel;
@@ -37,11 +37,11 @@
      * Creates a connection.
      *
      * @param address address of the peer
-     * @param bytesWritten counter to add sent bytes to
+     * @param controlBytes counter to add sent bytes of control to
      */
-    PeerConnection(String address, AtomicLong bytesWritten) {
+    PeerConnection(String address, AtomicLong controlBytes) {
         this.address = address;
-        this.bytesWritten = bytesWritten;
+        this.controlBytes = controlBytes;
     }
 
     /**
@@ -59,7 +59,7 @@
             lose(number, FaultKind.UNREACHABLE, "the connection is closed");
             return number;
         }
-        bytesWritten.addAndGet(envelope.getSerializedSize());
+        count(envelope);
         channel.writeAndFlush(envelope)
                 .addListener(
                         done -> {
@@ -76,7 +76,7 @@
      * @param message message with its call number set
      */
     void send(Envelope message) {
-        bytesWritten.addAndGet(message.getSerializedSize());
+        count(message);
         channel.writeAndFlush(message, channel.voidPromise());
     }
 
@@ -132,6 +132,17 @@
         }
     }
 
+    /**
+     * Counts a message that is sent.
+     *
+     * @param message message
+     */
+    private void count(Envelope message) {
+        if (MessageKinds.isControl(message)) {
+            controlBytes.addAndGet(message.getSerializedSize());
+        }
+    }
+
     /**
      * Tells a listener that its call is lost.
      *
--- a/src/main/java/org/papayawalk/wire/PeerServer.java
+++ b/src/main/java/org/papayawalk/wire/PeerServer.java
@@ -25,8 +25,8 @@
     /** Open connections. */
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
-    /** Bytes of messages sent. */
-    private final AtomicLong bytesWritten = new AtomicLong();
+    /** Bytes of control messages sent. */
+    private final AtomicLong controlBytes = new AtomicLong();
 
     /**
      * Starts to listen.
@@ -49,7 +49,7 @@
                                     @Override
                                     protected void initChannel(Channel channel) {
                                         connections.add(channel);
-                                        PeerChannel peer = new PeerChannel(channel, bytesWritten);
+                                        PeerChannel peer = new PeerChannel(channel, controlBytes);
                                         WirePipeline.build(
                                                 channel.pipeline(),
                                                 new ServerHandler(peer, handler));
@@ -72,12 +72,12 @@
     }
 
     /**
-     * Returns the bytes of messages sent on accepted connections.
+     * Returns the bytes of control messages sent on accepted connections.
      *
      * @return bytes since the start
      */
-    public long bytesWritten() {
-        return bytesWritten.get();
+    public long controlBytes() {
+        return controlBytes.get();
     }
 
     /** Accepts no further connections; open ones stay. */
