--- a/src/main/java/org/papayawalk/core/stream/EventSplitter.java
+++ b/src/main/java/org/papayawalk/core/stream/EventSplitter.java
@@ -1,7 +1,9 @@
 package org.papayawalk.core.stream;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -9,6 +11,9 @@
  * continued at the start of an event. Not thread-safe: confined to the thread that reads.
  */
 public final class EventSplitter {
+    /** Event that ends a whole stream. */
+    private static final byte[] END = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+
     /** Bytes of the event under way. */
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
@@ -18,6 +23,9 @@
     /** Events cut so far. */
     private int count;
 
+    /** Whether the event that ends a whole stream was cut. */
+    private boolean ended;
+
     /**
      * Takes bytes.
      *
@@ -32,7 +40,9 @@
             }
             pending.write(b);
             if (b == '\n' && last == '\n') {
-                events.add(pending.toByteArray());
+                byte[] event = pending.toByteArray();
+                ended |= Arrays.equals(event, END);
+                events.add(event);
                 pending.reset();
                 count++;
                 last = -1;
@@ -50,12 +60,12 @@
     }
 
     /**
-     * Tells whether an event is under way.
+     * Tells whether the stream is whole.
      *
-     * @return true if bytes came after the last whole event
+     * @return true if its last event was the one that ends a stream
      */
-    public boolean hasPartial() {
-        return pending.size() > 0;
+    public boolean ended() {
+        return ended && pending.size() == 0;
     }
 
     /**
--- a/src/main/java/org/papayawalk/core/weight/ChunkPlanner.java
+++ b/src/main/java/org/papayawalk/core/weight/ChunkPlanner.java
@@ -59,12 +59,12 @@
     void keep(int index);
 
     /**
-     * Tells whether a chunk is being fetched.
+     * Tells whether a chunk that is not held will come without a request of others.
      *
      * @param index index of the chunk
-     * @return true if a request for it is under way
+     * @return true if it is asked for, or is this host's to fetch
      */
-    boolean fetching(int index);
+    boolean expects(int index);
 
     /**
      * Returns the number of verified chunks.
--- a/src/main/java/org/papayawalk/core/weight/Download.java
+++ b/src/main/java/org/papayawalk/core/weight/Download.java
@@ -59,6 +59,9 @@
     /** Chunks that peers offer. */
     private final OfferBook offers = new OfferBook(open);
 
+    /** Chunks that hosts of other regions hold. */
+    private final Map<HostId, BitSet> remoteHeld = new HashMap<>();
+
     /** Place in the source walk, by chunk. */
     private final Map<Integer, Integer> walkPlaces = new HashMap<>();
 
@@ -128,13 +131,18 @@
 
     @Override
     public void offered(HostId peer, BitSet held) {
-        offers.offered(peer, held);
+        if (walk.near(peer)) {
+            offers.offered(peer, held);
+        } else {
+            // Only the first fetcher of a chunk acts on this: each chunk crosses the link once.
+            remoteHeld.put(peer, (BitSet) held.clone());
+        }
     }
 
     @Override
     public List<FetchOrder> next(Instant now) {
         List<FetchOrder> orders = new ArrayList<>();
-        while (open.count() - open.originCount() - walksOpen(now) < settings.maxRequests()) {
+        while (open.count() < 2 * settings.maxRequests() + settings.maxOriginRequests()) {
             FetchOrder order = choose(now);
             if (order == null) {
                 break;
@@ -194,8 +202,8 @@
     }
 
     @Override
-    public boolean fetching(int index) {
-        return open.contains(index);
+    public boolean expects(int index) {
+        return open.contains(index) || (turns.own(index) && !have.get(index));
     }
 
     /**
@@ -205,20 +213,22 @@
      * @return the request, or null if there is none to send now
      */
     private FetchOrder choose(Instant now) {
-        FetchOrder own = chooseWalk(now, true);
+        int walks = walksOpen(now);
+        FetchOrder own = walks < settings.maxRequests() ? chooseWalk(now, true) : null;
         if (own != null) {
             return own;
         }
-        FetchOrder offered = chooseOffered(now, false);
+        boolean slot = open.count() - walks < settings.maxRequests();
+        FetchOrder offered = slot ? chooseOffered(now, false) : null;
         if (offered != null) {
             return offered;
         }
-        FetchOrder walked = walksOpen(now) < MAX_WALKS ? chooseWalk(now, false) : null;
+        FetchOrder walked = walks < MAX_WALKS ? chooseWalk(now, false) : null;
         if (walked != null) {
             return walked;
         }
         FetchOrder extra = chooseExtra(now);
-        return extra != null ? extra : chooseOffered(now, true);
+        return extra == null && slot ? chooseOffered(now, true) : extra;
     }
 
     /**
@@ -265,6 +275,7 @@
      */
     private FetchOrder chooseWalk(Instant now, boolean own) {
         int start = random.nextInt(chunkCount);
+        FetchOrder blind = null;
         for (int k = 0; k < chunkCount; k++) {
             int i = (start + k) % chunkCount;
             boolean idle = !have.get(i) && !open.contains(i);
@@ -273,11 +284,23 @@
                 continue;
             }
             FetchOrder order = step(i, now);
-            if (order != null) {
+            if (order != null && (order.source().isOrigin() || remoteHas(order))) {
                 return order;
             }
+            blind = blind == null ? order : blind;
         }
-        return null;
+        return blind;
+    }
+
+    /**
+     * Tells whether a host of another region is known to hold a chunk.
+     *
+     * @param order request for the chunk
+     * @return true if the host said so
+     */
+    private boolean remoteHas(FetchOrder order) {
+        BitSet held = remoteHeld.get(order.source().host());
+        return held != null && held.get(order.index());
     }
 
     /**
@@ -310,7 +333,7 @@
         List<ChunkSource> sources = walk.sources(index);
         int place = walkPlaces.getOrDefault(index, 0);
         while (place < sources.size() - 1
-                && !offers.standing(sources.get(place).host()).usable(now)) {
+                && offers.standing(sources.get(place).host()).blocked(now)) {
             place++;
         }
         if (place >= sources.size()) {
@@ -339,7 +362,7 @@
     }
 
     /**
-     * Counts the chunks of other hosts' turns that are sought along their source walk.
+     * Counts the chunks that are sought along their source walk.
      *
      * @param now present time
      * @return number of chunks
@@ -347,7 +370,7 @@
     private int walksOpen(Instant now) {
         int count = 0;
         for (int index : open.chunks()) {
-            count += !turns.own(index) && !offers.offeredByAny(index, now) ? 1 : 0;
+            count += offers.offeredByAny(index, now) ? 0 : 1;
         }
         return count;
     }
--- a/src/main/java/org/papayawalk/core/weight/SourceWalk.java
+++ b/src/main/java/org/papayawalk/core/weight/SourceWalk.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.papayawalk.core.Rendezvous;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.RegionId;
@@ -30,6 +32,9 @@
     /** Hosts of the origin's region if that is another one, else empty. */
     private final List<HostId> home;
 
+    /** Sources computed so far, by chunk. */
+    private final Map<Integer, List<ChunkSource>> cache = new HashMap<>();
+
     /**
      * Creates the walk for a set of hosts.
      *
@@ -81,6 +86,16 @@
      * @return hosts before this one, then hosts of the origin's region, then the origin
      */
     List<ChunkSource> sources(int index) {
+        return cache.computeIfAbsent(index, this::compute);
+    }
+
+    /**
+     * Computes the sources to ask in turn.
+     *
+     * @param index index of the chunk
+     * @return sources, the origin last
+     */
+    private List<ChunkSource> compute(int index) {
         List<ChunkSource> sources = new ArrayList<>();
         for (HostId h : Rendezvous.order(near, chunkKey(index))) {
             if (h.equals(self)) {
@@ -96,6 +111,16 @@
         return sources;
     }
 
+    /**
+     * Tells whether a host is in the own region.
+     *
+     * @param host host
+     * @return true if chunks may be asked of it as often as one likes
+     */
+    boolean near(HostId host) {
+        return near.contains(host);
+    }
+
     /**
      * Returns the neighbours of this host: a bounded random set of its own region.
      *
--- a/src/main/java/org/papayawalk/daemon/agent/AgentCall.java
+++ b/src/main/java/org/papayawalk/daemon/agent/AgentCall.java
@@ -5,6 +5,7 @@
 import org.papayawalk.platform.HttpStream;
 import org.papayawalk.wire.PeerChannel;
 import org.papayawalk.wire.proto.Envelope;
+import org.papayawalk.wire.proto.ResponseEnd;
 import org.papayawalk.wire.proto.UpstreamRequest;
 
 /** Request of an entry at the agent. Thread-safe. */
@@ -27,6 +28,9 @@
     /** When the request was forwarded, or null. */
     private volatile Instant forwardedAt;
 
+    /** Incarnation of the upstream that it was forwarded to. */
+    private volatile long incarnation;
+
     /**
      * Creates a call.
      *
@@ -95,14 +99,54 @@
     }
 
     /**
-     * Notes that the request was forwarded.
+     * Sends the end of the call.
+     *
+     * @param end its end
+     * @param dataCount data messages sent before
+     * @param inFlight requests that run at the agent now
+     * @param queued requests that wait at the agent now
+     */
+    void end(CallEnd end, long dataCount, int inFlight, int queued) {
+        ResponseEnd.Outcome outcome =
+                switch (end.outcome()) {
+                    case ANSWERED -> ResponseEnd.Outcome.ANSWERED;
+                    case NOT_RUN -> ResponseEnd.Outcome.NOT_RUN;
+                    case UNKNOWN -> ResponseEnd.Outcome.UNKNOWN;
+                };
+        ResponseEnd.Builder message =
+                ResponseEnd.newBuilder()
+                        .setOutcome(outcome)
+                        .setDataCount(dataCount)
+                        .setReason(end.reason())
+                        .setRetryAfterMillis((int) end.retryAfter().toMillis())
+                        .setTryElsewhere(end.elsewhere())
+                        .setUpstreamCrashed(end.crashed())
+                        .setUpstreamIncarnation(incarnation)
+                        .setInFlight(inFlight)
+                        .setQueued(queued);
+        send(Envelope.newBuilder().setResponseEnd(message));
+    }
+
+    /**
+     * Notes that the request is being forwarded.
      *
+     * @param upstreamIncarnation incarnation of the upstream
      * @param now present time
      */
-    void forwarded(Instant now) {
+    void forwarded(long upstreamIncarnation, Instant now) {
+        incarnation = upstreamIncarnation;
         forwardedAt = now;
     }
 
+    /**
+     * Returns the incarnation of the upstream that the request was forwarded to.
+     *
+     * @return incarnation, 0 if it was not forwarded
+     */
+    long incarnation() {
+        return incarnation;
+    }
+
     /**
      * Returns when the request was forwarded.
      *
--- a/src/main/java/org/papayawalk/daemon/agent/AgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/agent/AgentRole.java
@@ -8,7 +8,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 import org.papayawalk.core.config.FleetPlan;
 import org.papayawalk.core.config.UpstreamKind;
 import org.papayawalk.core.id.Digest;
@@ -25,9 +24,7 @@
 import org.papayawalk.log.Event;
 import org.papayawalk.platform.HttpCaller;
 import org.papayawalk.platform.HttpEngine;
-import org.papayawalk.wire.Lane;
 import org.papayawalk.wire.PeerChannel;
-import org.papayawalk.wire.proto.CrashNotice;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.Heartbeat;
 
@@ -84,8 +81,8 @@
     /** When the last probe was sent. */
     private Instant probedAt = Instant.MIN;
 
-    /** Incarnation of the upstream, for notices of crashes. */
-    private final AtomicLong incarnation = new AtomicLong();
+    /** Tells whether the upstream has crashed. */
+    private final CrashWatch crashWatch;
 
     /**
      * Creates the role.
@@ -108,13 +105,14 @@
         probe = new UpstreamProbe(caller(PROBE_SILENCE, 2, true), upstream, node.clock());
         HostId self = node.self().host();
         OnceTable onceTable = new OnceTable(node.platform().table(), node.clock());
+        crashWatch = new CrashWatch(node, probe, this::runningFingerprints);
         Forwarder forwarder =
                 new Forwarder(
                         caller(UPSTREAM_SILENCE, UPSTREAM_CONNECTIONS, true),
                         caller(UPSTREAM_SILENCE, UPSTREAM_CONNECTIONS, false),
                         upstream,
                         new OnceGate(onceTable, objects, self, node.clock()),
-                        this::crashed,
+                        crashWatch,
                         node.clock());
         door = new UpstreamDoor(forwarder, node.clock(), node.work());
         Engine engine = new HttpEngine(caller(ORDER_SILENCE, ORDER_CONNECTIONS, true), upstream);
@@ -284,35 +282,17 @@
      * @param state state
      */
     private void probed(UpstreamState state) {
-        incarnation.set(state.incarnation());
+        crashWatch.reported(state.incarnation());
         door.report(state);
     }
 
     /**
-     * Asks the upstream whether it is still the same process, and tells others of a crash.
+     * Returns the fingerprints of the requests that run.
      *
-     * @return true if it crashed
+     * @return fingerprints
      */
-    private boolean crashed() {
-        long before = incarnation.get();
-        var state = probe.ask();
-        if (state.isRight() && state.get().incarnation() == before) {
-            return false;
-        }
-        for (String fingerprint : door.runningFingerprints()) {
-            CrashNotice notice =
-                    CrashNotice.newBuilder()
-                            .setFingerprint(fingerprint)
-                            .setHost(node.self().host().value())
-                            .setUpstreamIncarnation(before)
-                            .build();
-            Envelope message = Envelope.newBuilder().setCrashNotice(notice).build();
-            node.members().stream()
-                    .filter(m -> m.record().role() == HostRole.ENTRY)
-                    .filter(m -> m.presumedAlive(node.clock().instant()))
-                    .forEach(m -> node.client().tell(m.record().address(), Lane.LIVE, message));
-        }
-        return true;
+    private List<String> runningFingerprints() {
+        return door.runningFingerprints();
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/agent/CrashCheck.java
+++ b/src/main/java/org/papayawalk/daemon/agent/CrashCheck.java
@@ -4,9 +4,17 @@
 public interface CrashCheck {
 
     /**
-     * Asks the upstream after a connection to it broke off.
+     * Returns the incarnation that the upstream last reported.
      *
-     * @return true if it does not answer or has another incarnation than before
+     * @return incarnation, 0 if it is not known
      */
-    boolean crashed();
+    long incarnation();
+
+    /**
+     * Asks the upstream after a connection to it broke off, and tells entries if it has crashed.
+     *
+     * @param before incarnation to which the request was forwarded
+     * @return true if it does not answer or has another incarnation
+     */
+    boolean crashed(long before);
 }
--- a/src/main/java/org/papayawalk/daemon/agent/Forwarder.java
+++ b/src/main/java/org/papayawalk/daemon/agent/Forwarder.java
@@ -11,6 +11,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.Outcome;
@@ -66,6 +68,9 @@
     /** Clock. */
     private final InstantSource clock;
 
+    /** Lets suspected requests run one at a time. */
+    private final Semaphore suspects = new Semaphore(1, true);
+
     /**
      * Creates a forwarder.
      *
@@ -101,6 +106,41 @@
         if (call.cancelled()) {
             return new Result(CallEnd.notRun("the caller has gone", Duration.ZERO), 0);
         }
+        return call.request().getSuspect() ? forwardSuspect(call) : forwardNow(call);
+    }
+
+    /**
+     * Forwards a request that was running when an upstream crashed, once no other such request runs
+     * here.
+     *
+     * @param call call
+     * @return end to send
+     */
+    private Result forwardSuspect(AgentCall call) {
+        Duration left = Duration.between(clock.instant(), call.ticket().deadline());
+        try {
+            if (!suspects.tryAcquire(Math.max(0, left.toMillis()), TimeUnit.MILLISECONDS)) {
+                String reason = "other requests that ran at crashes took its time";
+                return new Result(CallEnd.notRun(reason, FULL_PAUSE), 0);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new Result(CallEnd.tryElsewhere("the agent stops"), 0);
+        }
+        try {
+            return forwardNow(call);
+        } finally {
+            suspects.release();
+        }
+    }
+
+    /**
+     * Forwards a call.
+     *
+     * @param call call
+     * @return end to send
+     */
+    private Result forwardNow(AgentCall call) {
         return call.once() ? forwardOnce(call) : forwardPlain(call);
     }
 
@@ -111,10 +151,10 @@
      * @return end to send
      */
     private Result forwardPlain(AgentCall call) {
-        call.forwarded(clock.instant());
+        call.forwarded(crashCheck.incarnation(), clock.instant());
         Either<Fault, HttpStream> opened = http.open(httpCall(call.request()));
         if (opened.isLeft()) {
-            return new Result(failure(opened.getLeft()), 0);
+            return new Result(failure(call, opened.getLeft()), 0);
         }
         try (HttpStream stream = opened.get()) {
             call.reading(stream);
@@ -179,14 +219,14 @@
             String reason = "the call's row could not be moved to started";
             return new Result(CallEnd.notRun(reason, Duration.ofSeconds(1)), 0);
         }
-        call.forwarded(clock.instant());
+        call.forwarded(crashCheck.incarnation(), clock.instant());
         Either<Fault, HttpStream> opened = onceHttp.open(httpCall(r));
         if (opened.isLeft() && opened.getLeft().kind() == FaultKind.UNREACHABLE) {
             onceGate.release(r.getOnceKey(), started.get());
-            return new Result(failure(opened.getLeft()), 0);
+            return new Result(failure(call, opened.getLeft()), 0);
         }
         if (opened.isLeft()) {
-            return new Result(failure(opened.getLeft()), 0);
+            return new Result(failure(call, opened.getLeft()), 0);
         }
         try (HttpStream stream = opened.get();
                 InputStream body = stream.body()) {
@@ -204,14 +244,15 @@
     /**
      * Makes the end of a request that got no answer.
      *
+     * @param call call
      * @param fault what happened
      * @return end to send
      */
-    private CallEnd failure(Fault fault) {
+    private CallEnd failure(AgentCall call, Fault fault) {
         if (fault.kind() == FaultKind.UNREACHABLE) {
             return CallEnd.tryElsewhere("the upstream cannot be reached: " + fault.message());
         }
-        return CallEnd.unknown(fault.message(), crashCheck.crashed());
+        return CallEnd.unknown(fault.message(), crashCheck.crashed(call.incarnation()));
     }
 
     /**
@@ -226,7 +267,7 @@
             return CallEnd.unknown("the call was broken off at its deadline", false);
         }
         String reason = "the answer broke off: " + cause.getMessage();
-        return CallEnd.unknown(reason, crashCheck.crashed());
+        return CallEnd.unknown(reason, crashCheck.crashed(call.incarnation()));
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/agent/Swarm.java
+++ b/src/main/java/org/papayawalk/daemon/agent/Swarm.java
@@ -213,7 +213,7 @@
                         offers.contact(peer, clock.instant());
                         download.offered(peer, peerHeld);
                     }
-                    boolean coming = current && download.fetching(index);
+                    boolean coming = current && download.expects(index);
                     if (coming && held.chunk(index).isEmpty()) {
                         parked.park(index, () -> reply.accept(held.answer(digest, index, true)));
                         return;
@@ -341,7 +341,7 @@
         if (answer.result() == FetchResult.VERIFIED) {
             return;
         }
-        if (!download.fetching(order.index())) {
+        if (!download.expects(order.index())) {
             parked.release(order.index());
         }
         boolean busy = answer.result() == FetchResult.BUSY;
--- a/src/main/java/org/papayawalk/daemon/agent/UpstreamDoor.java
+++ b/src/main/java/org/papayawalk/daemon/agent/UpstreamDoor.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.stream.Stream;
-import org.papayawalk.core.Outcome;
 import org.papayawalk.core.admit.Admission;
 import org.papayawalk.core.admit.AdmissionQueue;
 import org.papayawalk.core.admit.Priority;
@@ -22,7 +21,6 @@
 import org.papayawalk.log.Event;
 import org.papayawalk.wire.PeerChannel;
 import org.papayawalk.wire.proto.Envelope;
-import org.papayawalk.wire.proto.ResponseEnd;
 import org.papayawalk.wire.proto.UpstreamRequest;
 
 /**
@@ -197,7 +195,7 @@
     /**
      * Tells whether the door is closed for good.
      *
-     * @return true if it is
+     * @return true once it drains
      */
     public synchronized boolean draining() {
         return draining;
@@ -212,13 +210,19 @@
             expired = takeWaiting(queue.expired(now));
             retryAfter = queue.retryAfter();
         }
-        CallEnd end = CallEnd.notRun("the deadline passed while it waited", retryAfter);
-        expired.forEach(c -> end(c, end, 0));
-        List<AgentCall> late;
-        synchronized (this) {
-            late = running.stream().filter(c -> !c.ticket().deadline().isAfter(now)).toList();
-        }
-        late.forEach(AgentCall::cancel);
+        CallEnd late = CallEnd.notRun("the deadline passed while it waited", retryAfter);
+        expired.forEach(c -> end(c, late, 0));
+        overdue(now).forEach(AgentCall::cancel);
+    }
+
+    /**
+     * Returns the started calls whose deadline has passed.
+     *
+     * @param now present time
+     * @return calls to break off
+     */
+    private synchronized List<AgentCall> overdue(Instant now) {
+        return running.stream().filter(c -> !c.ticket().deadline().isAfter(now)).toList();
     }
 
     /**
@@ -370,24 +374,6 @@
      * @param dataCount data messages sent before
      */
     private void end(AgentCall call, CallEnd end, long dataCount) {
-        ResponseEnd.Outcome outcome =
-                switch (end.outcome()) {
-                    case ANSWERED -> ResponseEnd.Outcome.ANSWERED;
-                    case NOT_RUN -> ResponseEnd.Outcome.NOT_RUN;
-                    case UNKNOWN -> ResponseEnd.Outcome.UNKNOWN;
-                };
-        boolean refused = end.outcome() == Outcome.NOT_RUN && !end.elsewhere();
-        call.send(
-                Envelope.newBuilder()
-                        .setResponseEnd(
-                                ResponseEnd.newBuilder()
-                                        .setOutcome(outcome)
-                                        .setDataCount(dataCount)
-                                        .setReason(end.reason())
-                                        .setRetryAfterMillis((int) end.retryAfter().toMillis())
-                                        .setTryElsewhere(!refused && end.elsewhere())
-                                        .setUpstreamCrashed(end.crashed())
-                                        .setInFlight(inFlight())
-                                        .setQueued(queued())));
+        call.end(end, dataCount, inFlight(), queued());
     }
 }
--- a/src/main/java/org/papayawalk/daemon/entry/CallerEndpoint.java
+++ b/src/main/java/org/papayawalk/daemon/entry/CallerEndpoint.java
@@ -169,12 +169,13 @@
      * @throws IOException if the caller has gone or the stream cannot be completed
      */
     private void deliver(PlainCall call, OutputStream out) throws IOException {
+        StreamWriter writer = new StreamWriter(out);
         try {
-            call.stream(new StreamWriter(out));
+            call.stream(writer);
             metrics.outcome(Outcome.ANSWERED);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw new IOException("the entry stops", e);
+            writer.fail(Refusal.unknown(Refusal.BAD_GATEWAY, "the entry stops", Duration.ZERO));
         } finally {
             call.abandon();
             inProgress.decrementAndGet();
--- a/src/main/java/org/papayawalk/daemon/entry/Dispatcher.java
+++ b/src/main/java/org/papayawalk/daemon/entry/Dispatcher.java
@@ -76,21 +76,57 @@
     }
 
     /**
-     * Sends a request to an agent.
+     * Sends a request that may be repeated to an agent.
      *
      * @param request request
      * @param candidate agent
-     * @param onceKey key of the row of a non-idempotent call, else empty
-     * @param onceToken token of the attempt, else empty
+     * @param suspect whether it was running when an upstream crashed
      * @param resumeFrom events that the caller already has
      * @return the attempt
      */
-    Attempt dispatch(
-            CallRequest request,
-            Candidate candidate,
-            String onceKey,
-            String onceToken,
-            int resumeFrom) {
+    Attempt dispatch(CallRequest request, Candidate candidate, boolean suspect, int resumeFrom) {
+        return send(
+                candidate,
+                message(request, candidate).setSuspect(suspect).setResumeFrom(resumeFrom));
+    }
+
+    /**
+     * Sends a non-idempotent call to an agent.
+     *
+     * @param request request
+     * @param candidate agent
+     * @param onceKey key of the call's row
+     * @param onceToken token of the claim
+     * @return the attempt
+     */
+    Attempt dispatchOnce(
+            CallRequest request, Candidate candidate, String onceKey, String onceToken) {
+        return send(
+                candidate, message(request, candidate).setOnceKey(onceKey).setOnceToken(onceToken));
+    }
+
+    /**
+     * Sends a message to an agent.
+     *
+     * @param candidate agent
+     * @param message request
+     * @return the attempt
+     */
+    private Attempt send(Candidate candidate, UpstreamRequest.Builder message) {
+        loads.sent(candidate.host());
+        Attempt attempt = new Attempt(candidate, this::heard, node.clock());
+        attempt.send(node.client(), message);
+        return attempt;
+    }
+
+    /**
+     * Builds the message of a request.
+     *
+     * @param request request
+     * @param candidate agent
+     * @return message
+     */
+    private UpstreamRequest.Builder message(CallRequest request, Candidate candidate) {
         Instant now = node.clock().instant();
         long remaining = Math.max(0, Duration.between(now, request.deadline()).toMillis());
         UpstreamRequest.Builder message =
@@ -103,17 +139,11 @@
                         .setMethod(request.method())
                         .setPath(request.path())
                         .setBody(ByteString.copyFrom(request.body()))
-                        .setFingerprint(request.fingerprint())
-                        .setOnceKey(onceKey)
-                        .setOnceToken(onceToken)
-                        .setResumeFrom(resumeFrom);
+                        .setFingerprint(request.fingerprint());
         for (HttpHeader h : request.headers()) {
             message.addHeaders(Header.newBuilder().setName(h.name()).setValue(h.value()));
         }
-        loads.sent(candidate.host());
-        Attempt attempt = new Attempt(candidate, this::heard, node.clock());
-        attempt.send(node.client(), message);
-        return attempt;
+        return message;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/entry/OnceCalls.java
+++ b/src/main/java/org/papayawalk/daemon/entry/OnceCalls.java
@@ -215,7 +215,7 @@
      */
     private Ending attempt(CallRequest request, Candidate candidate, String key, String token)
             throws InterruptedException {
-        Attempt attempt = dispatcher.dispatch(request, candidate, key, token, 0);
+        Attempt attempt = dispatcher.dispatchOnce(request, candidate, key, token);
         Instant limit = request.deadline().plus(Dispatcher.DEADLINE_GRACE);
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         ResponseHead head = ResponseHead.getDefaultInstance();
--- a/src/main/java/org/papayawalk/daemon/entry/PlainCall.java
+++ b/src/main/java/org/papayawalk/daemon/entry/PlainCall.java
@@ -179,7 +179,8 @@
         head = null;
         body.reset();
         events.discardPartial();
-        attempt = services.dispatcher().dispatch(request, candidate.get(), "", "", events.count());
+        boolean suspect = verdict == SuspectRegistry.Verdict.SUSPECT;
+        attempt = services.dispatcher().dispatch(request, candidate.get(), suspect, events.count());
         return true;
     }
 
@@ -208,11 +209,17 @@
         }
         ResponseEnd end = item.message().getResponseEnd();
         services.dispatcher().ended(attempt, end);
-        if (end.getOutcome() == ResponseEnd.Outcome.ANSWERED && !events.hasPartial()) {
-            return item.message();
+        boolean whole = pinned.equals(Digest.NONE) || events.ended();
+        if (end.getOutcome() != ResponseEnd.Outcome.ANSWERED) {
+            failed(end);
+            return null;
+        }
+        if (!whole) {
+            // An engine that crashes may end its answer as if it were whole.
+            truncated();
+            return null;
         }
-        failed(end);
-        return null;
+        return item.message();
     }
 
     /**
@@ -235,6 +242,15 @@
      */
     private void failed(ResponseEnd end) {
         boolean ran = end.getOutcome() != ResponseEnd.Outcome.NOT_RUN;
+        if (end.getUpstreamCrashed()) {
+            // The notice to all entries may come after the next dispatch.
+            services.suspects()
+                    .crashed(
+                            request.fingerprint(),
+                            attempt.candidate().host(),
+                            end.getUpstreamIncarnation(),
+                            services.clock().instant());
+        }
         dispatched |= ran;
         retry = ran ? request.safe() : end.getTryElsewhere();
         Duration pause = Duration.ofMillis(end.getRetryAfterMillis());
@@ -243,6 +259,14 @@
         attempt = null;
     }
 
+    /** Handles a stream that ended without its last event. */
+    private void truncated() {
+        retry = request.safe();
+        String reason = "host " + attempt.candidate().host() + ": the stream lacks its end";
+        refuse(reason, NO_HOST_PAUSE);
+        attempt = null;
+    }
+
     /**
      * Breaks the dispatch under way off for good.
      *
--- a/src/main/java/org/papayawalk/lab/LabMain.java
+++ b/src/main/java/org/papayawalk/lab/LabMain.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.papayawalk.lab.burst.BurstCommand;
+import org.papayawalk.lab.requests.RequestsCommand;
 import org.papayawalk.log.Event;
 
 /** Runs one command of the lab tool. */
@@ -75,6 +76,7 @@
                 new PublishCommand(),
                 new FaultCommand(),
                 new VerifyCommand(),
-                new BurstCommand());
+                new BurstCommand(),
+                new RequestsCommand());
     }
 }
--- a/src/main/java/org/papayawalk/lab/SseText.java
+++ b/src/main/java/org/papayawalk/lab/SseText.java
@@ -8,7 +8,7 @@
 import org.papayawalk.platform.Json;
 
 /** Joins the tokens of a streamed answer. Holds no state; safe from any thread. */
-final class SseText {
+public final class SseText {
     /** Start of a data line. */
     private static final String DATA = "data: ";
 
@@ -25,7 +25,7 @@
      * @return text, marked as broken off if the last event is missing
      * @throws IOException if an event is malformed
      */
-    static String of(String body) throws IOException {
+    public static String of(String body) throws IOException {
         StringBuilder text = new StringBuilder();
         boolean done = false;
         for (String line : body.split("\n")) {
--- a/src/main/java/org/papayawalk/lab/burst/Burst.java
+++ b/src/main/java/org/papayawalk/lab/burst/Burst.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.papayawalk.core.id.Digest;
+import org.papayawalk.lab.cluster.LabAgent;
 import org.papayawalk.lab.standin.PublishRequest;
 import org.papayawalk.lab.standin.PublishedVersion;
 
@@ -87,7 +88,7 @@
             BurstCluster cluster, PublishedVersion version, LiveLoad load, double quietMillis)
             throws InterruptedException {
         Digest digest = version.digest();
-        long originBefore = cluster.origin().chunkBytes();
+        long originBefore = cluster.platform().origin().chunkBytes();
         long controlBefore = controlBytes(cluster);
         long cpuBefore = controlCpuNanos();
         Milestones m = new Milestones(settings);
@@ -103,20 +104,20 @@
             }
             if (away && !gone && m.seconds() > 1) {
                 gone = true;
-                cluster.platformAway(true);
+                cluster.platform().away(true);
                 note("platform away");
             }
             m.look(cluster, digest);
             if (gone && away && m.copySeconds() > 0) {
                 away = false;
-                cluster.platformAway(false);
+                cluster.platform().away(false);
                 note("platform back");
             }
         }
         Costs costs =
                 new Costs(
                         m.seconds(),
-                        cluster.origin().chunkBytes() - originBefore,
+                        cluster.platform().origin().chunkBytes() - originBefore,
                         controlBytes(cluster) - controlBefore,
                         controlCpuNanos() - cpuBefore);
         return report(cluster, digest, load, quietMillis, m, costs);
@@ -142,7 +143,7 @@
             Costs costs) {
         if (!m.done()) {
             cluster.hosts().stream()
-                    .filter(h -> !h.killed() && !h.serving().equals(digest))
+                    .filter(h -> h.running() && !h.serving().equals(digest))
                     .limit(5)
                     .forEach(h -> note(h.record().host() + " behind: " + h.notes()));
         }
@@ -186,7 +187,7 @@
         PublishedVersion version =
                 PublishedVersion.make(
                         new PublishRequest("ube-helper", "", name, size, chunk, settings.seed()));
-        cluster.origin().publish(version);
+        cluster.platform().origin().publish(version);
         return version;
     }
 
@@ -197,9 +198,9 @@
      */
     private void kill(BurstCluster cluster) {
         int count = (int) Math.ceil(settings.hosts() * KILLED_SHARE);
-        List<BurstHost> hosts = new ArrayList<>(cluster.hosts());
+        List<LabAgent> hosts = new ArrayList<>(cluster.hosts());
         Collections.shuffle(hosts, random);
-        hosts.subList(0, count).forEach(BurstHost::kill);
+        hosts.subList(0, count).forEach(LabAgent::kill);
         note("killed " + count);
     }
 
@@ -228,7 +229,7 @@
      * @return bytes since the start
      */
     private static long controlBytes(BurstCluster cluster) {
-        return cluster.hosts().stream().mapToLong(BurstHost::controlBytes).sum();
+        return cluster.hosts().stream().mapToLong(LabAgent::controlBytes).sum();
     }
 
     /**
--- a/src/main/java/org/papayawalk/lab/burst/BurstPlan.java
+++ b/src/main/java/org/papayawalk/lab/burst/BurstPlan.java
@@ -11,6 +11,7 @@
 import org.papayawalk.core.weight.DownloadFactory;
 import org.papayawalk.core.weight.DownloadSettings;
 import org.papayawalk.core.weight.PlannerFactory;
+import org.papayawalk.lab.cluster.LabAddresses;
 
 /** Makes the host list and the planners of a burst. Holds no state. */
 final class BurstPlan {
@@ -59,7 +60,7 @@
                 new RegionId("region-" + domain % settings.regions()),
                 fleet.isEmpty() ? HostRole.ENTRY : HostRole.AGENT,
                 fleet,
-                BurstHost.text(BurstHost.freeAddress()),
+                LabAddresses.text(LabAddresses.next()),
                 HostState.LIVE);
     }
 
--- a/src/main/java/org/papayawalk/lab/burst/ParentPlanner.java
+++ b/src/main/java/org/papayawalk/lab/burst/ParentPlanner.java
@@ -118,7 +118,7 @@
     }
 
     @Override
-    public boolean fetching(int index) {
+    public boolean expects(int index) {
         return open.contains(index);
     }
 
--- a/src/main/java/org/papayawalk/lab/burst/RandomPlanner.java
+++ b/src/main/java/org/papayawalk/lab/burst/RandomPlanner.java
@@ -124,7 +124,7 @@
     }
 
     @Override
-    public boolean fetching(int index) {
+    public boolean expects(int index) {
         return open.containsKey(index);
     }
 
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/cluster/LabPlatform.java
@@ -0,0 +1,278 @@
+package org.papayawalk.lab.cluster;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.papayawalk.core.Addresses;
+import org.papayawalk.core.MonotonicClock;
+import org.papayawalk.core.config.FleetSpec;
+import org.papayawalk.core.member.HostRecord;
+import org.papayawalk.core.port.ObjectStore;
+import org.papayawalk.core.port.Origin;
+import org.papayawalk.core.port.TableService;
+import org.papayawalk.daemon.node.Node;
+import org.papayawalk.daemon.node.NodePlatform;
+import org.papayawalk.daemon.node.NodeSettings;
+import org.papayawalk.lab.standin.FaultSettings;
+import org.papayawalk.lab.standin.FaultSwitch;
+import org.papayawalk.lab.standin.HostListStandIn;
+import org.papayawalk.lab.standin.OriginStandIn;
+import org.papayawalk.lab.standin.TableStandIn;
+import org.papayawalk.platform.ApplyResult;
+import org.papayawalk.platform.ConfigClient;
+import org.papayawalk.platform.HttpCaller;
+import org.papayawalk.platform.HttpEndpoint;
+import org.papayawalk.platform.HttpHostList;
+import org.papayawalk.platform.HttpObjectStore;
+import org.papayawalk.platform.HttpOrigin;
+import org.papayawalk.platform.HttpTableService;
+import org.papayawalk.platform.OnceTables;
+import org.papayawalk.wire.WireRuntime;
+
+/** Stand-ins of the platform and what all daemons of one process share. Thread-safe. */
+public final class LabPlatform implements AutoCloseable {
+    /** Silence after which the platform counts as away. */
+    private static final Duration SILENCE = Duration.ofSeconds(2);
+
+    /** Silence after which the origin counts as away. */
+    private static final Duration ORIGIN_SILENCE = Duration.ofSeconds(120);
+
+    /** Clock. */
+    private final InstantSource clock = new MonotonicClock();
+
+    /** Threads for calls that block. */
+    private final ExecutorService work = Executors.newCachedThreadPool();
+
+    /** Event loops. */
+    private final WireRuntime runtime = new WireRuntime(4);
+
+    /** Sends requests to the platform. */
+    private final HttpCaller http = new HttpCaller(SILENCE, 256, true);
+
+    /** Sends requests to the origin. */
+    private final HttpCaller originHttp = new HttpCaller(ORIGIN_SILENCE, 1024, true);
+
+    /** Servers. */
+    private final List<HttpEndpoint> servers = new ArrayList<>();
+
+    /** Seed of the faults' chance. */
+    private final long seed;
+
+    /** Host list. */
+    private final HostListStandIn hostList;
+
+    /** Origin. */
+    private final OriginStandIn origin;
+
+    /** Table service. */
+    private final TableStandIn tableStandIn = new TableStandIn();
+
+    /** Faults of the table service. */
+    private final FaultSwitch tableFaults;
+
+    /** Faults of the host list. */
+    private final FaultSwitch listFaults;
+
+    /** Faults of the origin. */
+    private final FaultSwitch originFaults;
+
+    /** Address of the table service. */
+    private final String tableAddress;
+
+    /** Address of the host list. */
+    private final String listAddress;
+
+    /** Address of the origin. */
+    private final String originAddress;
+
+    /**
+     * Starts the stand-ins.
+     *
+     * @param hosts host list
+     * @param originBytesPerSecond rate of the origin's link
+     * @param seed seed of the faults' chance
+     * @throws IOException if an address cannot be used
+     */
+    public LabPlatform(List<HostRecord> hosts, double originBytesPerSecond, long seed)
+            throws IOException {
+        this.seed = seed;
+        hostList = new HostListStandIn(hosts, Duration.ZERO, clock);
+        origin = new OriginStandIn(originBytesPerSecond, clock);
+        tableFaults = new FaultSwitch(tableStandIn, seed);
+        listFaults = new FaultSwitch(hostList, seed);
+        originFaults = new FaultSwitch(origin, seed);
+        origin.attach(originFaults);
+        tableAddress = listen(tableFaults);
+        listAddress = listen(listFaults);
+        originAddress = listen(originFaults);
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param handler takes every request
+     * @return its address
+     * @throws IOException if the address cannot be used
+     */
+    private String listen(HttpRequestHandler handler) throws IOException {
+        InetSocketAddress address = LabAddresses.next();
+        servers.add(new HttpEndpoint(address, handler));
+        return LabAddresses.text(address);
+    }
+
+    /**
+     * Returns the clock.
+     *
+     * @return clock of all daemons
+     */
+    public InstantSource clock() {
+        return clock;
+    }
+
+    /**
+     * Returns the seed.
+     *
+     * @return seed of the faults' chance
+     */
+    public long seed() {
+        return seed;
+    }
+
+    /**
+     * Returns the host list.
+     *
+     * @return stand-in
+     */
+    public HostListStandIn hostList() {
+        return hostList;
+    }
+
+    /**
+     * Returns the origin.
+     *
+     * @return stand-in
+     */
+    public OriginStandIn origin() {
+        return origin;
+    }
+
+    /**
+     * Returns the faults of the table service.
+     *
+     * @return switch
+     */
+    public FaultSwitch tableFaults() {
+        return tableFaults;
+    }
+
+    /**
+     * Returns the faults of the origin.
+     *
+     * @return switch
+     */
+    public FaultSwitch originFaults() {
+        return originFaults;
+    }
+
+    /**
+     * Takes table service and host list away, or brings them back.
+     *
+     * @param away whether they are away
+     */
+    public void away(boolean away) {
+        FaultSettings faults = new FaultSettings(away, false, 0, 0, 0);
+        tableFaults.set(faults);
+        listFaults.set(faults);
+    }
+
+    /**
+     * Returns the table service.
+     *
+     * @return stand-in
+     */
+    public TableStandIn tableStandIn() {
+        return tableStandIn;
+    }
+
+    /**
+     * Returns the rows of non-idempotent calls written.
+     *
+     * @return number since the start
+     */
+    public long onceWrites() {
+        return tableStandIn.writes(OnceTables.TABLE);
+    }
+
+    /**
+     * Returns a client of the table service.
+     *
+     * @return client
+     */
+    public TableService table() {
+        return new HttpTableService(http, tableAddress);
+    }
+
+    /**
+     * Returns a client of the object store.
+     *
+     * @return client
+     */
+    public ObjectStore objects() {
+        return new HttpObjectStore(http, tableAddress);
+    }
+
+    /**
+     * Returns a client of the origin.
+     *
+     * @return client
+     */
+    public Origin originClient() {
+        return new HttpOrigin(originHttp, originAddress);
+    }
+
+    /**
+     * Creates a node that listens.
+     *
+     * @param record line of the host list
+     * @return node, not started
+     * @throws IOException if the address cannot be used
+     */
+    public Node node(HostRecord record) throws IOException {
+        NodePlatform platform = new NodePlatform(table(), new HttpHostList(http, listAddress));
+        NodeSettings settings =
+                new NodeSettings(record, Addresses.parse(record.address()), List.of());
+        return new Node(settings, platform, runtime, clock, work);
+    }
+
+    /**
+     * Has rows accepted.
+     *
+     * @param rows rows of the next sheet
+     * @return how it ended
+     */
+    public ApplyResult apply(List<FleetSpec> rows) {
+        ConfigClient client = new ConfigClient(table());
+        ConfigClient.Accepted base = client.read().get();
+        return client.write(
+                base,
+                base.configuration().next(UUID.randomUUID().toString(), rows),
+                "lab",
+                clock.instant());
+    }
+
+    @Override
+    public void close() {
+        servers.forEach(HttpEndpoint::close);
+        runtime.close();
+        http.close();
+        originHttp.close();
+        work.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/requests/OrderLedger.java
@@ -0,0 +1,70 @@
+package org.papayawalk.lab.requests;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What callers were told of their orders, to be held against the runs. Thread-safe. */
+final class OrderLedger {
+    /** Last result of each order. */
+    private final Map<String, CallResult> results = new TreeMap<>();
+
+    /** Answers given before for an order, to compare repeats with. */
+    private final Map<String, String> answers = new TreeMap<>();
+
+    /** Repeats that got another answer. */
+    private int changedAnswers;
+
+    /**
+     * Notes a result.
+     *
+     * @param key idempotency key
+     * @param result what the caller saw
+     */
+    synchronized void note(String key, CallResult result) {
+        results.put(key, result);
+        if (result.kind() == CallResult.Kind.ANSWERED) {
+            String before = answers.putIfAbsent(key, result.detail());
+            if (before != null && !before.equals(result.detail())) {
+                changedAnswers++;
+            }
+        }
+    }
+
+    /**
+     * Counts the orders that ran more than once.
+     *
+     * @param runs runs by key
+     * @return number of orders
+     */
+    synchronized long ranTwice(Map<String, Integer> runs) {
+        return runs.values().stream().filter(n -> n > 1).count();
+    }
+
+    /**
+     * Counts the orders that ran although their caller was last told that they had not.
+     *
+     * @param runs runs by key
+     * @return number of orders
+     */
+    synchronized long falseNotRun(Map<String, Integer> runs) {
+        return results.entrySet().stream()
+                .filter(e -> e.getValue().kind() == CallResult.Kind.NOT_RUN)
+                .filter(e -> runs.getOrDefault(e.getKey(), 0) > 0)
+                .count();
+    }
+
+    /**
+     * Counts the orders whose answer is wrong: none ran, or a repeat got another one.
+     *
+     * @param runs runs by key
+     * @return number of orders
+     */
+    synchronized long wrong(Map<String, Integer> runs) {
+        long withoutRun =
+                results.entrySet().stream()
+                        .filter(e -> e.getValue().kind() == CallResult.Kind.ANSWERED)
+                        .filter(e -> runs.getOrDefault(e.getKey(), 0) == 0)
+                        .count();
+        return withoutRun + changedAnswers;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/requests/RequestsCluster.java
@@ -0,0 +1,317 @@
+package org.papayawalk.lab.requests;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.papayawalk.core.config.CallPattern;
+import org.papayawalk.core.config.FleetSpec;
+import org.papayawalk.core.config.UpstreamKind;
+import org.papayawalk.core.id.Digest;
+import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.FleetId;
+import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.id.RegionId;
+import org.papayawalk.core.member.HostRecord;
+import org.papayawalk.core.member.HostRole;
+import org.papayawalk.core.member.HostState;
+import org.papayawalk.core.weight.DistributionPolicy;
+import org.papayawalk.core.weight.DownloadFactory;
+import org.papayawalk.core.weight.DownloadSettings;
+import org.papayawalk.daemon.agent.WeightSettings;
+import org.papayawalk.lab.cluster.LabAddresses;
+import org.papayawalk.lab.cluster.LabAgent;
+import org.papayawalk.lab.cluster.LabEntry;
+import org.papayawalk.lab.cluster.LabPlatform;
+import org.papayawalk.lab.standin.EngineSettings;
+import org.papayawalk.lab.standin.EngineStandIn;
+import org.papayawalk.lab.standin.PublishRequest;
+import org.papayawalk.lab.standin.PublishedVersion;
+import org.papayawalk.lab.standin.ServiceStandIn;
+
+/** Two entries, model hosts and service hosts in three failure domains. Thread-safe. */
+public final class RequestsCluster implements AutoCloseable {
+    /** Fleet of the model hosts. */
+    public static final String MODEL_FLEET = "helper";
+
+    /** Fleet of the service hosts. */
+    public static final String SERVICE_FLEET = "orders";
+
+    /** Failure domains. */
+    private static final int DOMAINS = 3;
+
+    /** Rate of all links in bytes a second. */
+    private static final double LINK_RATE = 64 << 20;
+
+    /** Memory for chunks of each agent in bytes. */
+    private static final long CHUNK_MEMORY = 4 << 20;
+
+    /** Longest wait until all hosts serve, in seconds. */
+    private static final long START_LIMIT_SECONDS = 20;
+
+    /** Region of all hosts. */
+    private static final RegionId REGION = new RegionId("main");
+
+    /** Platform. */
+    private final LabPlatform platform;
+
+    /** Agents before engines. */
+    private final List<LabAgent> models = new ArrayList<>();
+
+    /** Agents before services. */
+    private final List<LabAgent> services = new ArrayList<>();
+
+    /** Entries. */
+    private final List<LabEntry> entries = new ArrayList<>();
+
+    /** Version that the model hosts serve. */
+    private final PublishedVersion version;
+
+    /**
+     * Starts everything and waits until all hosts serve.
+     *
+     * @param modelHosts number of model hosts
+     * @param serviceHosts number of service hosts
+     * @param engine settings of the engines
+     * @param maxInFlight requests that one upstream runs at once
+     * @param seed seed of chance
+     * @throws IOException if an address cannot be used
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public RequestsCluster(
+            int modelHosts, int serviceHosts, EngineSettings engine, int maxInFlight, long seed)
+            throws IOException, InterruptedException {
+        List<HostRecord> records = new ArrayList<>();
+        for (int i = 0; i < modelHosts; i++) {
+            records.add(record("model-" + i, i, MODEL_FLEET));
+        }
+        for (int i = 0; i < serviceHosts; i++) {
+            records.add(record("service-" + i, i, SERVICE_FLEET));
+        }
+        for (int i = 0; i < 2; i++) {
+            records.add(record("entry-" + i, i, ""));
+        }
+        platform = new LabPlatform(records, LINK_RATE, seed);
+        version =
+                PublishedVersion.make(
+                        new PublishRequest("ube-helper", "", "1", 64 << 10, 16 << 10, seed));
+        platform.origin().publish(version);
+        for (HostRecord r : records) {
+            start(r, engine);
+        }
+        platform.apply(rows(maxInFlight));
+        awaitServing();
+    }
+
+    /**
+     * Returns the platform.
+     *
+     * @return platform
+     */
+    public LabPlatform platform() {
+        return platform;
+    }
+
+    /**
+     * Returns the agents before engines.
+     *
+     * @return agents
+     */
+    public List<LabAgent> models() {
+        return models;
+    }
+
+    /**
+     * Returns the agents before services.
+     *
+     * @return agents
+     */
+    public List<LabAgent> services() {
+        return services;
+    }
+
+    /**
+     * Returns the entries.
+     *
+     * @return entries
+     */
+    public List<LabEntry> entries() {
+        return entries;
+    }
+
+    /**
+     * Returns the version that the model hosts serve.
+     *
+     * @return digest
+     */
+    public Digest version() {
+        return version.digest();
+    }
+
+    /**
+     * Returns an engine.
+     *
+     * @param agent agent before it
+     * @return stand-in
+     */
+    public static EngineStandIn engine(LabAgent agent) {
+        return (EngineStandIn) agent.upstream();
+    }
+
+    /**
+     * Sums the runs of orders over all services.
+     *
+     * @return runs by idempotency key
+     */
+    public Map<String, Integer> runs() {
+        Map<String, Integer> sum = new HashMap<>();
+        for (LabAgent a : services) {
+            ((ServiceStandIn) a.upstream())
+                    .runs()
+                    .forEach((key, n) -> sum.merge(key, n, Integer::sum));
+        }
+        return sum;
+    }
+
+    @Override
+    public void close() {
+        entries.forEach(LabEntry::close);
+        models.forEach(LabAgent::close);
+        services.forEach(LabAgent::close);
+        platform.close();
+    }
+
+    /**
+     * Makes a line of the host list.
+     *
+     * @param name name of the host
+     * @param number number that decides about the failure domain
+     * @param fleet fleet, empty for an entry
+     * @return line
+     */
+    private static HostRecord record(String name, int number, String fleet) {
+        return new HostRecord(
+                new HostId(name),
+                new DomainId("domain-" + number % DOMAINS),
+                REGION,
+                fleet.isEmpty() ? HostRole.ENTRY : HostRole.AGENT,
+                fleet,
+                LabAddresses.text(LabAddresses.next()),
+                HostState.LIVE);
+    }
+
+    /**
+     * Starts a host.
+     *
+     * @param record line of the host list
+     * @param engine settings of the engines
+     * @throws IOException if an address cannot be used
+     */
+    private void start(HostRecord record, EngineSettings engine) throws IOException {
+        if (record.role() == HostRole.ENTRY) {
+            entries.add(new LabEntry(platform, record));
+            return;
+        }
+        boolean model = record.fleet().equals(MODEL_FLEET);
+        WeightSettings weights =
+                new WeightSettings(
+                        new DownloadFactory(
+                                new DownloadSettings(DistributionPolicy.TIME, REGION, 8, 2)),
+                        LINK_RATE,
+                        LINK_RATE,
+                        CHUNK_MEMORY);
+        LabAgent agent =
+                new LabAgent(
+                        platform,
+                        record,
+                        model ? new EngineStandIn(engine) : new ServiceStandIn(10),
+                        weights,
+                        platform.originClient(),
+                        t -> t);
+        (model ? models : services).add(agent);
+    }
+
+    /**
+     * Makes the rows of the sheet.
+     *
+     * @param maxInFlight requests that one upstream runs at once
+     * @return rows
+     */
+    private List<FleetSpec> rows(int maxInFlight) {
+        FleetSpec model =
+                new FleetSpec(
+                        new FleetId(MODEL_FLEET),
+                        UpstreamKind.MODEL,
+                        "ube-helper",
+                        "",
+                        "1",
+                        version.digest(),
+                        Map.of(),
+                        maxInFlight,
+                        2 * maxInFlight,
+                        2,
+                        false,
+                        List.of());
+        FleetSpec service =
+                new FleetSpec(
+                        new FleetId(SERVICE_FLEET),
+                        UpstreamKind.SERVICE,
+                        "",
+                        "",
+                        "",
+                        Digest.NONE,
+                        Map.of(),
+                        maxInFlight,
+                        2 * maxInFlight,
+                        2,
+                        false,
+                        List.of(new CallPattern("POST", "/orders")));
+        return List.of(model, service);
+    }
+
+    /**
+     * Waits until all hosts serve and the entries have heard of it.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    private void awaitServing() throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_LIMIT_SECONDS);
+        while (!ready()) {
+            if (System.nanoTime() > until) {
+                throw new IllegalStateException("the hosts do not serve in time");
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    /**
+     * Tells whether every entry has heard every agent serve.
+     *
+     * @return true if they have
+     */
+    private boolean ready() {
+        int agents = models.size() + services.size();
+        for (LabEntry e : entries) {
+            long serving =
+                    e.node().members().stream()
+                            .filter(m -> m.record().role() == HostRole.AGENT)
+                            .filter(m -> m.report().isPresent())
+                            .filter(m -> m.report().get().upstreamHealthy())
+                            .filter(m -> m.report().get().capacity() > 0)
+                            .filter(
+                                    m ->
+                                            m.record().fleet().equals(SERVICE_FLEET)
+                                                    || m.report()
+                                                            .get()
+                                                            .serving()
+                                                            .equals(version.digest()))
+                            .count();
+            if (serving < agents) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/requests/Tally.java
@@ -0,0 +1,151 @@
+package org.papayawalk.lab.requests;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Counts and times of calls. Thread-safe. */
+final class Tally {
+    /** Longest time recorded, in microseconds. */
+    private static final long MAX_MICROS = 60_000_000;
+
+    /** Digits of the histograms. */
+    private static final int DIGITS = 3;
+
+    /** Calls by outcome. */
+    private final Map<CallResult.Kind, AtomicInteger> kinds = new ConcurrentHashMap<>();
+
+    /** Times to the first event by team. */
+    private final Map<String, Histogram> firstByTeam = new ConcurrentHashMap<>();
+
+    /** Times to the first event. */
+    private final Histogram first = new ConcurrentHistogram(MAX_MICROS, DIGITS);
+
+    /** Times between events. */
+    private final Histogram gaps = new ConcurrentHistogram(MAX_MICROS, DIGITS);
+
+    /** Times to a refusal. */
+    private final Histogram refusals = new ConcurrentHistogram(MAX_MICROS, DIGITS);
+
+    /** Answers that are not the right ones. */
+    private final AtomicInteger wrong = new AtomicInteger();
+
+    /**
+     * Counts a streamed call.
+     *
+     * @param team team that made it
+     * @param result what the caller saw
+     * @param totalMicros time from the planned moment to the end
+     */
+    void stream(String team, CallResult result, long totalMicros) {
+        count(result);
+        if (result.firstTokenMicros() >= 0) {
+            record(first, result.firstTokenMicros());
+            record(
+                    firstByTeam.computeIfAbsent(
+                            team, t -> new ConcurrentHistogram(MAX_MICROS, DIGITS)),
+                    result.firstTokenMicros());
+        }
+        result.gapsMicros().forEach(g -> record(gaps, g));
+        if (result.kind() == CallResult.Kind.NOT_RUN) {
+            record(refusals, totalMicros);
+        }
+    }
+
+    /**
+     * Counts a call.
+     *
+     * @param result what the caller saw
+     */
+    void count(CallResult result) {
+        kinds.computeIfAbsent(result.kind(), k -> new AtomicInteger()).incrementAndGet();
+        if (result.wrong()) {
+            wrong.incrementAndGet();
+        }
+    }
+
+    /**
+     * Returns the calls with an outcome.
+     *
+     * @param kind outcome
+     * @return number of calls
+     */
+    int of(CallResult.Kind kind) {
+        AtomicInteger n = kinds.get(kind);
+        return n == null ? 0 : n.get();
+    }
+
+    /**
+     * Returns the answers that are not the right ones.
+     *
+     * @return number of answers
+     */
+    int wrong() {
+        return wrong.get();
+    }
+
+    /**
+     * Returns percentiles of the time to the first event.
+     *
+     * @return 50, 95 and 99 in milliseconds
+     */
+    List<Double> firstMillis() {
+        return percentiles(first);
+    }
+
+    /**
+     * Returns percentiles of the time between events.
+     *
+     * @return 50, 95 and 99 in milliseconds
+     */
+    List<Double> gapMillis() {
+        return percentiles(gaps);
+    }
+
+    /**
+     * Returns percentiles of the time to a refusal.
+     *
+     * @return 50, 95 and 99 in milliseconds
+     */
+    List<Double> refusalMillis() {
+        return percentiles(refusals);
+    }
+
+    /**
+     * Returns the time to the first event of each team.
+     *
+     * @return 99th percentile in milliseconds by team
+     */
+    Map<String, Double> teamP99Millis() {
+        Map<String, Double> result = new TreeMap<>();
+        firstByTeam.forEach((t, h) -> result.put(t, h.getValueAtPercentile(99) / 1000.0));
+        return result;
+    }
+
+    /**
+     * Records a time.
+     *
+     * @param histogram histogram
+     * @param micros time in microseconds
+     */
+    private static void record(Histogram histogram, long micros) {
+        histogram.recordValue(Math.max(0, Math.min(MAX_MICROS, micros)));
+    }
+
+    /**
+     * Returns percentiles.
+     *
+     * @param histogram histogram in microseconds
+     * @return 50, 95 and 99 in milliseconds
+     */
+    private static List<Double> percentiles(Histogram histogram) {
+        return List.of(
+                histogram.getValueAtPercentile(50) / 1000.0,
+                histogram.getValueAtPercentile(95) / 1000.0,
+                histogram.getValueAtPercentile(99) / 1000.0);
+    }
+}
--- a/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
@@ -96,6 +96,24 @@
         return versions.serving();
     }
 
+    /**
+     * Returns the requests started.
+     *
+     * @return number since the start
+     */
+    public long started() {
+        return started.get();
+    }
+
+    /**
+     * Returns the crashes.
+     *
+     * @return number since the start
+     */
+    public int crashes() {
+        return crashes.get();
+    }
+
     @Override
     public void handle(
             ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
@@ -162,7 +180,7 @@
                 Bodies.json(response, 200, versions.status(running.get()));
             }
             case "bytes" -> {
-                int offset = Integer.parseInt(Bodies.query(request).get("offset"));
+                long offset = Long.parseLong(Bodies.query(request).get("offset"));
                 if (versions.write(digest, offset, body)) {
                     Bodies.json(response, 200, body.length);
                 } else {
@@ -217,9 +235,7 @@
                     new EntityTemplate(
                             -1, ContentType.TEXT_EVENT_STREAM, null, out -> stream(g, out)));
         } else {
-            response.setEntity(
-                    new EntityTemplate(
-                            -1, ContentType.APPLICATION_JSON, null, out -> whole(g, out)));
+            Bodies.json(response, 200, whole(g));
         }
     }
 
@@ -253,10 +269,10 @@
      * Generates a whole answer.
      *
      * @param g what to generate
-     * @param out connection
-     * @throws IOException if the connection was lost or the engine crashes
+     * @return body of the answer
+     * @throws IOException if the engine crashes
      */
-    private void whole(Generation g, OutputStream out) throws IOException {
+    private Object whole(Generation g) throws IOException {
         running.incrementAndGet();
         try {
             prefill(g.prompt());
@@ -264,8 +280,7 @@
             checkAlive(g);
             String text = EngineText.text(g.version(), g.prompt(), g.tokens());
             Object message = Map.of("role", "assistant", "content", text);
-            out.write(
-                    Json.write(Map.of("choices", List.of(Map.of("index", 0, "message", message)))));
+            return Map.of("choices", List.of(Map.of("index", 0, "message", message)));
         } finally {
             running.decrementAndGet();
         }
--- a/src/main/java/org/papayawalk/lab/standin/EngineVersions.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineVersions.java
@@ -1,6 +1,8 @@
 package org.papayawalk.lab.standin;
 
+import java.security.MessageDigest;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.port.EngineStatus;
 import org.papayawalk.core.weight.Manifest;
@@ -17,8 +19,11 @@
     /** Version that is being staged. */
     private Digest staging = Digest.NONE;
 
-    /** Bytes written to the staging area. */
-    private byte[] staged = new byte[0];
+    /** Bytes written to the staging area, by their place. */
+    private final TreeMap<Long, byte[]> staged = new TreeMap<>();
+
+    /** Length of the version that is being staged. */
+    private long stagedLength;
 
     /** Whether the staged version was sealed. */
     private boolean sealed;
@@ -62,7 +67,7 @@
     synchronized void crash() {
         incarnation = Math.max(incarnation + 1, System.currentTimeMillis());
         staging = Digest.NONE;
-        staged = new byte[0];
+        staged.clear();
         sealed = false;
     }
 
@@ -75,7 +80,8 @@
     synchronized void begin(Digest digest, Manifest manifest) {
         if (!digest.equals(staging)) {
             staging = digest;
-            staged = new byte[(int) manifest.sizeBytes()];
+            staged.clear();
+            stagedLength = manifest.sizeBytes();
             sealed = false;
         }
     }
@@ -88,11 +94,11 @@
      * @param data bytes
      * @return false if another version is being staged
      */
-    synchronized boolean write(Digest digest, int offset, byte[] data) {
-        if (!digest.equals(staging) || offset + data.length > staged.length) {
+    synchronized boolean write(Digest digest, long offset, byte[] data) {
+        if (!digest.equals(staging) || offset + data.length > stagedLength) {
             return false;
         }
-        System.arraycopy(data, 0, staged, offset, data.length);
+        staged.put(offset, data);
         return true;
     }
 
@@ -107,7 +113,9 @@
             return Optional.empty();
         }
         sealed = true;
-        return Optional.of(Digest.of(staged));
+        MessageDigest sum = Digest.sha256();
+        staged.values().forEach(sum::update);
+        return Optional.of(Digest.finish(sum, new byte[0]));
     }
 
     /**
@@ -130,13 +138,13 @@
         }
         serving = change.target();
         staging = Digest.NONE;
-        staged = new byte[0];
+        staged.clear();
         sealed = false;
         return Optional.empty();
     }
 
     @Override
     public synchronized String toString() {
-        return "%d bytes of %s".formatted(staged.length, staging.shortText());
+        return "%d bytes of %s".formatted(stagedLength, staging.shortText());
     }
 }
--- a/src/main/java/org/papayawalk/lab/standin/TableStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/TableStandIn.java
@@ -42,8 +42,27 @@
     /** Reads answered. */
     private long reads;
 
-    /** Rows written. */
-    private long writes;
+    /** Rows written, by table. */
+    private final Map<String, Long> writes = new TreeMap<>();
+
+    /**
+     * Returns the rows written to a table.
+     *
+     * @param table name of the table
+     * @return number since the start
+     */
+    public synchronized long writes(String table) {
+        return writes.getOrDefault(table, 0L);
+    }
+
+    /**
+     * Returns the reads answered.
+     *
+     * @return number since the start
+     */
+    public synchronized long reads() {
+        return reads;
+    }
 
     @Override
     public synchronized void handle(
@@ -85,7 +104,7 @@
         }
         revision++;
         for (TableWrite w : batch) {
-            writes++;
+            writes.merge(w.table(), 1L, Long::sum);
             table(w.table()).put(w.key(), new TableRow(w.key(), revision, w.value()));
         }
         Bodies.json(response, 200, revision);
--- a/src/main/java/org/papayawalk/platform/HttpCaller.java
+++ b/src/main/java/org/papayawalk/platform/HttpCaller.java
@@ -83,7 +83,8 @@
             ClassicHttpResponse response =
                     requester.execute(host, request(call), CONNECT_LIMIT, HttpCoreContext.create());
             return Either.right(new HttpStream(response));
-        } catch (ConnectException | NoRouteToHostException e) {
+        } catch (ConnectException | NoRouteToHostException | IllegalStateException e) {
+            // The pool throws IllegalStateException once this caller is closed.
             return Either.left(Fault.of(FaultKind.UNREACHABLE, call.step(), call.address(), e));
         } catch (IOException | HttpException e) {
             return Either.left(Fault.of(FaultKind.UNKNOWN_OUTCOME, call.step(), call.address(), e));
--- a/src/main/java/org/papayawalk/platform/HttpStream.java
+++ b/src/main/java/org/papayawalk/platform/HttpStream.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.io.EofSensorInputStream;
 
 /**
  * HTTP answer that is read while it arrives. For one reading thread; {@link #close()} may be called
@@ -15,6 +17,9 @@
     /** Answer. */
     private final ClassicHttpResponse response;
 
+    /** Body, once it was asked for. */
+    private InputStream body;
+
     /**
      * Wraps an answer.
      *
@@ -52,17 +57,24 @@
      * @return stream that ends at the end of the body and fails if the connection is lost before
      * @throws IOException if the connection was lost
      */
-    public InputStream body() throws IOException {
-        if (response.getEntity() == null) {
-            return InputStream.nullInputStream();
+    public synchronized InputStream body() throws IOException {
+        if (body == null) {
+            HttpEntity entity = response.getEntity();
+            body = entity == null ? InputStream.nullInputStream() : entity.getContent();
         }
-        return response.getEntity().getContent();
+        return body;
     }
 
+    /**
+     * Ends the reading. A body that was read to its end leaves its connection for further requests;
+     * otherwise the connection is closed at once, because reading the rest would block.
+     */
     @Override
     public void close() {
         try {
-            response.close();
+            if (body() instanceof EofSensorInputStream sensor) {
+                sensor.abort();
+            }
         } catch (IOException e) {
             // The answer is given up; a failure to close its connection changes nothing.
             return;
--- /dev/null
+++ b/src/test/java/org/papayawalk/core/stream/EventSplitterTest.java
@@ -0,0 +1,55 @@
+package org.papayawalk.core.stream;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.Test;
+
+/** Tests {@link EventSplitter}. */
+public final class EventSplitterTest {
+    /** Splitter under test. */
+    private EventSplitter splitter;
+
+    /** Cuts events wherever the bytes are parted. */
+    @Test
+    public void cutsEventsWhereverBytesArePart() {
+        String text = "data: a\n\ndata: b\n\ndata: [DONE]\n\n";
+        for (int cut = 0; cut <= text.length(); cut++) {
+            splitter = new EventSplitter();
+            splitter.take(bytes(text.substring(0, cut)));
+            splitter.take(bytes(text.substring(cut)));
+            assertEquals(splitter.count(), 3);
+            assertTrue(splitter.ended());
+        }
+    }
+
+    /** A stream without its last event is not whole. */
+    @Test
+    public void isNotEndedWithoutLastEvent() {
+        splitter = new EventSplitter();
+        splitter.take(bytes("data: a\n\n"));
+        assertFalse(splitter.ended());
+    }
+
+    /** A partial event is dropped when its source is lost. */
+    @Test
+    public void dropsPartialEvent() {
+        splitter = new EventSplitter();
+        splitter.take(bytes("data: a\n\ndata: b"));
+        splitter.discardPartial();
+        assertEquals(splitter.take(bytes("data: b\n\n")).size(), 1);
+        assertEquals(splitter.count(), 2);
+    }
+
+    /**
+     * Encodes a text.
+     *
+     * @param text text
+     * @return UTF-8 bytes
+     */
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/src/test/java/org/papayawalk/core/weight/DownloadProperties.java
+++ b/src/test/java/org/papayawalk/core/weight/DownloadProperties.java
@@ -174,7 +174,7 @@
             } else if (!downloads.containsKey(order.source().host())) {
                 result = FetchResult.FAILED;
             } else if (!held.get(order.source().host()).get(order.index())) {
-                boolean coming = downloads.get(order.source().host()).fetching(order.index());
+                boolean coming = downloads.get(order.source().host()).expects(order.index());
                 result = coming ? FetchResult.BUSY : FetchResult.NOT_HELD;
             }
             if (result == FetchResult.VERIFIED && random.nextInt(100) < faultPercent) {
