--- a/src/main/java/org/papayawalk/core/weight/PeerStanding.java
+++ b/src/main/java/org/papayawalk/core/weight/PeerStanding.java
@@ -14,8 +14,11 @@
     /** Pause after a request that failed or timed out. */
     private static final Duration FAILURE_PAUSE = Duration.ofSeconds(5);
 
-    /** Pause after corrupt bytes, for each time they came. */
-    private static final Duration CORRUPT_PAUSE = Duration.ofSeconds(30);
+    /** Pause after corrupt bytes came for the first time; doubled each further time. */
+    private static final Duration CORRUPT_PAUSE = Duration.ofSeconds(2);
+
+    /** Times after which the pause after corrupt bytes grows no more. */
+    private static final int MAX_DOUBLINGS = 8;
 
     /** Requests under way. */
     private int outstanding;
@@ -45,7 +48,7 @@
         switch (result) {
             case BUSY -> busyUntil = now.plus(BUSY_PAUSE);
             case FAILED -> block(now.plus(FAILURE_PAUSE));
-            case CORRUPT -> block(now.plus(CORRUPT_PAUSE.multipliedBy(++corruptCount)));
+            case CORRUPT -> block(now.plus(corruptPause()));
             default -> {
                 // A chunk that came, or that the peer never claimed to have, tells nothing against
                 // it.
@@ -82,6 +85,18 @@
         return outstanding;
     }
 
+    /**
+     * Returns the pause after corrupt bytes. They may have changed on the way, so the first pause
+     * is short.
+     *
+     * @return pause
+     */
+    private Duration corruptPause() {
+        Duration pause = CORRUPT_PAUSE.multipliedBy(1L << Math.min(corruptCount, MAX_DOUBLINGS));
+        corruptCount++;
+        return pause;
+    }
+
     /**
      * Extends the time in which the peer is not trusted.
      *
--- a/src/main/java/org/papayawalk/daemon/agent/StagingLine.java
+++ b/src/main/java/org/papayawalk/daemon/agent/StagingLine.java
@@ -1,6 +1,7 @@
 package org.papayawalk.daemon.agent;
 
 import java.time.Duration;
+import java.util.BitSet;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import org.papayawalk.core.id.Digest;
@@ -27,6 +28,9 @@
     /** Learns of writes that failed. */
     private final Runnable failed;
 
+    /** Chunks written or being written since the last reset. */
+    private final BitSet begun = new BitSet();
+
     /**
      * Creates a line.
      *
@@ -45,6 +49,17 @@
     /** Forgets what the engine has. */
     void reset() {
         stager.reset();
+        begun.clear();
+    }
+
+    /**
+     * Tells whether a chunk was written or is being written.
+     *
+     * @param index index of the chunk
+     * @return true if no further copy of it is needed
+     */
+    boolean contains(int index) {
+        return begun.get(index);
     }
 
     /**
@@ -58,6 +73,7 @@
         if (!wanted.getAsBoolean()) {
             return;
         }
+        begun.set(chunk.index());
         work.execute(
                 () -> {
                     boolean written =
--- a/src/main/java/org/papayawalk/daemon/agent/Swarm.java
+++ b/src/main/java/org/papayawalk/daemon/agent/Swarm.java
@@ -303,6 +303,11 @@
             ended(order, answer);
             return;
         }
+        if (staging.contains(order.index())) {
+            // The chunk came twice; the first copy counts once the engine has it.
+            ended(order, new ChunkAnswer(FetchResult.BUSY, answer.data(), answer.held()));
+            return;
+        }
         held.put(order.index(), answer.data());
         parked.release(order.index());
         stage(order.index(), answer.data(), () -> ended(order, answer));
--- a/src/main/java/org/papayawalk/lab/LabMain.java
+++ b/src/main/java/org/papayawalk/lab/LabMain.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.papayawalk.lab.burst.BurstCommand;
+import org.papayawalk.lab.config.ConfigCommand;
 import org.papayawalk.lab.requests.RequestsCommand;
 import org.papayawalk.log.Event;
 
@@ -77,6 +78,7 @@
                 new FaultCommand(),
                 new VerifyCommand(),
                 new BurstCommand(),
-                new RequestsCommand());
+                new RequestsCommand(),
+                new ConfigCommand());
     }
 }
--- a/src/main/java/org/papayawalk/lab/burst/Burst.java
+++ b/src/main/java/org/papayawalk/lab/burst/Burst.java
@@ -5,8 +5,6 @@
 import java.lang.management.MemoryPoolMXBean;
 import java.lang.management.MemoryType;
 import java.lang.management.MemoryUsage;
-import java.lang.management.ThreadInfo;
-import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -14,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.papayawalk.core.id.Digest;
+import org.papayawalk.lab.cluster.ControlCost;
 import org.papayawalk.lab.cluster.LabAgent;
 import org.papayawalk.lab.standin.PublishRequest;
 import org.papayawalk.lab.standin.PublishedVersion;
@@ -238,18 +237,7 @@
      * @return nanoseconds
      */
     private static long controlCpuNanos() {
-        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
-        long sum = 0;
-        for (ThreadInfo info : threads.getThreadInfo(threads.getAllThreadIds())) {
-            if (info == null) {
-                continue;
-            }
-            String name = info.getThreadName();
-            if (name.startsWith("control-host") || name.startsWith("weights-")) {
-                sum += Math.max(0, threads.getThreadCpuTime(info.getThreadId()));
-            }
-        }
-        return sum;
+        return ControlCost.cpuNanos("control-host", "weights-");
     }
 
     /**
--- a/src/main/java/org/papayawalk/lab/burst/BurstTransport.java
+++ b/src/main/java/org/papayawalk/lab/burst/BurstTransport.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -160,6 +161,6 @@
             return false;
         }
         long pair = settings.seed() * 31 + self.hashCode() * 17L + peer.hashCode();
-        return new Random(pair).nextDouble() < STALLED_LINKS;
+        return new SplittableRandom(pair).nextDouble() < STALLED_LINKS;
     }
 }
--- a/src/main/java/org/papayawalk/lab/burst/ParentPlanner.java
+++ b/src/main/java/org/papayawalk/lab/burst/ParentPlanner.java
@@ -30,8 +30,8 @@
     /** Requests under way at most. */
     private final int maxRequests;
 
-    /** Chunks verified. */
-    private final BitSet have = new BitSet();
+    /** Chunks received. */
+    private final ReceivedChunks have;
 
     /** Chunks asked for. */
     private final Set<Integer> open = new TreeSet<>();
@@ -57,6 +57,7 @@
         this.self = self;
         this.fanOut = fanOut;
         this.chunkCount = chunkCount;
+        this.have = new ReceivedChunks(chunkCount);
         this.maxRequests = maxRequests;
     }
 
@@ -93,11 +94,8 @@
     @Override
     public List<FetchOrder> next(Instant now) {
         List<FetchOrder> orders = new ArrayList<>();
-        for (int i = have.nextClearBit(0); i < chunkCount; i = have.nextClearBit(i + 1)) {
-            if (open.size() >= maxRequests) {
-                break;
-            }
-            if ((parent.isOrigin() || parentHas.get(i)) && open.add(i)) {
+        for (int i = 0; i < chunkCount && open.size() < maxRequests; i++) {
+            if (!have.has(i) && (parent.isOrigin() || parentHas.get(i)) && open.add(i)) {
                 orders.add(new FetchOrder(i, parent));
             }
         }
@@ -107,14 +105,12 @@
     @Override
     public void ended(FetchOrder order, FetchResult result, Instant now) {
         open.remove(order.index());
-        if (result == FetchResult.VERIFIED) {
-            have.set(order.index());
-        }
+        have.ended(order, result);
     }
 
     @Override
     public void keep(int index) {
-        have.set(index);
+        have.keep(index);
     }
 
     @Override
@@ -124,11 +120,11 @@
 
     @Override
     public int haveCount() {
-        return have.cardinality();
+        return have.count();
     }
 
     @Override
     public boolean complete() {
-        return have.cardinality() == chunkCount;
+        return have.complete();
     }
 }
--- a/src/main/java/org/papayawalk/lab/burst/RandomPlanner.java
+++ b/src/main/java/org/papayawalk/lab/burst/RandomPlanner.java
@@ -40,8 +40,8 @@
     /** Source of choices. */
     private final SplittableRandom random;
 
-    /** Chunks verified. */
-    private final BitSet have = new BitSet();
+    /** Chunks received. */
+    private final ReceivedChunks have;
 
     /** Sources of the chunks asked for. */
     private final Map<Integer, ChunkSource> open = new HashMap<>();
@@ -63,6 +63,7 @@
     RandomPlanner(HostId self, int chunkCount, int maxRequests, long seed) {
         this.self = self;
         this.chunkCount = chunkCount;
+        this.have = new ReceivedChunks(chunkCount);
         this.maxRequests = maxRequests;
         this.random = new SplittableRandom(seed);
     }
@@ -98,7 +99,7 @@
         int start = random.nextInt(chunkCount);
         for (int k = 0; k < chunkCount && open.size() < maxRequests; k++) {
             int i = (start + k) % chunkCount;
-            if (have.get(i) || open.containsKey(i)) {
+            if (have.has(i) || open.containsKey(i)) {
                 continue;
             }
             ChunkSource source = source(i);
@@ -113,14 +114,12 @@
     @Override
     public void ended(FetchOrder order, FetchResult result, Instant now) {
         open.remove(order.index());
-        if (result == FetchResult.VERIFIED) {
-            have.set(order.index());
-        }
+        have.ended(order, result);
     }
 
     @Override
     public void keep(int index) {
-        have.set(index);
+        have.keep(index);
     }
 
     @Override
@@ -130,12 +129,12 @@
 
     @Override
     public int haveCount() {
-        return have.cardinality();
+        return have.count();
     }
 
     @Override
     public boolean complete() {
-        return have.cardinality() == chunkCount;
+        return have.complete();
     }
 
     /**
--- a/src/main/java/org/papayawalk/lab/cluster/LabPlatform.java
+++ b/src/main/java/org/papayawalk/lab/cluster/LabPlatform.java
@@ -1,5 +1,6 @@
 package org.papayawalk.lab.cluster;
 
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -11,6 +12,7 @@
 import java.util.concurrent.Executors;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.papayawalk.core.Addresses;
+import org.papayawalk.core.Fault;
 import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.config.FleetSpec;
 import org.papayawalk.core.member.HostRecord;
@@ -44,6 +46,9 @@
     /** Silence after which the origin counts as away. */
     private static final Duration ORIGIN_SILENCE = Duration.ofSeconds(120);
 
+    /** Reads of the accepted configuration that are tried again before a change. */
+    private static final int READ_ATTEMPTS = 5;
+
     /** Clock. */
     private final InstantSource clock = new MonotonicClock();
 
@@ -259,7 +264,14 @@
      */
     public ApplyResult apply(List<FleetSpec> rows) {
         ConfigClient client = new ConfigClient(table());
-        ConfigClient.Accepted base = client.read().get();
+        Either<Fault, ConfigClient.Accepted> read = client.read();
+        for (int i = 0; i < READ_ATTEMPTS && read.isLeft(); i++) {
+            read = client.read();
+        }
+        if (read.isLeft()) {
+            return ApplyResult.REFUSED;
+        }
+        ConfigClient.Accepted base = read.get();
         return client.write(
                 base,
                 base.configuration().next(UUID.randomUUID().toString(), rows),
--- a/src/main/java/org/papayawalk/wire/Lane.java
+++ b/src/main/java/org/papayawalk/wire/Lane.java
@@ -6,7 +6,28 @@
  */
 public enum Lane {
     /** Heartbeats, configurations and requests. */
-    LIVE,
-    /** Chunks of weights. */
-    BULK
+    LIVE(60),
+    /** Chunks of weights. A host may ask any other for a chunk, so these end soon after use. */
+    BULK(5);
+
+    /** Time after which an unused connection is closed, in seconds. */
+    private final int idleSeconds;
+
+    /**
+     * Creates a lane.
+     *
+     * @param idleSeconds time after which an unused connection is closed
+     */
+    Lane(int idleSeconds) {
+        this.idleSeconds = idleSeconds;
+    }
+
+    /**
+     * Returns the time after which an unused connection is closed.
+     *
+     * @return seconds
+     */
+    int idleSeconds() {
+        return idleSeconds;
+    }
 }
--- a/src/main/java/org/papayawalk/wire/PeerClient.java
+++ b/src/main/java/org/papayawalk/wire/PeerClient.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.timeout.IdleStateHandler;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Map;
@@ -165,6 +166,8 @@
                         new ChannelInitializer<Channel>() {
                             @Override
                             protected void initChannel(Channel channel) {
+                                int idle = key.lane().idleSeconds();
+                                channel.pipeline().addLast(new IdleStateHandler(0, 0, idle));
                                 WirePipeline.build(channel.pipeline(), connection);
                             }
                         })
--- a/src/main/java/org/papayawalk/wire/PeerConnection.java
+++ b/src/main/java/org/papayawalk/wire/PeerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -119,6 +120,13 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent && calls.isEmpty()) {
+            context.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         context.close();
