Let the engine stand-in report late and take orders for roles

Ruled out: using cache events in routing now (they are hints; affinity by prompt already gives the stand-in's cache its hits, and nothing was measured without them).

Conclusion: fault tests of order fencing can now use it; they are not written.

--- a/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -66,6 +67,12 @@
     /** Crashes. */
     private final AtomicInteger crashes = new AtomicInteger();
 
+    /** Cache events. */
+    private final CacheEvents cacheEvents = new CacheEvents();
+
+    /** Load that is reported. */
+    private final LaggingLoad load = new LaggingLoad();
+
     /** Prompts cached, least recently used first. */
     private final Map<String, Boolean> cache =
             new LinkedHashMap<>(CACHE_SIZE, 0.75f, true) {
@@ -128,7 +135,13 @@
                     200,
                     Map.of("incarnation", status.incarnation(), "serving", status.serving()));
         } else if (path.equals("/v1/engine")) {
-            Bodies.json(response, 200, versions.status(running.get()));
+            Bodies.json(response, 200, versions.status(load.report(running.get(), Instant.now())));
+        } else if (path.equals("/v1/engine/cache-events")) {
+            long after = Long.parseLong(Bodies.query(request).getOrDefault("after", "0"));
+            Bodies.json(response, 200, cacheEvents.after(after, Instant.now()));
+        } else if (path.equals("/v1/engine/role")) {
+            RoleChange order = Json.read(Bodies.read(request), RoleChange.class);
+            answerOrder(versions.changeRole(order), response);
         } else if (path.equals("/v1/engine/switch")) {
             change(Json.read(Bodies.read(request), VersionChange.class), response);
         } else if (path.startsWith(STAGING)) {
@@ -153,7 +166,16 @@
      * @param response response to fill
      */
     private void change(VersionChange change, ClassicHttpResponse response) {
-        Optional<String> refusal = versions.change(change);
+        answerOrder(versions.change(change), response);
+    }
+
+    /**
+     * Answers an order.
+     *
+     * @param refusal empty if it was carried out, else why not
+     * @param response response to fill
+     */
+    private void answerOrder(Optional<String> refusal, ClassicHttpResponse response) {
         if (refusal.isPresent()) {
             Bodies.error(response, CONFLICT, refusal.get());
         } else {
@@ -309,6 +331,10 @@
         synchronized (cache) {
             cached = cache.put(prompt, true) != null;
         }
+        if (!cached) {
+            byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
+            cacheEvents.add(Digest.of(bytes).shortText(), Instant.now());
+        }
         FaultSwitch.pause(cached ? settings.prefillMillis() / 4 : settings.prefillMillis());
     }
 
--- a/src/main/java/org/papayawalk/lab/standin/EngineVersions.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineVersions.java
@@ -28,6 +28,9 @@
     /** Whether the staged version was sealed. */
     private boolean sealed;
 
+    /** Role. */
+    private String role = "serve";
+
     /** Highest fencing number. */
     private long fencing;
 
@@ -125,11 +128,10 @@
      * @return empty if it was carried out, else why not
      */
     synchronized Optional<String> change(VersionChange change) {
-        if (checksFencing && change.fencing() <= fencing) {
-            return Optional.of(
-                    "fencing number %d is not above %d".formatted(change.fencing(), fencing));
+        Optional<String> old = takeFencing(change.fencing());
+        if (old.isPresent()) {
+            return old;
         }
-        fencing = Math.max(fencing, change.fencing());
         if (!change.expected().equals(serving)) {
             return Optional.of("another version serves");
         }
@@ -143,6 +145,43 @@
         return Optional.empty();
     }
 
+    /**
+     * Changes the role.
+     *
+     * @param change order
+     * @return empty if it was carried out, else why not
+     */
+    synchronized Optional<String> changeRole(RoleChange change) {
+        Optional<String> old = takeFencing(change.fencing());
+        if (old.isEmpty()) {
+            role = change.role();
+        }
+        return old;
+    }
+
+    /**
+     * Returns the role.
+     *
+     * @return role, {@code serve} at first
+     */
+    synchronized String role() {
+        return role;
+    }
+
+    /**
+     * Checks and notes the fencing number of an order.
+     *
+     * @param number number of the order
+     * @return empty if the order may be carried out, else why not
+     */
+    private Optional<String> takeFencing(long number) {
+        if (checksFencing && number <= fencing) {
+            return Optional.of("fencing number %d is not above %d".formatted(number, fencing));
+        }
+        fencing = Math.max(fencing, number);
+        return Optional.empty();
+    }
+
     @Override
     public synchronized String toString() {
         return "%d bytes of %s".formatted(stagedLength, staging.shortText());
