Remove what a newcomer stumbles over

Ruled out: charging live traffic to the uplink's pacer (the share is set below the link's rate; charging each answer would put a lock on the request path).

--- a/src/main/java/org/papayawalk/core/admit/AdmissionQueue.java
+++ b/src/main/java/org/papayawalk/core/admit/AdmissionQueue.java
@@ -94,7 +94,7 @@
             start(ticket);
             return Admission.START;
         }
-        if (queued >= maxQueue && !makeRoom(ticket)) {
+        if (queued >= maxQueue) {
             return Admission.refuse(retryAfter(queued), "the queue is full");
         }
         Duration wait = expectedWait(aheadOf(ticket));
@@ -211,16 +211,6 @@
         return queued;
     }
 
-    /**
-     * Makes room in a full queue for a more urgent request. This version refuses the newcomer.
-     *
-     * @param ticket place of the newcomer
-     * @return true if there is room now
-     */
-    private boolean makeRoom(Ticket ticket) {
-        return inFlight < maxInFlight && ticket.priority() == Priority.HIGH;
-    }
-
     /**
      * Counts a ticket as started.
      *
--- a/src/main/java/org/papayawalk/core/weight/LinkPacer.java
+++ b/src/main/java/org/papayawalk/core/weight/LinkPacer.java
@@ -42,16 +42,6 @@
         return Duration.between(now, freeAt);
     }
 
-    /**
-     * Accounts for bytes that were sent without waiting.
-     *
-     * @param bytes length in bytes
-     * @param now present time
-     */
-    public void charge(long bytes, Instant now) {
-        reserve(bytes, now);
-    }
-
     /**
      * Returns the time that reserved sends still take.
      *
--- a/src/main/java/org/papayawalk/daemon/entry/Dispatcher.java
+++ b/src/main/java/org/papayawalk/daemon/entry/Dispatcher.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -179,25 +178,6 @@
         }
     }
 
-    /**
-     * Returns the hosts of a fleet that are listed, whatever their state.
-     *
-     * @param plan plan of the fleet
-     * @return number of hosts
-     */
-    int listed(FleetPlan plan) {
-        return (int) node.members().stream().filter(m -> ofFleet(m, plan)).count();
-    }
-
-    /**
-     * Returns an empty set of tried hosts.
-     *
-     * @return new set
-     */
-    static Set<HostId> noneTried() {
-        return new HashSet<>();
-    }
-
     /**
      * Tells whether a host may take a request.
      *
--- a/src/main/java/org/papayawalk/daemon/entry/OnceCalls.java
+++ b/src/main/java/org/papayawalk/daemon/entry/OnceCalls.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
@@ -184,7 +185,7 @@
             return Optional.of(refused(tableAway("the claim could not be confirmed")));
         }
         Refusal last = Refusal.notRun("no host of the fleet can take the call", PAUSE);
-        Set<HostId> tried = Dispatcher.noneTried();
+        Set<HostId> tried = new HashSet<>();
         for (int i = 0; i < MAX_ATTEMPTS; i++) {
             Optional<Candidate> candidate = dispatcher.choose(request, Digest.NONE, tried);
             if (candidate.isEmpty()) {
--- a/src/main/java/org/papayawalk/daemon/entry/PlainCall.java
+++ b/src/main/java/org/papayawalk/daemon/entry/PlainCall.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.papayawalk.core.Fault;
@@ -42,7 +43,7 @@
     private final CallRequest request;
 
     /** Hosts that were tried. */
-    private final Set<HostId> tried = Dispatcher.noneTried();
+    private final Set<HostId> tried = new HashSet<>();
 
     /** Events of a streamed answer. */
     private final EventSplitter events = new EventSplitter();
