Refuse to start in a failure domain that the host list does not know

Ruled out: demanding that the host itself be listed (the list lags); refusing to start while the list is away (a cut-off domain has to start its hosts too).

--- a/src/main/java/org/papayawalk/daemon/DaemonMain.java
+++ b/src/main/java/org/papayawalk/daemon/DaemonMain.java
@@ -3,9 +3,12 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import org.papayawalk.core.Product;
 import org.papayawalk.log.Event;
+import org.papayawalk.platform.HttpCaller;
+import org.papayawalk.platform.HttpHostList;
 import org.papayawalk.settings.EnvironmentDefaults;
 
 /** Starts the daemon. */
@@ -16,6 +19,9 @@
     /** Exit code of an address that cannot be used. */
     private static final int CANNOT_START = 3;
 
+    /** Longest silence of the host list at the start. */
+    private static final Duration LIST_SILENCE = Duration.ofSeconds(2);
+
     /** Prevents instances. */
     private DaemonMain() {}
 
@@ -47,6 +53,9 @@
             return;
         }
         List<String> faults = settings.faults();
+        if (faults.isEmpty()) {
+            faults = domainFaults(settings);
+        }
         if (!faults.isEmpty()) {
             faults.forEach(f -> System.err.println("papayawalkd: " + f));
             System.exit(WRONG_SETTINGS);
@@ -54,6 +63,19 @@
         run(settings);
     }
 
+    /**
+     * Checks the failure domain against the host list.
+     *
+     * @param settings settings that are right in themselves
+     * @return one text for each fault
+     */
+    private static List<String> domainFaults(DaemonSettings settings) {
+        try (HttpCaller http = new HttpCaller(LIST_SILENCE, 1, false)) {
+            HttpHostList list = new HttpHostList(http, settings.hostListAddress);
+            return DomainCheck.faults(settings.domain, list);
+        }
+    }
+
     /**
      * Runs the daemon.
      *
