--- a/src/main/java/org/papayawalk/platform/ApplyResult.java
+++ b/src/main/java/org/papayawalk/adapter/ApplyResult.java
@@ -1,4 +1,4 @@
-package org.papayawalk.platform;
+package org.papayawalk.adapter;
 
 /** How a change of the configuration ended. Immutable. */
 public enum ApplyResult {
--- a/src/main/java/org/papayawalk/platform/ConfigClient.java
+++ b/src/main/java/org/papayawalk/adapter/ConfigClient.java
@@ -1,4 +1,4 @@
-package org.papayawalk.platform;
+package org.papayawalk.adapter;
 
 import io.vavr.control.Either;
 import java.io.IOException;
--- a/src/main/java/org/papayawalk/platform/HttpCall.java
+++ b/src/main/java/org/papayawalk/adapter/HttpCall.java
@@ -1,4 +1,4 @@
-package org.papayawalk.platform;
+package org.papayawalk.adapter;
 
 import java.util.List;
 
--- a/src/main/java/org/papayawalk/platform/HttpHeader.java
+++ b/src/main/java/org/papayawalk/adapter/HttpHeader.java
@@ -1,4 +1,4 @@
-package org.papayawalk.platform;
+package org.papayawalk.adapter;
 
 /**
  * Header of a request or an answer. Immutable.
--- a/src/main/java/org/papayawalk/platform/HttpHostList.java
+++ b/src/main/java/org/papayawalk/adapter/HttpHostList.java
@@ -1,4 +1,4 @@
-package org.papayawalk.platform;
+package org.papayawalk.adapter;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
--- a/src/main/java/org/papayawalk/platform/HttpReply.java
+++ b/src/main/java/org/papayawalk/adapter/HttpReply.java
@@ -1,4 +1,4 @@
-package org.papayawalk.platform;
+package org.papayawalk.adapter;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
--- a/src/main/java/org/papayawalk/platform/OnceTables.java
+++ b/src/main/java/org/papayawalk/adapter/OnceTables.java
@@ -1,4 +1,4 @@
-package org.papayawalk.platform;
+package org.papayawalk.adapter;
 
 /** Names of the rows of non-idempotent calls. Holds no state; safe from any thread. */
 public final class OnceTables {
--- a/src/main/java/org/papayawalk/platform/VersionChange.java
+++ b/src/main/java/org/papayawalk/adapter/VersionChange.java
@@ -1,4 +1,4 @@
-package org.papayawalk.platform;
+package org.papayawalk.adapter;
 
 import org.papayawalk.core.id.Digest;
 
--- a/src/main/java/org/papayawalk/cli/ApplyCommand.java
+++ b/src/main/java/org/papayawalk/cli/ApplyCommand.java
@@ -12,15 +12,15 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.UUID;
+import org.papayawalk.adapter.ApplyResult;
+import org.papayawalk.adapter.AuditEntry;
+import org.papayawalk.adapter.ConfigClient;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.config.Configuration;
 import org.papayawalk.core.config.FleetSpec;
 import org.papayawalk.core.config.RowChange;
 import org.papayawalk.core.config.SheetFault;
 import org.papayawalk.core.config.SheetParser;
-import org.papayawalk.platform.ApplyResult;
-import org.papayawalk.platform.AuditEntry;
-import org.papayawalk.platform.ConfigClient;
 import org.papayawalk.settings.SettingChecks;
 
 /** Checks a sheet, shows its difference and has it accepted, or only does the first two. */
--- a/src/main/java/org/papayawalk/cli/AuditCommand.java
+++ b/src/main/java/org/papayawalk/cli/AuditCommand.java
@@ -3,9 +3,9 @@
 import com.beust.jcommander.Parameters;
 import io.vavr.control.Either;
 import java.util.List;
+import org.papayawalk.adapter.AuditEntry;
+import org.papayawalk.adapter.ConfigClient;
 import org.papayawalk.core.Fault;
-import org.papayawalk.platform.AuditEntry;
-import org.papayawalk.platform.ConfigClient;
 import org.papayawalk.settings.SettingChecks;
 
 /** Shows the audit trail. */
--- a/src/main/java/org/papayawalk/cli/CommandContext.java
+++ b/src/main/java/org/papayawalk/cli/CommandContext.java
@@ -3,13 +3,13 @@
 import java.io.PrintStream;
 import java.time.Duration;
 import java.time.InstantSource;
+import org.papayawalk.adapter.HttpCaller;
+import org.papayawalk.adapter.HttpHostList;
+import org.papayawalk.adapter.HttpTableService;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.port.HostList;
 import org.papayawalk.core.port.TableService;
-import org.papayawalk.platform.HttpCaller;
-import org.papayawalk.platform.HttpHostList;
-import org.papayawalk.platform.HttpTableService;
-import org.papayawalk.platform.Json;
 import org.papayawalk.wire.PeerClient;
 import org.papayawalk.wire.WireRuntime;
 
--- a/src/main/java/org/papayawalk/cli/OutcomeCommand.java
+++ b/src/main/java/org/papayawalk/cli/OutcomeCommand.java
@@ -9,12 +9,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.papayawalk.adapter.Json;
+import org.papayawalk.adapter.OnceTables;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.Outcome;
 import org.papayawalk.core.once.OnceRecord;
 import org.papayawalk.core.port.TableRow;
-import org.papayawalk.platform.Json;
-import org.papayawalk.platform.OnceTables;
 import org.papayawalk.settings.SettingChecks;
 
 /** Tells what became of a non-idempotent call. */
--- a/src/main/java/org/papayawalk/cli/StatusCommand.java
+++ b/src/main/java/org/papayawalk/cli/StatusCommand.java
@@ -8,10 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.papayawalk.adapter.ConfigClient;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.member.HostRecord;
-import org.papayawalk.platform.ConfigClient;
 import org.papayawalk.settings.SettingChecks;
 
 /** Shows how far every host is, or waits until every host has reached the accepted sheet. */
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/call/CallFacts.java
@@ -0,0 +1,24 @@
+package org.papayawalk.core.call;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What a caller states about its request. Immutable.
+ *
+ * @param requestId id of this attempt, empty if the caller gave none
+ * @param key key of the caller, empty if it gave none
+ * @param timeLeftMillis time that the caller waits, in milliseconds
+ * @param model model that the request is for, empty if it is for none
+ * @param promptTokens tokens of the prompt, 0 if not stated
+ * @param answerTokens most tokens of the answer, 0 if not stated
+ * @param lastEventId last event that the caller has of this stream, empty if it starts anew
+ */
+public record CallFacts(
+        String requestId,
+        Optional<String> key,
+        OptionalLong timeLeftMillis,
+        Optional<String> model,
+        int promptTokens,
+        int answerTokens,
+        Optional<String> lastEventId) {}
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/desired/EngineSpec.java
@@ -0,0 +1,38 @@
+package org.papayawalk.core.desired;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * What the desired state says of the model engines of a service. Immutable.
+ *
+ * @param models names of the models that the engines serve
+ * @param slots requests that an engine works on at once
+ * @param chunkCount chunks of the weights of one version
+ * @param chunkBytes length of a chunk in bytes
+ * @param stepMillis time of a token step without work, in milliseconds
+ * @param sequenceMillis time that each writing request adds to a step, in milliseconds
+ * @param promptTokensPerSecond speed at which prompts are read
+ * @param stepsPerPass token steps of one pass
+ * @param usualPromptTokens mean length of a prompt
+ * @param usualAnswerTokens mean length of an answer
+ * @param warmup time that loading the whole weights takes
+ */
+public record EngineSpec(
+        List<String> models,
+        int slots,
+        int chunkCount,
+        int chunkBytes,
+        double stepMillis,
+        double sequenceMillis,
+        double promptTokensPerSecond,
+        int stepsPerPass,
+        int usualPromptTokens,
+        int usualAnswerTokens,
+        Duration warmup) {
+
+    /** Copies the models. */
+    public EngineSpec {
+        models = List.copyOf(models);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/place/Candidate.java
@@ -0,0 +1,11 @@
+package org.papayawalk.core.place;
+
+import org.papayawalk.core.upstream.UpstreamEntry;
+
+/**
+ * Upstream that may take a request. Immutable but for its load.
+ *
+ * @param entry upstream
+ * @param load load and health as this entry sees them
+ */
+public record Candidate(UpstreamEntry entry, UpstreamLoad load) {}
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
@@ -0,0 +1,155 @@
+package org.papayawalk.core.place;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.papayawalk.core.call.ReportedLoad;
+
+/**
+ * Load and health of one upstream as one entry sees them. The load is the entry's own requests plus
+ * what the upstream last reported beyond them. Not thread-safe: confined to the traffic thread.
+ */
+public final class UpstreamLoad {
+    /** Weight of the newest outcome in the share of failures. */
+    private static final double FAILURE_WEIGHT = 0.12;
+
+    /** Shortest pause after failures in a row. */
+    private static final Duration FAILURE_PAUSE = Duration.ofMillis(250);
+
+    /** Longest pause after failures in a row. */
+    private static final Duration MAX_FAILURE_PAUSE = Duration.ofSeconds(3);
+
+    /** Pause after the upstream refused a request. */
+    private static final Duration REFUSAL_PAUSE = Duration.ofMillis(120);
+
+    /** Time after which a report of load no longer counts. */
+    private static final Duration REPORT_MEMORY = Duration.ofSeconds(2);
+
+    /** Requests of this entry that have not ended. */
+    private int own;
+
+    /** Requests beyond the own ones, by the last report. */
+    private int others;
+
+    /** When the last report came. */
+    private Instant reportedAt = Instant.MIN;
+
+    /** Failures in a row. */
+    private int failures;
+
+    /** Share of failures among the latest outcomes, 0 to 1. */
+    private double failureShare;
+
+    /** Time before which the upstream takes no request. */
+    private Instant pausedUntil = Instant.MIN;
+
+    /** Records that a request is sent. */
+    public void sent() {
+        own++;
+    }
+
+    /**
+     * Records the end of a request that was sent.
+     *
+     * @param result how it ended
+     * @param now present time
+     */
+    public void ended(SendResult result, Instant now) {
+        own--;
+        switch (result) {
+            case ANSWERED -> {
+                failures = 0;
+                failureShare *= 1 - FAILURE_WEIGHT;
+            }
+            case REFUSED -> pausedUntil = later(pausedUntil, now.plus(REFUSAL_PAUSE));
+            case SERVER_ERROR -> failureShare += FAILURE_WEIGHT / 2 * (1 - failureShare);
+            case UNREACHABLE, BROKEN -> failed(now);
+            default -> {}
+        }
+    }
+
+    /**
+     * Takes a report of load. It includes the request that it answers.
+     *
+     * @param load load reported
+     * @param now present time
+     */
+    public void reported(ReportedLoad load, Instant now) {
+        others = Math.max(0, load.total() - own);
+        reportedAt = now;
+    }
+
+    /**
+     * Keeps the upstream from taking requests for a while.
+     *
+     * @param until time at which it may take requests again
+     */
+    public void pause(Instant until) {
+        pausedUntil = later(pausedUntil, until);
+    }
+
+    /**
+     * Tells whether the upstream may take a request.
+     *
+     * @param now present time
+     * @return false during a pause
+     */
+    public boolean open(Instant now) {
+        return !pausedUntil.isAfter(now);
+    }
+
+    /**
+     * Returns the requests that the upstream is expected to have.
+     *
+     * @param now present time
+     * @return number of requests
+     */
+    public int expected(Instant now) {
+        boolean fresh = reportedAt.plus(REPORT_MEMORY).isAfter(now);
+        return own + (fresh ? others : 0);
+    }
+
+    /**
+     * Returns the requests of this entry that have not ended.
+     *
+     * @return number of requests
+     */
+    public int own() {
+        return own;
+    }
+
+    /**
+     * Returns the share of failures among the latest outcomes.
+     *
+     * @return 0 to 1
+     */
+    public double failureShare() {
+        return failureShare;
+    }
+
+    /**
+     * Records a failure of the connection.
+     *
+     * @param now present time
+     */
+    private void failed(Instant now) {
+        failures++;
+        failureShare += FAILURE_WEIGHT * (1 - failureShare);
+        if (failures < 2) {
+            return;
+        }
+        long millis = FAILURE_PAUSE.toMillis() << Math.min(failures - 2, 6);
+        Duration pause = Duration.ofMillis(Math.min(millis, MAX_FAILURE_PAUSE.toMillis()));
+        pausedUntil = later(pausedUntil, now.plus(pause));
+    }
+
+    /**
+     * Returns the later of two times.
+     *
+     * @param a time
+     * @param b time
+     * @return the later one
+     */
+    private static Instant later(Instant a, Instant b) {
+        return a.isAfter(b) ? a : b;
+    }
+}
--- a/src/main/java/org/papayawalk/core/suspect/SuspectRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/SuspectRegistry.java
@@ -6,22 +6,21 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import org.papayawalk.core.id.HostId;
 
 /**
  * Counts the upstream crashes that a request took part in, by the fingerprint of the request. One
- * crash makes a suspect, which may run only while no other suspect runs at the same upstream; the
- * second makes it refused. Crashes are counted once, so notices may be repeated. Thread-safe.
+ * crash makes a suspect, which may run only while no other suspect runs at the same upstream;
+ * further ones make it refused. Crashes are counted once, so notices may be repeated. Thread-safe.
  */
 public final class SuspectRegistry {
+    /** Fingerprints that are remembered at once. */
+    private static final int MAX_FINGERPRINTS = 4096;
+
     /** Crashes after which a request is refused. */
-    private static final int REFUSAL_LIMIT = 2;
+    private final int refusalLimit;
 
     /** Time for which evidence counts. */
-    private static final Duration MEMORY = Duration.ofMinutes(10);
-
-    /** Fingerprints that are remembered at once. */
-    private static final int MAX_FINGERPRINTS = 4096;
+    private final Duration memory;
 
     /** Evidence by fingerprint. */
     private final Map<String, Evidence> evidence = new HashMap<>();
@@ -32,28 +31,37 @@
         CLEAR,
         /** It was running when one upstream crashed. */
         SUSPECT,
-        /** It was running when two or more upstreams crashed. */
+        /** It was running at as many crashes as the limit, or more. */
         REFUSED
     }
 
+    /**
+     * Creates a registry without evidence.
+     *
+     * @param refusalLimit crashes after which a request is refused
+     * @param memory time for which evidence counts
+     */
+    public SuspectRegistry(int refusalLimit, Duration memory) {
+        this.refusalLimit = refusalLimit;
+        this.memory = memory;
+    }
+
     /**
      * Records a crash.
      *
      * @param fingerprint fingerprint of a request that was running
-     * @param host host of the upstream
-     * @param incarnation incarnation of the upstream that crashed
+     * @param process upstream process that crashed, such as its name and start
      * @param now present time
      * @return true if this crash was not known before
      */
-    public synchronized boolean crashed(
-            String fingerprint, HostId host, long incarnation, Instant now) {
+    public synchronized boolean crashed(String fingerprint, String process, Instant now) {
         evidence.values().removeIf(e -> e.until.isBefore(now));
         if (!evidence.containsKey(fingerprint) && evidence.size() >= MAX_FINGERPRINTS) {
             return false;
         }
         Evidence e = evidence.computeIfAbsent(fingerprint, f -> new Evidence());
-        e.until = now.plus(MEMORY);
-        return e.crashes.add(host + "/" + incarnation);
+        e.until = now.plus(memory);
+        return e.crashes.add(process);
     }
 
     /**
@@ -68,7 +76,7 @@
         if (e == null || e.until.isBefore(now)) {
             return Verdict.CLEAR;
         }
-        return e.crashes.size() >= REFUSAL_LIMIT ? Verdict.REFUSED : Verdict.SUSPECT;
+        return e.crashes.size() >= refusalLimit ? Verdict.REFUSED : Verdict.SUSPECT;
     }
 
     /**
@@ -83,6 +91,35 @@
         return e == null || e.until.isBefore(now) ? Duration.ZERO : Duration.between(now, e.until);
     }
 
+    /**
+     * Returns the evidence for other daemons.
+     *
+     * @param now present time
+     * @return processes that crashed, by fingerprint
+     */
+    public synchronized Map<String, Set<String>> evidence(Instant now) {
+        Map<String, Set<String>> copy = new HashMap<>();
+        evidence.forEach(
+                (f, e) -> {
+                    if (!e.until.isBefore(now)) {
+                        copy.put(f, Set.copyOf(e.crashes));
+                    }
+                });
+        return copy;
+    }
+
+    /**
+     * Returns the processes that crashed under a request.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param now present time
+     * @return names of processes
+     */
+    public synchronized Set<String> processes(String fingerprint, Instant now) {
+        Evidence e = evidence.get(fingerprint);
+        return e == null || e.until.isBefore(now) ? Set.of() : Set.copyOf(e.crashes);
+    }
+
     /** Evidence against one request. Guarded by the registry. */
     private static final class Evidence {
         /** Crashes, each as host and incarnation. */
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/upstream/TableBatch.java
@@ -0,0 +1,18 @@
+package org.papayawalk.core.upstream;
+
+import java.util.List;
+
+/**
+ * Rows of one table as read at one moment. Immutable.
+ *
+ * @param rows changed rows, or all of them
+ * @param version newest version that the reading covers
+ * @param whole whether rows that are absent do not exist
+ */
+public record TableBatch(List<TableRecord> rows, long version, boolean whole) {
+
+    /** Copies the rows. */
+    public TableBatch {
+        rows = List.copyOf(rows);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/upstream/UpstreamBook.java
@@ -0,0 +1,118 @@
+package org.papayawalk.core.upstream;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.papayawalk.core.id.UpstreamId;
+
+/**
+ * Decides which upstreams count as present. An entry that is removed while the store is well is
+ * gone at once. Entries lapse during an outage of the store although their upstreams live; what
+ * lapsed around an outage stays usable for a grace and is gone after it. A draining upstream never
+ * becomes ready again in the same incarnation. Not thread-safe: confined to the control thread.
+ */
+public final class UpstreamBook {
+    /** Time that an entry which lapsed around an outage of the store is kept. */
+    public static final Duration LAPSE_GRACE = Duration.ofMillis(2200);
+
+    /** Time after the end of an outage in which removals count as its consequence. */
+    private static final Duration OUTAGE_AFTERMATH = Duration.ofMillis(2200);
+
+    /** Present upstreams. */
+    private final Map<UpstreamId, UpstreamEntry> present = new HashMap<>();
+
+    /** When entries that lapsed around an outage are given up. */
+    private final Map<UpstreamId, Instant> lapsed = new HashMap<>();
+
+    /** Until when removals count as the consequence of an outage. */
+    private Instant doubtUntil = Instant.MIN;
+
+    /**
+     * Records that the store did not answer.
+     *
+     * @param now present time
+     */
+    public void storeAway(Instant now) {
+        doubtUntil = now.plus(OUTAGE_AFTERMATH);
+    }
+
+    /**
+     * Takes an entry.
+     *
+     * @param entry entry as registered
+     */
+    public void put(UpstreamEntry entry) {
+        UpstreamEntry known = present.get(entry.id());
+        boolean left = known != null && known.draining() && known.sameProcess(entry);
+        if (left && !entry.draining()) {
+            return;
+        }
+        lapsed.remove(entry.id());
+        present.put(entry.id(), entry);
+    }
+
+    /**
+     * Takes the removal of an entry.
+     *
+     * @param id name of the upstream
+     * @param now present time
+     */
+    public void remove(UpstreamId id, Instant now) {
+        UpstreamEntry known = present.get(id);
+        boolean doubtful = known != null && !known.draining() && now.isBefore(doubtUntil);
+        if (doubtful) {
+            lapsed.putIfAbsent(id, now.plus(LAPSE_GRACE));
+            return;
+        }
+        lapsed.remove(id);
+        present.remove(id);
+    }
+
+    /**
+     * Gives up entries whose grace is over.
+     *
+     * @param now present time
+     * @return names of the upstreams given up
+     */
+    public List<UpstreamId> expire(Instant now) {
+        List<UpstreamId> expired =
+                lapsed.entrySet().stream()
+                        .filter(e -> !e.getValue().isAfter(now))
+                        .map(Map.Entry::getKey)
+                        .toList();
+        expired.forEach(
+                id -> {
+                    lapsed.remove(id);
+                    present.remove(id);
+                });
+        return expired;
+    }
+
+    /**
+     * Returns the time at which the next entry is given up.
+     *
+     * @return time, empty if no entry is in its grace
+     */
+    public Optional<Instant> nextExpiry() {
+        return lapsed.values().stream().min(Instant::compareTo);
+    }
+
+    /**
+     * Returns the upstreams that may take new work.
+     *
+     * @return entries that are present and not draining
+     */
+    public List<UpstreamEntry> usable() {
+        List<UpstreamEntry> usable = new ArrayList<>();
+        for (UpstreamEntry e : present.values()) {
+            if (!e.draining()) {
+                usable.add(e);
+            }
+        }
+        return usable;
+    }
+}
--- a/src/main/java/org/papayawalk/daemon/Daemon.java
+++ b/src/main/java/org/papayawalk/daemon/Daemon.java
@@ -9,6 +9,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
+import org.papayawalk.adapter.HttpCaller;
+import org.papayawalk.adapter.HttpEndpoint;
+import org.papayawalk.adapter.HttpHostList;
+import org.papayawalk.adapter.HttpObjectStore;
+import org.papayawalk.adapter.HttpOrigin;
+import org.papayawalk.adapter.HttpTableService;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.id.DomainId;
@@ -32,12 +38,6 @@
 import org.papayawalk.daemon.node.NodeSettings;
 import org.papayawalk.daemon.node.RoleHandler;
 import org.papayawalk.log.Event;
-import org.papayawalk.platform.HttpCaller;
-import org.papayawalk.platform.HttpEndpoint;
-import org.papayawalk.platform.HttpHostList;
-import org.papayawalk.platform.HttpObjectStore;
-import org.papayawalk.platform.HttpOrigin;
-import org.papayawalk.platform.HttpTableService;
 import org.papayawalk.wire.WireRuntime;
 
 /** Wires one daemon from its settings and stops it in order. Thread-safe. */
@@ -196,7 +196,7 @@
                 new AgentSettings(new FleetId(settings.fleet), settings.upstreamAddress, weights),
                 new HttpOrigin(originHttp, settings.originAddress),
                 objects,
-                new WireChunkTransport(node));
+                WireChunkTransport.of(node));
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/DaemonMain.java
+++ b/src/main/java/org/papayawalk/daemon/DaemonMain.java
@@ -5,10 +5,10 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import org.papayawalk.adapter.HttpCaller;
+import org.papayawalk.adapter.HttpHostList;
 import org.papayawalk.core.Product;
 import org.papayawalk.log.Event;
-import org.papayawalk.platform.HttpCaller;
-import org.papayawalk.platform.HttpHostList;
 import org.papayawalk.settings.EnvironmentDefaults;
 
 /** Starts the daemon. */
--- a/src/main/java/org/papayawalk/daemon/agent/AgentCall.java
+++ b/src/main/java/org/papayawalk/daemon/agent/AgentCall.java
@@ -1,8 +1,8 @@
 package org.papayawalk.daemon.agent;
 
 import java.time.Instant;
+import org.papayawalk.adapter.HttpStream;
 import org.papayawalk.core.admit.Ticket;
-import org.papayawalk.platform.HttpStream;
 import org.papayawalk.wire.PeerChannel;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.ResponseEnd;
--- a/src/main/java/org/papayawalk/daemon/agent/AgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/agent/AgentRole.java
@@ -8,6 +8,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.papayawalk.adapter.HttpCaller;
+import org.papayawalk.adapter.HttpEngine;
+import org.papayawalk.adapter.ManifestCodec;
 import org.papayawalk.core.config.FleetPlan;
 import org.papayawalk.core.config.UpstreamKind;
 import org.papayawalk.core.id.Digest;
@@ -22,8 +25,6 @@
 import org.papayawalk.daemon.node.RoleHandler;
 import org.papayawalk.daemon.once.OnceTable;
 import org.papayawalk.log.Event;
-import org.papayawalk.platform.HttpCaller;
-import org.papayawalk.platform.HttpEngine;
 import org.papayawalk.wire.PeerChannel;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.Heartbeat;
@@ -125,10 +126,14 @@
                         transport,
                         origin,
                         new ChunkStager(engine),
+                        ManifestCodec::read,
                         this::swarmPeers);
         chunkServer =
                 new ChunkServer(
-                        swarm, settings.weights().uplinkBytesPerSecond(), node.clock(), node);
+                        swarm,
+                        settings.weights().uplinkBytesPerSecond(),
+                        node.clock(),
+                        node.control());
         LeaseKeeper leases = new LeaseKeeper(node.platform().table(), self, node.clock());
         rollout = new RolloutDriver(node, engine, swarm, door, leases);
     }
--- a/src/main/java/org/papayawalk/daemon/agent/ChunkServer.java
+++ b/src/main/java/org/papayawalk/daemon/agent/ChunkServer.java
@@ -9,7 +9,7 @@
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.weight.FetchResult;
 import org.papayawalk.core.weight.LinkPacer;
-import org.papayawalk.daemon.node.Node;
+import org.papayawalk.daemon.node.ControlThread;
 import org.papayawalk.wire.PeerChannel;
 import org.papayawalk.wire.proto.ChunkReply;
 import org.papayawalk.wire.proto.ChunkRequest;
@@ -17,7 +17,7 @@
 import org.papayawalk.wire.proto.ManifestReply;
 
 /** Answers peers' requests for chunks and manifests, at the pace of the uplink. Thread-safe. */
-final class ChunkServer {
+public final class ChunkServer {
     /** Time that sends may be queued on the uplink before further requests are put off. */
     private static final Duration MAX_BACKLOG = Duration.ofMillis(300);
 
@@ -30,8 +30,8 @@
     /** Clock. */
     private final InstantSource clock;
 
-    /** Node whose control thread delays the sends. */
-    private final Node node;
+    /** Runs delayed answers. */
+    private final ControlThread thread;
 
     /**
      * Creates a server.
@@ -39,13 +39,14 @@
      * @param swarm chunks held
      * @param bytesPerSecond share of the link for sending
      * @param clock clock
-     * @param node node whose control thread delays the sends
+     * @param thread runs delayed answers
      */
-    ChunkServer(Swarm swarm, double bytesPerSecond, InstantSource clock, Node node) {
+    public ChunkServer(
+            Swarm swarm, double bytesPerSecond, InstantSource clock, ControlThread thread) {
         this.swarm = swarm;
         this.uplink = new LinkPacer(bytesPerSecond);
         this.clock = clock;
-        this.node = node;
+        this.thread = thread;
     }
 
     /**
@@ -54,7 +55,7 @@
      * @param message request
      * @param from connection to answer on
      */
-    void received(Envelope message, PeerChannel from) {
+    public void received(Envelope message, PeerChannel from) {
         if (message.hasManifestRequest()) {
             Digest digest = new Digest(message.getManifestRequest().getDigest());
             swarm.manifest(
@@ -102,10 +103,7 @@
         }
         reply.setData(ByteString.copyFrom(answer.data()));
         Duration delay = uplink.reserve(answer.data().length, now);
-        node.control()
-                .later(
-                        delay,
-                        () -> send(message, from, Envelope.newBuilder().setChunkReply(reply)));
+        thread.later(delay, () -> send(message, from, Envelope.newBuilder().setChunkReply(reply)));
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/agent/ChunkStager.java
+++ b/src/main/java/org/papayawalk/daemon/agent/ChunkStager.java
@@ -7,7 +7,7 @@
 import org.papayawalk.log.Event;
 
 /** Writes verified chunks to the engine's staging area. Thread-safe. */
-public final class ChunkStager {
+public final class ChunkStager implements Stager {
     /** Engine. */
     private final Engine engine;
 
@@ -23,20 +23,12 @@
         this.engine = engine;
     }
 
-    /** Forgets that staging has begun. */
+    @Override
     public void reset() {
         begun.set(Digest.NONE);
     }
 
-    /**
-     * Writes a chunk.
-     *
-     * @param digest digest of the manifest
-     * @param manifest manifest
-     * @param index index of the chunk
-     * @param data its verified bytes
-     * @return true if the engine has it
-     */
+    @Override
     public boolean write(Digest digest, Manifest manifest, int index, byte[] data) {
         if (!begin(digest, manifest)) {
             return false;
--- a/src/main/java/org/papayawalk/daemon/agent/HeldVersion.java
+++ b/src/main/java/org/papayawalk/daemon/agent/HeldVersion.java
@@ -61,6 +61,17 @@
         return found == null ? new BitSet() : store.held(found.manifest().chunks());
     }
 
+    /**
+     * Reads a chunk of a version.
+     *
+     * @param wanted name of the version
+     * @param index index of the chunk
+     * @return its bytes, or empty if the chunk or the version is not held
+     */
+    Optional<byte[]> chunk(Digest wanted, int index) {
+        return wanted.equals(digest) ? chunk(index) : Optional.empty();
+    }
+
     /**
      * Reads a chunk.
      *
--- a/src/main/java/org/papayawalk/daemon/agent/LeaseKeeper.java
+++ b/src/main/java/org/papayawalk/daemon/agent/LeaseKeeper.java
@@ -7,13 +7,13 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.port.TableRow;
 import org.papayawalk.core.port.TableService;
 import org.papayawalk.core.port.TableWrite;
-import org.papayawalk.platform.Json;
 
 /**
  * Takes the lease under which a host's engine is given orders. Every lease has a higher fencing
--- a/src/main/java/org/papayawalk/daemon/agent/ManifestFinder.java
+++ b/src/main/java/org/papayawalk/daemon/agent/ManifestFinder.java
@@ -11,7 +11,6 @@
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.port.Origin;
 import org.papayawalk.core.weight.SwarmPeer;
-import org.papayawalk.platform.ManifestCodec;
 
 /**
  * Finds the manifest of a version. The host that comes first in the order asks the origin at once;
@@ -34,6 +33,9 @@
     /** Origin. */
     private final Origin origin;
 
+    /** Reads manifests. */
+    private final ManifestReader reader;
+
     /** Threads for calls that block. */
     private final Executor work;
 
@@ -43,9 +45,16 @@
      * @param self name of this host
      * @param transport messages to peers
      * @param origin origin
+     * @param reader reads manifests
      * @param work threads for calls that block
      */
-    ManifestFinder(HostId self, ChunkTransport transport, Origin origin, Executor work) {
+    ManifestFinder(
+            HostId self,
+            ChunkTransport transport,
+            Origin origin,
+            ManifestReader reader,
+            Executor work) {
+        this.reader = reader;
         this.self = self;
         this.transport = transport;
         this.origin = origin;
@@ -114,7 +123,7 @@
      * @param source where they came from
      * @return the verified manifest or a fault
      */
-    private static Either<Fault, FoundManifest> read(byte[] data, Digest digest, String source) {
-        return ManifestCodec.read(data, digest, source).map(m -> new FoundManifest(data, m));
+    private Either<Fault, FoundManifest> read(byte[] data, Digest digest, String source) {
+        return reader.read(data, digest, source).map(m -> new FoundManifest(data, m));
     }
 }
--- a/src/main/java/org/papayawalk/daemon/agent/StagingLine.java
+++ b/src/main/java/org/papayawalk/daemon/agent/StagingLine.java
@@ -17,7 +17,7 @@
     private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
 
     /** Writes chunks. */
-    private final ChunkStager stager;
+    private final Stager stager;
 
     /** Threads for calls that block. */
     private final Executor work;
@@ -39,7 +39,7 @@
      * @param thread weights thread
      * @param failed learns on the weights thread of writes that failed
      */
-    StagingLine(ChunkStager stager, Executor work, ControlThread thread, Runnable failed) {
+    StagingLine(Stager stager, Executor work, ControlThread thread, Runnable failed) {
         this.stager = stager;
         this.work = work;
         this.thread = thread;
--- a/src/main/java/org/papayawalk/daemon/agent/Swarm.java
+++ b/src/main/java/org/papayawalk/daemon/agent/Swarm.java
@@ -5,6 +5,8 @@
 import java.time.InstantSource;
 import java.util.BitSet;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.papayawalk.core.id.Digest;
@@ -70,6 +72,9 @@
     /** Requests of peers that wait for a chunk. */
     private final ParkedRequests parked;
 
+    /** Chunks that an earlier process staged. */
+    private final RestoredChunks restoring;
+
     /** Version wanted. */
     private Digest wanted = Digest.NONE;
 
@@ -92,6 +97,7 @@
      * @param transport messages to peers
      * @param origin origin of the weights
      * @param stager writes chunks to the engine
+     * @param reader reads manifests
      * @param view hosts that want a version
      */
     public Swarm(
@@ -101,7 +107,8 @@
             Executor work,
             ChunkTransport transport,
             Origin origin,
-            ChunkStager stager,
+            Stager stager,
+            ManifestReader reader,
             SwarmView view) {
         this.self = self;
         this.settings = settings;
@@ -114,9 +121,10 @@
         this.offers = new OfferExchange(transport);
         this.thread = new ControlThread("weights-" + self.host());
         this.parked = new ParkedRequests(thread);
+        this.restoring = new RestoredChunks(stager, work, thread);
         this.manifests =
                 new ManifestSeeker(
-                        new ManifestFinder(self.host(), transport, origin, work), thread);
+                        new ManifestFinder(self.host(), transport, origin, reader, work), thread);
         this.staging =
                 new StagingLine(
                         stager, work, thread, () -> publish("the engine does not take chunks"));
@@ -195,8 +203,20 @@
     }
 
     /**
-     * Answers a peer's request for a chunk. A request for a chunk that is being fetched waits for
-     * it for a short while.
+     * Provides a chunk that is held.
+     *
+     * @param digest digest of the version
+     * @param index index of the chunk
+     * @return bytes, empty if the chunk is not held
+     */
+    public CompletableFuture<Optional<byte[]>> chunk(Digest digest, int index) {
+        CompletableFuture<Optional<byte[]>> data = new CompletableFuture<>();
+        thread.run(() -> data.complete(held.chunk(digest, index)));
+        return data;
+    }
+
+    /**
+     * Answers a peer's request for a chunk. One that is being fetched is waited for a little.
      *
      * @param peer peer that asks
      * @param digest digest of the manifest
@@ -274,11 +294,24 @@
     private void start(FoundManifest found) {
         held.turnTo(wanted, found);
         manifest = found.manifest();
+        restoring.before(manifest, this::begin);
+    }
+
+    /** Starts to fetch what is missing of the version wanted, unless that was done. */
+    private void begin() {
+        if (download != null || manifest == null) {
+            return;
+        }
+        Set<Integer> kept = restoring.takeOver(manifest, held);
         download = settings.planners().create(self, wanted, manifest, clock.instant());
         download.swarm(view.peers(wanted, clock.instant()));
         for (int i = 0; i < manifest.chunkCount(); i++) {
             int index = i;
-            held.chunk(i).ifPresent(d -> stage(index, d, () -> download.keep(index)));
+            if (kept.contains(i)) {
+                download.keep(i);
+            } else {
+                held.chunk(i).ifPresent(d -> stage(index, d, () -> download.keep(index)));
+            }
         }
         Event.named("download-started")
                 .with("digest", wanted.shortText())
--- a/src/main/java/org/papayawalk/daemon/agent/UpstreamProbe.java
+++ b/src/main/java/org/papayawalk/daemon/agent/UpstreamProbe.java
@@ -5,12 +5,12 @@
 import java.io.IOException;
 import java.time.InstantSource;
 import java.util.Map;
+import org.papayawalk.adapter.HttpCall;
+import org.papayawalk.adapter.HttpCaller;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.id.Digest;
-import org.papayawalk.platform.HttpCall;
-import org.papayawalk.platform.HttpCaller;
-import org.papayawalk.platform.Json;
 
 /** Asks an upstream of either kind for its state. Thread-safe. */
 public final class UpstreamProbe {
--- a/src/main/java/org/papayawalk/daemon/agent/WireChunkTransport.java
+++ b/src/main/java/org/papayawalk/daemon/agent/WireChunkTransport.java
@@ -6,20 +6,21 @@
 import java.util.BitSet;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.id.HostId;
-import org.papayawalk.core.member.Member;
 import org.papayawalk.core.weight.FetchResult;
 import org.papayawalk.daemon.node.Node;
 import org.papayawalk.wire.Lane;
+import org.papayawalk.wire.PeerClient;
 import org.papayawalk.wire.proto.ChunkAvailability;
 import org.papayawalk.wire.proto.ChunkReply;
 import org.papayawalk.wire.proto.ChunkRequest;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.ManifestRequest;
 
-/** Messages about chunks over the connections of a node. Thread-safe. */
+/** Messages about chunks over the connections of a daemon. Thread-safe. */
 public final class WireChunkTransport implements ChunkTransport {
     /** Longest wait for a chunk. */
     private static final Duration CHUNK_LIMIT = Duration.ofSeconds(5);
@@ -27,35 +28,58 @@
     /** Longest wait for a manifest. */
     private static final Duration MANIFEST_LIMIT = Duration.ofSeconds(2);
 
-    /** Node whose connections are used. */
-    private final Node node;
+    /** Name of this host. */
+    private final HostId self;
+
+    /** Connections to other daemons. */
+    private final PeerClient client;
+
+    /** Finds the address of a host. */
+    private final Function<HostId, Optional<String>> addresses;
 
     /**
      * Creates a transport.
      *
-     * @param node node whose connections are used
+     * @param self name of this host
+     * @param client connections to other daemons
+     * @param addresses finds the address of a host
+     */
+    public WireChunkTransport(
+            HostId self, PeerClient client, Function<HostId, Optional<String>> addresses) {
+        this.self = self;
+        this.client = client;
+        this.addresses = addresses;
+    }
+
+    /**
+     * Creates a transport over the connections of a node.
+     *
+     * @param node node
+     * @return transport
      */
-    public WireChunkTransport(Node node) {
-        this.node = node;
+    public static WireChunkTransport of(Node node) {
+        return new WireChunkTransport(
+                node.self().host(),
+                node.client(),
+                h -> node.member(h).map(m -> m.record().address()));
     }
 
     @Override
     public CompletableFuture<ChunkAnswer> request(
             HostId peer, Digest digest, int index, BitSet held) {
-        Optional<Member> member = node.member(peer);
-        if (member.isEmpty()) {
+        Optional<String> address = addresses.apply(peer);
+        if (address.isEmpty()) {
             return CompletableFuture.completedFuture(ChunkAnswer.FAILED);
         }
         ChunkRequest request =
                 ChunkRequest.newBuilder()
-                        .setHost(node.self().host().value())
+                        .setHost(self.value())
                         .setDigest(digest.value())
                         .setIndex(index)
                         .setBitmap(ByteString.copyFrom(held.toByteArray()))
                         .build();
-        return node.client()
-                .request(
-                        member.get().record().address(),
+        return client.request(
+                        address.get(),
                         Lane.BULK,
                         Envelope.newBuilder().setChunkRequest(request),
                         CHUNK_LIMIT)
@@ -64,14 +88,13 @@
 
     @Override
     public CompletableFuture<Optional<byte[]>> manifest(HostId peer, Digest digest) {
-        Optional<Member> member = node.member(peer);
-        if (member.isEmpty()) {
+        Optional<String> address = addresses.apply(peer);
+        if (address.isEmpty()) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
         ManifestRequest request = ManifestRequest.newBuilder().setDigest(digest.value()).build();
-        return node.client()
-                .request(
-                        member.get().record().address(),
+        return client.request(
+                        address.get(),
                         Lane.BULK,
                         Envelope.newBuilder().setManifestRequest(request),
                         MANIFEST_LIMIT)
@@ -87,13 +110,12 @@
     public void offer(HostId peer, Digest digest, BitSet held) {
         ChunkAvailability availability =
                 ChunkAvailability.newBuilder()
-                        .setHost(node.self().host().value())
+                        .setHost(self.value())
                         .setDigestPrefix(digest.shortText())
                         .setBitmap(ByteString.copyFrom(held.toByteArray()))
                         .build();
         Envelope message = Envelope.newBuilder().setChunkAvailability(availability).build();
-        node.member(peer)
-                .ifPresent(m -> node.client().tell(m.record().address(), Lane.LIVE, message));
+        addresses.apply(peer).ifPresent(a -> client.tell(a, Lane.LIVE, message));
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/edge/CallerRequest.java
@@ -0,0 +1,14 @@
+package org.papayawalk.daemon.edge;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import java.time.Instant;
+
+/**
+ * Request of a caller, read whole. The body is released by the one who handles the request.
+ *
+ * @param head method, target and headers
+ * @param body bytes of the body
+ * @param readAt when it was read whole
+ */
+record CallerRequest(HttpRequest head, ByteBuf body, Instant readAt) {}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/edge/Edge.java
@@ -0,0 +1,358 @@
+package org.papayawalk.daemon.edge;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+import org.papayawalk.core.Addresses;
+import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.place.Candidate;
+import org.papayawalk.core.place.LeastLoaded;
+import org.papayawalk.core.place.PlacementRule;
+import org.papayawalk.core.place.RepeatBudget;
+import org.papayawalk.core.place.VersionRule;
+import org.papayawalk.core.site.SiteSettings;
+import org.papayawalk.core.suspect.SuspectRegistry;
+import org.papayawalk.core.upstream.UpstreamEntry;
+import org.papayawalk.http.SocketOptions;
+import org.papayawalk.log.Event;
+
+/**
+ * What the exchanges of one entry share. Confined to the traffic thread, but for {@link
+ * #suspects()}, which is thread-safe.
+ */
+final class Edge {
+    /** Requests that may wait at an engine, as a share of its slots. */
+    private static final double ENGINE_QUEUE_SHARE = 0.15;
+
+    /** Requests that may wait at a plain service, as a share of its slots. */
+    private static final double PLAIN_QUEUE_SHARE = 2.0;
+
+    /** Slots by which an upstream of another failure domain counts as more loaded. */
+    private static final double OTHER_DOMAIN_SLOTS = 1.0;
+
+    /** Slots by which an upstream of another region counts as more loaded. */
+    private static final double OTHER_REGION_SLOTS = 2.0;
+
+    /** Crashes after which a request is refused. */
+    private static final int SUSPECT_CRASHES = 3;
+
+    /** Time for which a crash counts against a request. */
+    private static final Duration SUSPECT_MEMORY = Duration.ofSeconds(60);
+
+    /** Longest time to connect to an upstream that may have crashed, in milliseconds. */
+    private static final int CRASH_CHECK_MILLIS = 300;
+
+    /** Settings of the process. */
+    private final SiteSettings settings;
+
+    /** Traffic thread. */
+    private final EventLoop loop;
+
+    /** Clock that never jumps. */
+    private final InstantSource clock;
+
+    /** Upstreams. */
+    private final Fleet fleet;
+
+    /** Number of entries that are known to run, this one included. */
+    private final IntSupplier entryCount;
+
+    /** Counters and histograms. */
+    private final EdgeMetrics metrics;
+
+    /** Source of random numbers. */
+    private final RandomGenerator random = new SplittableRandom();
+
+    /** Requests that crashed upstreams. */
+    private final SuspectRegistry suspects = new SuspectRegistry(SUSPECT_CRASHES, SUSPECT_MEMORY);
+
+    /** Budgets for sending requests once more, by service. */
+    private final Map<ServiceId, RepeatBudget> budgets = new HashMap<>();
+
+    /** Requests that wait for room, by service. */
+    private final Map<ServiceId, WaitLine> lines = new HashMap<>();
+
+    /** Open connections of callers. */
+    private final Set<CallerHandler> callers = new HashSet<>();
+
+    /** Rule for engines. */
+    private final PlacementRule enginePlacement =
+            new LeastLoaded(ENGINE_QUEUE_SHARE, this::distance, random);
+
+    /** Rule for plain services. */
+    private final PlacementRule plainPlacement =
+            new LeastLoaded(PLAIN_QUEUE_SHARE, this::distance, random);
+
+    /** Whether the daemon stops. */
+    private volatile boolean stopping;
+
+    /**
+     * Creates the shared part of an entry.
+     *
+     * @param settings settings of the process
+     * @param loop traffic thread
+     * @param clock clock that never jumps
+     * @param entryCount number of entries that are known to run, this one included
+     * @param metrics counters and histograms
+     */
+    Edge(
+            SiteSettings settings,
+            EventLoop loop,
+            InstantSource clock,
+            IntSupplier entryCount,
+            EdgeMetrics metrics) {
+        this.settings = settings;
+        this.loop = loop;
+        this.clock = clock;
+        this.entryCount = entryCount;
+        this.metrics = metrics;
+        this.fleet = new Fleet(loop, clock, new VersionRule(settings.bounds().versionLimit()));
+    }
+
+    /**
+     * Returns the traffic thread.
+     *
+     * @return event loop
+     */
+    EventLoop loop() {
+        return loop;
+    }
+
+    /**
+     * Returns the clock.
+     *
+     * @return clock that never jumps
+     */
+    InstantSource clock() {
+        return clock;
+    }
+
+    /**
+     * Returns the upstreams.
+     *
+     * @return fleet
+     */
+    Fleet fleet() {
+        return fleet;
+    }
+
+    /**
+     * Returns the requests that crashed upstreams.
+     *
+     * @return registry
+     */
+    SuspectRegistry suspects() {
+        return suspects;
+    }
+
+    /**
+     * Returns the counters and histograms.
+     *
+     * @return metrics
+     */
+    EdgeMetrics metrics() {
+        return metrics;
+    }
+
+    /**
+     * Returns the source of random numbers.
+     *
+     * @return random generator
+     */
+    RandomGenerator random() {
+        return random;
+    }
+
+    /**
+     * Returns the number of entries that are known to run.
+     *
+     * @return at least 1
+     */
+    int entryCount() {
+        return entryCount.getAsInt();
+    }
+
+    /**
+     * Returns the budget of a service.
+     *
+     * @param service service
+     * @return budget
+     */
+    RepeatBudget budget(ServiceId service) {
+        SiteSettings.SiteBounds b = settings.bounds();
+        return budgets.computeIfAbsent(
+                service, s -> new RepeatBudget(b.retryRatio(), b.retrySlack(), b.retryWindow()));
+    }
+
+    /**
+     * Returns the waiting requests of a service.
+     *
+     * @param service service
+     * @return line
+     */
+    WaitLine line(ServiceId service) {
+        return lines.computeIfAbsent(service, s -> new WaitLine(loop, clock, random));
+    }
+
+    /**
+     * Returns the rule by which upstreams of a service are chosen.
+     *
+     * @param service service
+     * @return rule
+     */
+    PlacementRule placement(ServiceId service) {
+        boolean engines = fleet.view().desired().flatMap(d -> d.engine(service)).isPresent();
+        return engines ? enginePlacement : plainPlacement;
+    }
+
+    /**
+     * Records a request that is over.
+     *
+     * @param request what is known of it
+     */
+    void ended(RequestRecord request) {
+        metrics.ended(request);
+        Event event =
+                Event.named("request")
+                        .with("id", request.requestId())
+                        .with("status", request.status())
+                        .with("route", request.route())
+                        .with("service", request.service())
+                        .with("team", request.team())
+                        .with("upstreams", request.upstreams())
+                        .with("sendings", request.sendings())
+                        .with(
+                                "first_ms",
+                                request.firstAt().map(t -> millis(request, t)).orElse(-1L))
+                        .with("total_ms", millis(request, request.endedAt()))
+                        .with("desired", fleet.view().desired().map(d -> d.version()).orElse(0L));
+        if (!request.reason().isEmpty()) {
+            event.with("reason", request.reason());
+        }
+        event.info();
+    }
+
+    /**
+     * Checks whether an upstream crashed under a request, and counts that against the request.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param upstream upstream whose connection was lost
+     */
+    void suspect(String fingerprint, UpstreamEntry upstream) {
+        SocketOptions.apply(new Bootstrap(), CRASH_CHECK_MILLIS)
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(Addresses.parse(upstream.address()))
+                .addListener(
+                        (ChannelFutureListener)
+                                f -> {
+                                    f.channel().close();
+                                    if (f.cause() instanceof ConnectException) {
+                                        crashed(fingerprint, upstream);
+                                    }
+                                });
+    }
+
+    /**
+     * Adds a connection of a caller.
+     *
+     * @param caller connection
+     */
+    void opened(CallerHandler caller) {
+        callers.add(caller);
+    }
+
+    /**
+     * Removes a connection of a caller.
+     *
+     * @param caller connection
+     */
+    void closed(CallerHandler caller) {
+        callers.remove(caller);
+    }
+
+    /**
+     * Returns the open connections of callers.
+     *
+     * @return copy of the set
+     */
+    Set<CallerHandler> callers() {
+        return Set.copyOf(callers);
+    }
+
+    /**
+     * Tells whether the daemon stops.
+     *
+     * @return true once it was told to
+     */
+    boolean stopping() {
+        return stopping;
+    }
+
+    /** Lets requests that wait look for room in the new view. */
+    void viewChanged() {
+        lines.values().forEach(WaitLine::roomMade);
+    }
+
+    /** Lets answers end their connections from now on. */
+    void stop() {
+        stopping = true;
+    }
+
+    /**
+     * Counts a crash against a request.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param upstream upstream that crashed
+     */
+    private void crashed(String fingerprint, UpstreamEntry upstream) {
+        Instant now = clock.instant();
+        String process = upstream.id() + "/" + upstream.incarnation();
+        if (suspects.crashed(fingerprint, process, now)) {
+            Event.named("request-suspected")
+                    .with("fingerprint", fingerprint)
+                    .with("upstream", process)
+                    .with("verdict", suspects.verdict(fingerprint, now))
+                    .warn();
+        }
+    }
+
+    /**
+     * Returns how much more loaded an upstream counts because it is far.
+     *
+     * @param candidate upstream
+     * @return slots
+     */
+    private double distance(Candidate candidate) {
+        if (candidate.entry().domain().equals(settings.domain())) {
+            return 0;
+        }
+        boolean near = settings.region(candidate.entry().domain()).equals(settings.region());
+        return near ? OTHER_DOMAIN_SLOTS : OTHER_REGION_SLOTS;
+    }
+
+    /**
+     * Returns the time since a request was read.
+     *
+     * @param request request
+     * @param at later time
+     * @return milliseconds
+     */
+    private static long millis(RequestRecord request, Instant at) {
+        return Duration.between(request.readAt(), at).toMillis();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/edge/EdgeMetrics.java
@@ -0,0 +1,81 @@
+package org.papayawalk.daemon.edge;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+
+/** Counters and latency histograms of an entry. Thread-safe. */
+final class EdgeMetrics {
+    /** Milliseconds of a second. */
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    /** Requests read. */
+    private final Counter received;
+
+    /** Requests over, by route and status. */
+    private final Counter ended;
+
+    /** Repeated sendings, by service. */
+    private final Counter repeats;
+
+    /** Time to the first part of the answer, by route. */
+    private final Histogram first;
+
+    /**
+     * Registers the metrics.
+     *
+     * @param registry registry
+     */
+    EdgeMetrics(PrometheusRegistry registry) {
+        received =
+                Counter.builder()
+                        .name("papayawalk_requests_received_total")
+                        .help("Requests read whole")
+                        .register(registry);
+        ended =
+                Counter.builder()
+                        .name("papayawalk_requests_ended_total")
+                        .help("Requests over, by service and status")
+                        .labelNames("service", "status")
+                        .register(registry);
+        repeats =
+                Counter.builder()
+                        .name("papayawalk_repeats_total")
+                        .help("Sendings of a request beyond its first")
+                        .labelNames("service")
+                        .register(registry);
+        first =
+                Histogram.builder()
+                        .name("papayawalk_first_part_seconds")
+                        .help("Time from reading a request to the first part of its answer")
+                        .classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+                        .classicOnly()
+                        .labelNames("service")
+                        .register(registry);
+    }
+
+    /** Counts a request that was read. */
+    void received() {
+        received.inc();
+    }
+
+    /**
+     * Counts a request that is over.
+     *
+     * @param request what is known of it
+     */
+    void ended(RequestRecord request) {
+        ended.labelValues(request.service(), Integer.toString(request.status())).inc();
+        if (request.sendings() > 1) {
+            repeats.labelValues(request.service()).inc(request.sendings() - 1);
+        }
+        request.firstAt()
+                .ifPresent(
+                        t -> {
+                            Duration d = Duration.between(request.readAt(), t);
+                            first.labelValues(request.service())
+                                    .observe(d.toMillis() / MILLIS_PER_SECOND);
+                        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/edge/EdgeRole.java
@@ -0,0 +1,202 @@
+package org.papayawalk.daemon.edge;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.papayawalk.core.Addresses;
+import org.papayawalk.core.desired.CallerLimits;
+import org.papayawalk.core.desired.DesiredState;
+import org.papayawalk.daemon.site.SiteMain;
+import org.papayawalk.daemon.site.SiteNode;
+import org.papayawalk.daemon.site.SiteView;
+import org.papayawalk.daemon.site.StatusEndpoint;
+import org.papayawalk.http.SocketOptions;
+import org.papayawalk.log.Event;
+
+/** Role of the process that callers talk to. Thread-safe. */
+public final class EdgeRole implements SiteMain.Role {
+    /** Connections that may wait to be accepted. */
+    private static final int BACKLOG = 1024;
+
+    /** Time after the request to stop during which idle connections stay open. */
+    private static final Duration OPEN_AFTER_STOP = Duration.ofMillis(2800);
+
+    /** Time before the kill at which the process ends by itself. */
+    private static final Duration END_MARGIN = Duration.ofMillis(600);
+
+    /** Pause between looks at what is still under way. */
+    private static final Duration STOP_LOOK = Duration.ofMillis(100);
+
+    /** Common part of the daemon. */
+    private final SiteNode node;
+
+    /** Traffic thread. */
+    private final EventLoop loop;
+
+    /** Registry of the metrics. */
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+
+    /** What all exchanges share. */
+    private final Edge edge;
+
+    /** Whether requests can be decided. */
+    private volatile boolean ready;
+
+    /** Whether the daemon stops. */
+    private volatile boolean stopping;
+
+    /**
+     * Creates the role.
+     *
+     * @param node common part of the daemon
+     */
+    public EdgeRole(SiteNode node) {
+        this.node = node;
+        this.loop = node.runtime().group().next();
+        this.edge =
+                new Edge(
+                        node.settings(),
+                        loop,
+                        node.clock(),
+                        node::entryCount,
+                        new EdgeMetrics(registry));
+    }
+
+    @Override
+    public void start() throws IOException {
+        node.state().listen(this::viewChanged);
+        node.runAsEntry(edge.suspects());
+        StatusEndpoint status =
+                new StatusEndpoint(node.runtime().group(), () -> ready && !stopping, registry);
+        if (node.settings().readyAddress().isPresent()) {
+            status.listen(Addresses.parse(node.settings().readyAddress().get()));
+        }
+        status.listenForMetrics(node.settings().ip());
+        String address =
+                node.settings()
+                        .callerAddress()
+                        .orElseThrow(() -> new IOException("no address for callers is given"));
+        ChannelFuture bound =
+                SocketOptions.apply(new ServerBootstrap())
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        accept(channel);
+                                    }
+                                })
+                        .bind(Addresses.parse(address))
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address, bound.cause());
+        }
+    }
+
+    @Override
+    public void stop() {
+        stopping = true;
+        Event.named("stopping").with("ready", ready).info();
+        Instant begun = node.clock().instant();
+        Instant last = begun.plus(node.settings().bounds().grace()).minus(END_MARGIN);
+        Instant closeIdle = begun.plus(OPEN_AFTER_STOP);
+        loop.execute(edge::stop);
+        node.deregister();
+        while (node.clock().instant().isBefore(last)) {
+            boolean closing = node.clock().instant().isAfter(closeIdle);
+            if (closing && drained()) {
+                break;
+            }
+            pause();
+        }
+        Event.named("stopped").info();
+    }
+
+    /**
+     * Builds the pipeline of a caller's connection.
+     *
+     * @param channel connection
+     */
+    private void accept(Channel channel) {
+        CallerLimits limits =
+                edge.fleet()
+                        .view()
+                        .desired()
+                        .map(DesiredState::limits)
+                        .orElse(CallerLimits.DEFAULT);
+        HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(limits.headerBytes())
+                        .setMaxHeaderSize(limits.headerBytes());
+        channel.pipeline()
+                .addLast(new CallerDecoder(config))
+                .addLast(new HttpResponseEncoder())
+                .addLast(new CallerHandler(edge, limits));
+    }
+
+    /**
+     * Takes a new view.
+     *
+     * @param view view
+     */
+    private void viewChanged(SiteView view) {
+        loop.execute(
+                () -> {
+                    edge.fleet().update(view);
+                    edge.viewChanged();
+                    if (!ready && view.complete()) {
+                        ready = true;
+                        Event.named("ready").info();
+                    }
+                });
+    }
+
+    /**
+     * Closes idle connections.
+     *
+     * @return true if no request is under way
+     */
+    private boolean drained() {
+        try {
+            return loop.submit(
+                            () -> {
+                                boolean busy = false;
+                                for (CallerHandler c : edge.callers()) {
+                                    c.closeIfIdle();
+                                    busy |= c.isBusy();
+                                }
+                                return !busy;
+                            })
+                    .get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return true;
+        } catch (ExecutionException e) {
+            Event.named("drain-failed").error(e);
+            return true;
+        }
+    }
+
+    /** Waits a little. */
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(STOP_LOOK.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/edge/KeptAnswer.java
@@ -0,0 +1,34 @@
+package org.papayawalk.daemon.edge;
+
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * Whole answer of an upstream. Immutable by agreement: the bytes are not changed.
+ *
+ * @param head status and headers
+ * @param body bytes of the body
+ */
+record KeptAnswer(HttpResponse head, byte[] body) {
+    /** Lowest status of a server's failure. */
+    private static final int SERVER_FAILURE = 500;
+
+    /**
+     * Tells whether the upstream failed.
+     *
+     * @return true for a status from 500
+     */
+    boolean failure() {
+        return head.status().code() >= SERVER_FAILURE;
+    }
+
+    /**
+     * Tells whether callers take the status as a promise that the request did not run. An answer
+     * that makes the promise without stating it is not passed on.
+     *
+     * @return true for 408, 429 and 503
+     */
+    boolean claimsNotRun() {
+        int status = head.status().code();
+        return status == 408 || status == 429 || status == 503;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/edge/RequestRecord.java
@@ -0,0 +1,64 @@
+package org.papayawalk.daemon.edge;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+import org.papayawalk.core.desired.AdmittedCall;
+import org.papayawalk.core.id.UpstreamId;
+
+/**
+ * What is logged and counted of a request that is over. Immutable.
+ *
+ * @param requestId id that the caller gave
+ * @param call request as admitted, empty if it was not
+ * @param upstreams upstreams that the request was sent to
+ * @param sendings number of upstreams that it may have reached
+ * @param status status that the caller got, 499 if it left
+ * @param reason why the request was not answered by its first upstream, empty if it was
+ * @param readAt when it was read whole
+ * @param firstAt when the first part of the answer came
+ * @param endedAt when it was over
+ */
+record RequestRecord(
+        String requestId,
+        Optional<AdmittedCall> call,
+        Set<UpstreamId> upstreams,
+        int sendings,
+        int status,
+        String reason,
+        Instant readAt,
+        Optional<Instant> firstAt,
+        Instant endedAt) {
+
+    /** Copies the upstreams. */
+    RequestRecord {
+        upstreams = Set.copyOf(upstreams);
+    }
+
+    /**
+     * Returns the name of the route.
+     *
+     * @return name, empty if the request was not admitted
+     */
+    String route() {
+        return call.map(c -> c.route().name()).orElse("");
+    }
+
+    /**
+     * Returns the service.
+     *
+     * @return name, empty if the request was not admitted
+     */
+    String service() {
+        return call.map(c -> c.service().value()).orElse("");
+    }
+
+    /**
+     * Returns the team.
+     *
+     * @return name, empty if no key was needed
+     */
+    String team() {
+        return call.flatMap(AdmittedCall::caller).map(c -> c.team().value()).orElse("");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/edge/Sending.java
@@ -0,0 +1,277 @@
+package org.papayawalk.daemon.edge;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.TimeUnit;
+import org.papayawalk.core.call.ReplyFacts;
+import org.papayawalk.core.desired.RequestKind;
+import org.papayawalk.core.desired.RouteRule;
+import org.papayawalk.core.place.Candidate;
+import org.papayawalk.core.place.SendResult;
+import org.papayawalk.core.stream.EventCutter;
+
+/**
+ * One sending of a request to one upstream. Tells its exchange once how it ended. Confined to the
+ * traffic thread.
+ */
+final class Sending implements UpstreamListener {
+    /** Most bytes of an answer that is passed on as a whole. */
+    private static final int MAX_WHOLE_ANSWER = 8 * 1024 * 1024;
+
+    /** Longest silence of a stream before it is continued elsewhere. */
+    private static final Duration STREAM_SILENCE = Duration.ofMillis(1100);
+
+    /** Targets that a whole answer may take before the request is sent elsewhere. */
+    private static final int SILENT_TARGETS = 2;
+
+    /** Status of an upstream that is not the one meant. */
+    private static final int MISDIRECTED = 421;
+
+    /** What all exchanges share. */
+    private final Edge edge;
+
+    /** Request that is sent. */
+    private final Exchange exchange;
+
+    /** Upstream. */
+    private final Candidate choice;
+
+    /** Cuts the stream into events. */
+    private final EventCutter cutter = new EventCutter();
+
+    /** Connection, once it is open. */
+    private UpstreamConnection connection;
+
+    /** Head of the answer; null before it came. */
+    private HttpResponse head;
+
+    /** Whether the answer states that the request did not run. */
+    private boolean notRun;
+
+    /** Whether the answer is passed on as it comes. */
+    private boolean passing;
+
+    /** Body of an answer that is passed on as a whole. */
+    private ByteBuf whole = Unpooled.EMPTY_BUFFER;
+
+    /** When something last came, or the request was sent. */
+    private Instant progressAt = Instant.MIN;
+
+    /** Whether the sending is over. */
+    private boolean done;
+
+    /**
+     * Creates a sending that was not begun.
+     *
+     * @param edge what all exchanges share
+     * @param exchange request that is sent
+     * @param choice upstream
+     */
+    Sending(Edge edge, Exchange exchange, Candidate choice) {
+        this.edge = edge;
+        this.exchange = exchange;
+        this.choice = choice;
+    }
+
+    /** Opens a connection and sends the request. */
+    void begin() {
+        choice.load().sent();
+        Fleet.Upstream upstream = edge.fleet().find(choice.entry().id()).orElse(null);
+        if (upstream == null) {
+            lost("upstream is gone", false);
+            return;
+        }
+        upstream.pool()
+                .acquire(
+                        !route().repeatable(),
+                        this::connected,
+                        why -> lost("cannot connect: " + why, false));
+    }
+
+    /**
+     * Drops the sending.
+     *
+     * @param result how it counts for the upstream
+     */
+    void abandon(SendResult result) {
+        if (done) {
+            return;
+        }
+        close(result);
+        if (connection != null) {
+            connection.abandon();
+        }
+    }
+
+    /**
+     * Lets the upstream send, or holds it back.
+     *
+     * @param flowing whether the upstream may send
+     */
+    void flow(boolean flowing) {
+        if (connection != null && !done) {
+            connection.flow(flowing);
+        }
+    }
+
+    @Override
+    public void sent() {
+        progressAt = edge.clock().instant();
+    }
+
+    @Override
+    public void head(HttpResponse response, ReplyFacts reply) {
+        Instant now = edge.clock().instant();
+        progressAt = now;
+        head = response;
+        reply.load().ifPresent(l -> choice.load().reported(l, now));
+        int status = response.status().code();
+        notRun = reply.notRun() || status == MISDIRECTED;
+        if (status == MISDIRECTED) {
+            edge.fleet().misdirected(choice.entry().id(), now);
+        }
+        boolean events = route().kind() == RequestKind.STREAMING && status == 200;
+        passing = events && reply.genuine();
+        if (passing) {
+            exchange.stream().begin(response);
+        } else {
+            whole = Unpooled.buffer();
+        }
+    }
+
+    @Override
+    public void data(ByteBuf data) {
+        progressAt = edge.clock().instant();
+        if (!passing) {
+            whole.writeBytes(data);
+            if (whole.readableBytes() > MAX_WHOLE_ANSWER) {
+                fail("answer is too long to be passed on");
+            }
+            return;
+        }
+        for (EventCutter.Event e : cutter.take(ByteBufUtil.getBytes(data))) {
+            exchange.stream().pass(e, progressAt);
+        }
+        if (!exchange.stream().flowing()) {
+            flow(false);
+        }
+    }
+
+    @Override
+    public void ended() {
+        if (done) {
+            return;
+        }
+        if (passing) {
+            exchange.stream().passRest(cutter.rest());
+            close(SendResult.ANSWERED);
+            exchange.streamEnded();
+            return;
+        }
+        String name = choice.entry().id() + ": status " + head.status().code();
+        if (notRun) {
+            close(SendResult.REFUSED);
+            exchange.failed(false, true, name + ", not run");
+            return;
+        }
+        boolean failure = head.status().code() >= 500;
+        close(failure ? SendResult.SERVER_ERROR : SendResult.ANSWERED);
+        exchange.answered(new KeptAnswer(head, ByteBufUtil.getBytes(whole)), name);
+    }
+
+    @Override
+    public void lost(String why, boolean connected) {
+        if (done) {
+            return;
+        }
+        close(connected ? SendResult.BROKEN : SendResult.UNREACHABLE);
+        if (connected) {
+            edge.suspect(exchange.fingerprint(), choice.entry());
+        }
+        exchange.failed(connected, connected, choice.entry().id() + ": " + why);
+    }
+
+    /**
+     * Sends the request.
+     *
+     * @param opened connection
+     */
+    private void connected(UpstreamConnection opened) {
+        if (done) {
+            opened.abandon();
+            return;
+        }
+        connection = opened;
+        Instant now = edge.clock().instant();
+        opened.send(exchange.upstreamRequest(choice, now), exchange.requestId(), this);
+        if (!done && route().repeatable()) {
+            watchSilence();
+        }
+    }
+
+    /**
+     * Returns the route of the request.
+     *
+     * @return route
+     */
+    private RouteRule route() {
+        return exchange.call().route();
+    }
+
+    /**
+     * Counts the end of the sending.
+     *
+     * @param result how it ended
+     */
+    private void close(SendResult result) {
+        done = true;
+        choice.load().ended(result, edge.clock().instant());
+        edge.line(exchange.call().service()).roomMade();
+    }
+
+    /**
+     * Drops the sending as failed.
+     *
+     * @param why what happened
+     */
+    private void fail(String why) {
+        connection.abandon();
+        lost(why, true);
+    }
+
+    /**
+     * Returns how long nothing may come before the request is sent elsewhere.
+     *
+     * @return time
+     */
+    private Duration silenceLimit() {
+        return route().kind() == RequestKind.STREAMING
+                ? STREAM_SILENCE
+                : route().target().multipliedBy(SILENT_TARGETS);
+    }
+
+    /** Continues elsewhere when nothing comes for too long. */
+    private void watchSilence() {
+        Duration limit = silenceLimit();
+        Instant last = progressAt;
+        Duration left = Duration.between(edge.clock().instant(), last.plus(limit));
+        edge.loop()
+                .schedule(
+                        () -> {
+                            if (done) {
+                                return;
+                            }
+                            if (!progressAt.equals(last)) {
+                                watchSilence();
+                            } else if (exchange.mayTryElsewhere()) {
+                                fail("silent for " + limit.toMillis() + " ms");
+                            }
+                        },
+                        Math.max(1, left.toMillis()),
+                        TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/edge/SentTo.java
@@ -0,0 +1,73 @@
+package org.papayawalk.daemon.edge;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.papayawalk.core.id.UpstreamId;
+
+/** Upstreams that one request was sent to. Confined to the traffic thread. */
+final class SentTo {
+    /** Upstreams, those included that could not be reached. */
+    private final Set<UpstreamId> upstreams = new HashSet<>();
+
+    /** Number of upstreams that took the request, or may have. */
+    private int count;
+
+    /** Whether the request may have run. */
+    private boolean mayHaveRun;
+
+    /**
+     * Records that the request is sent.
+     *
+     * @param upstream upstream
+     */
+    void add(UpstreamId upstream) {
+        upstreams.add(upstream);
+        count++;
+    }
+
+    /** Records that the last sending did not reach its upstream. */
+    void notReached() {
+        count--;
+    }
+
+    /** Records that the request may have run. */
+    void ran() {
+        mayHaveRun = true;
+    }
+
+    /**
+     * Returns the upstreams.
+     *
+     * @return upstreams, those included that could not be reached
+     */
+    Set<UpstreamId> upstreams() {
+        return upstreams;
+    }
+
+    /**
+     * Returns the number of upstreams that took the request, or may have.
+     *
+     * @return 0 or more
+     */
+    int count() {
+        return count;
+    }
+
+    /**
+     * Tells whether the request may have run.
+     *
+     * @return true if an upstream neither refused nor missed it
+     */
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /**
+     * Tells whether the request is or was at an upstream.
+     *
+     * @return false if it certainly has not run
+     */
+    boolean any() {
+        return mayHaveRun || count > 0;
+    }
+}
--- a/src/main/java/org/papayawalk/daemon/entry/AnswerHeaders.java
+++ b/src/main/java/org/papayawalk/daemon/entry/AnswerHeaders.java
@@ -2,9 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.papayawalk.adapter.HttpHeader;
 import org.papayawalk.core.api.CallerHeaders;
 import org.papayawalk.core.route.Candidate;
-import org.papayawalk.platform.HttpHeader;
 import org.papayawalk.wire.proto.Header;
 import org.papayawalk.wire.proto.ResponseHead;
 
--- a/src/main/java/org/papayawalk/daemon/entry/CallRequest.java
+++ b/src/main/java/org/papayawalk/daemon/entry/CallRequest.java
@@ -2,10 +2,10 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.papayawalk.adapter.HttpHeader;
 import org.papayawalk.core.admit.Priority;
 import org.papayawalk.core.config.FleetPlan;
 import org.papayawalk.core.id.TeamId;
-import org.papayawalk.platform.HttpHeader;
 
 /**
  * Checked request of a caller. Immutable by convention: the body is not changed.
--- a/src/main/java/org/papayawalk/daemon/entry/CallerAnswer.java
+++ b/src/main/java/org/papayawalk/daemon/entry/CallerAnswer.java
@@ -1,7 +1,7 @@
 package org.papayawalk.daemon.entry;
 
 import java.util.List;
-import org.papayawalk.platform.HttpHeader;
+import org.papayawalk.adapter.HttpHeader;
 
 /** Answer to a caller. Implementations are immutable. */
 sealed interface CallerAnswer {
--- a/src/main/java/org/papayawalk/daemon/entry/CallerEndpoint.java
+++ b/src/main/java/org/papayawalk/daemon/entry/CallerEndpoint.java
@@ -16,12 +16,12 @@
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.papayawalk.adapter.HttpHeader;
+import org.papayawalk.adapter.Json;
+import org.papayawalk.adapter.OnceTables;
 import org.papayawalk.core.Outcome;
 import org.papayawalk.core.api.CallerHeaders;
 import org.papayawalk.daemon.node.Node;
-import org.papayawalk.platform.HttpHeader;
-import org.papayawalk.platform.Json;
-import org.papayawalk.platform.OnceTables;
 
 /** Callers' HTTP interface, as docs/CALLERS.md describes it. Thread-safe. */
 final class CallerEndpoint implements HttpRequestHandler {
--- a/src/main/java/org/papayawalk/daemon/entry/EntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/entry/EntryRole.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.List;
+import org.papayawalk.adapter.HttpEndpoint;
 import org.papayawalk.core.id.ConfigVersion;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.member.Member;
@@ -16,7 +17,6 @@
 import org.papayawalk.daemon.node.RoleHandler;
 import org.papayawalk.daemon.once.OnceTable;
 import org.papayawalk.log.Event;
-import org.papayawalk.platform.HttpEndpoint;
 import org.papayawalk.wire.PeerChannel;
 import org.papayawalk.wire.proto.CrashNotice;
 import org.papayawalk.wire.proto.Envelope;
@@ -24,11 +24,17 @@
 
 /** Role of the process that callers talk to. Thread-safe. */
 public final class EntryRole implements RoleHandler, AutoCloseable {
+    /** Crashes after which a request is refused. */
+    private static final int SUSPECT_CRASHES = 2;
+
+    /** Time for which a crash counts against a request. */
+    private static final Duration SUSPECT_MEMORY = Duration.ofMinutes(10);
+
     /** Node. */
     private final Node node;
 
     /** Requests that crashed upstreams. */
-    private final SuspectRegistry suspects = new SuspectRegistry();
+    private final SuspectRegistry suspects = new SuspectRegistry(SUSPECT_CRASHES, SUSPECT_MEMORY);
 
     /** Callers' interface. */
     private final CallerEndpoint endpoint;
@@ -121,7 +127,7 @@
         CrashNotice n = message.getCrashNotice();
         Instant now = node.clock().instant();
         HostId host = new HostId(n.getHost());
-        if (suspects.crashed(n.getFingerprint(), host, n.getUpstreamIncarnation(), now)) {
+        if (suspects.crashed(n.getFingerprint(), host + "/" + n.getUpstreamIncarnation(), now)) {
             Event.named("request-suspected")
                     .with("fingerprint", n.getFingerprint())
                     .with("host", host)
--- a/src/main/java/org/papayawalk/daemon/entry/KeptAnswers.java
+++ b/src/main/java/org/papayawalk/daemon/entry/KeptAnswers.java
@@ -3,12 +3,12 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import org.papayawalk.adapter.HttpHeader;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.Outcome;
 import org.papayawalk.core.api.CallerHeaders;
 import org.papayawalk.core.once.StoredAnswer;
 import org.papayawalk.core.port.ObjectStore;
-import org.papayawalk.platform.HttpHeader;
 
 /** Makes answers to callers of the answers kept for replay. Thread-safe. */
 final class KeptAnswers {
--- a/src/main/java/org/papayawalk/daemon/entry/OnceCalls.java
+++ b/src/main/java/org/papayawalk/daemon/entry/OnceCalls.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import org.papayawalk.adapter.OnceTables;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.id.Digest;
@@ -21,7 +22,6 @@
 import org.papayawalk.daemon.once.OnceRow;
 import org.papayawalk.daemon.once.OnceTable;
 import org.papayawalk.daemon.once.WriteResult;
-import org.papayawalk.platform.OnceTables;
 import org.papayawalk.wire.proto.ResponseEnd;
 import org.papayawalk.wire.proto.ResponseHead;
 
--- a/src/main/java/org/papayawalk/daemon/entry/PlainCall.java
+++ b/src/main/java/org/papayawalk/daemon/entry/PlainCall.java
@@ -248,8 +248,7 @@
             services.suspects()
                     .crashed(
                             request.fingerprint(),
-                            attempt.candidate().host(),
-                            end.getUpstreamIncarnation(),
+                            attempt.candidate().host() + "/" + end.getUpstreamIncarnation(),
                             services.clock().instant());
         }
         dispatched |= ran;
--- a/src/main/java/org/papayawalk/daemon/entry/RequestParser.java
+++ b/src/main/java/org/papayawalk/daemon/entry/RequestParser.java
@@ -16,6 +16,8 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
+import org.papayawalk.adapter.HttpHeader;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.admit.Priority;
 import org.papayawalk.core.api.CallerHeaders;
 import org.papayawalk.core.config.Configuration;
@@ -24,8 +26,6 @@
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.id.FleetId;
 import org.papayawalk.core.id.TeamId;
-import org.papayawalk.platform.HttpHeader;
-import org.papayawalk.platform.Json;
 
 /** Checks callers' requests. Holds no changeable state; safe from any thread. */
 final class RequestParser {
--- a/src/main/java/org/papayawalk/daemon/node/ConfigStore.java
+++ b/src/main/java/org/papayawalk/daemon/node/ConfigStore.java
@@ -1,13 +1,13 @@
 package org.papayawalk.daemon.node;
 
 import io.vavr.control.Either;
+import org.papayawalk.adapter.ConfigCodec;
+import org.papayawalk.adapter.ConfigTables;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.config.Configuration;
 import org.papayawalk.core.id.ConfigVersion;
 import org.papayawalk.core.port.TableService;
-import org.papayawalk.platform.ConfigCodec;
-import org.papayawalk.platform.ConfigTables;
 
 /** Reads accepted configurations from the table service. Holds no state; safe from any thread. */
 final class ConfigStore {
--- a/src/main/java/org/papayawalk/daemon/node/PeerDocuments.java
+++ b/src/main/java/org/papayawalk/daemon/node/PeerDocuments.java
@@ -2,11 +2,11 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
+import org.papayawalk.adapter.ConfigCodec;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.config.Configuration;
 import org.papayawalk.core.member.HostRecord;
 import org.papayawalk.core.member.Member;
-import org.papayawalk.platform.ConfigCodec;
-import org.papayawalk.platform.Json;
 import org.papayawalk.wire.proto.ConfigDocument;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.HostsDocument;
--- a/src/main/java/org/papayawalk/daemon/once/OnceTable.java
+++ b/src/main/java/org/papayawalk/daemon/once/OnceTable.java
@@ -6,14 +6,14 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import org.papayawalk.adapter.Json;
+import org.papayawalk.adapter.OnceTables;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.once.OnceRecord;
 import org.papayawalk.core.port.TableRow;
 import org.papayawalk.core.port.TableService;
 import org.papayawalk.core.port.TableWrite;
-import org.papayawalk.platform.Json;
-import org.papayawalk.platform.OnceTables;
 
 /**
  * Reads and changes rows of non-idempotent calls. A write whose answer is lost is resolved by
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/site/EntryDirectory.java
@@ -0,0 +1,157 @@
+package org.papayawalk.daemon.site;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.papayawalk.core.id.DomainId;
+
+/**
+ * Addresses of the entries that this daemon knows of. An entry that fails is asked less often and
+ * forgotten after a while; seeds are never forgotten. Not thread-safe: confined to the control
+ * thread.
+ */
+final class EntryDirectory {
+    /** Time after which an entry that was not heard is no longer told to others. */
+    private static final Duration FRESH = Duration.ofSeconds(3);
+
+    /** Time after which an entry that was not heard is forgotten. */
+    private static final Duration MEMORY = Duration.ofSeconds(60);
+
+    /** Pause before an entry that failed is asked again. */
+    private static final Duration FAILURE_PAUSE = Duration.ofSeconds(1);
+
+    /** What is known of an entry. */
+    private static final class Known {
+        /** Failure domain that it stands in. */
+        private DomainId domain;
+
+        /** When it was last heard of at first or second hand. */
+        private Instant mentionedAt;
+
+        /** When it last answered or asked. */
+        private Instant heardAt = Instant.MIN;
+
+        /** Time before which it is not asked. */
+        private Instant pausedUntil = Instant.MIN;
+
+        /**
+         * Creates the record of an entry.
+         *
+         * @param domain failure domain
+         * @param now present time
+         */
+        Known(DomainId domain, Instant now) {
+            this.domain = domain;
+            mentionedAt = now;
+        }
+    }
+
+    /** Own address, never listed. */
+    private final String self;
+
+    /** Entries by address. */
+    private final Map<String, Known> entries = new HashMap<>();
+
+    /**
+     * Creates a directory.
+     *
+     * @param self address of this daemon
+     */
+    EntryDirectory(String self) {
+        this.self = self;
+    }
+
+    /**
+     * Takes an address at second hand.
+     *
+     * @param address address of an entry
+     * @param domain failure domain of the entry
+     * @param now present time
+     */
+    void mentioned(String address, DomainId domain, Instant now) {
+        if (!address.equals(self)) {
+            entries.computeIfAbsent(address, k -> new Known(domain, now)).mentionedAt = now;
+        }
+    }
+
+    /**
+     * Records that an entry answered or asked.
+     *
+     * @param address address of the entry
+     * @param domain failure domain of the entry
+     * @param now present time
+     */
+    void heard(String address, DomainId domain, Instant now) {
+        if (address.equals(self)) {
+            return;
+        }
+        Known known = entries.computeIfAbsent(address, k -> new Known(domain, now));
+        known.domain = domain;
+        known.mentionedAt = now;
+        known.heardAt = now;
+        known.pausedUntil = Instant.MIN;
+    }
+
+    /**
+     * Records that an entry did not answer.
+     *
+     * @param address address of the entry
+     * @param now present time
+     */
+    void failed(String address, Instant now) {
+        Known known = entries.get(address);
+        if (known != null) {
+            known.pausedUntil = now.plus(FAILURE_PAUSE);
+        }
+    }
+
+    /**
+     * Returns the entries that may be asked.
+     *
+     * @param now present time
+     * @return addresses
+     */
+    List<String> askable(Instant now) {
+        entries.values().removeIf(k -> k.mentionedAt.plus(MEMORY).isBefore(now));
+        List<String> list = new ArrayList<>();
+        entries.forEach(
+                (a, k) -> {
+                    if (!k.pausedUntil.isAfter(now)) {
+                        list.add(a);
+                    }
+                });
+        return list;
+    }
+
+    /**
+     * Returns the entries that were heard lately.
+     *
+     * @param now present time
+     * @return failure domain by address
+     */
+    Map<String, DomainId> fresh(Instant now) {
+        Map<String, DomainId> fresh = new HashMap<>();
+        entries.forEach(
+                (a, k) -> {
+                    if (k.heardAt.plus(FRESH).isAfter(now)) {
+                        fresh.put(a, k.domain);
+                    }
+                });
+        return fresh;
+    }
+
+    /**
+     * Tells whether an entry stands in a failure domain.
+     *
+     * @param address address of the entry
+     * @param domain failure domain
+     * @return true if it is known to stand there
+     */
+    boolean inDomain(String address, DomainId domain) {
+        Known known = entries.get(address);
+        return known != null && known.domain.equals(domain);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/site/SiteNode.java
@@ -0,0 +1,315 @@
+package org.papayawalk.daemon.site;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.papayawalk.core.Addresses;
+import org.papayawalk.core.MonotonicClock;
+import org.papayawalk.core.site.SiteSettings;
+import org.papayawalk.core.suspect.SuspectRegistry;
+import org.papayawalk.core.upstream.TableBatch;
+import org.papayawalk.daemon.node.ControlThread;
+import org.papayawalk.http.HttpClient;
+import org.papayawalk.log.Event;
+import org.papayawalk.wire.MessageHandler;
+import org.papayawalk.wire.PeerChannel;
+import org.papayawalk.wire.PeerClient;
+import org.papayawalk.wire.PeerServer;
+import org.papayawalk.wire.WireRuntime;
+import org.papayawalk.wire.proto.Envelope;
+
+/**
+ * What an entry and an agent have in common: threads, the platform's state, and messages with other
+ * daemons. Thread-safe.
+ */
+public final class SiteNode {
+    /** Time without an entry after which an agent follows the store itself. */
+    private static final Duration ENTRY_SILENCE = Duration.ofMillis(1500);
+
+    /** Longest wait for the store at the stop. */
+    private static final Duration LEAVE_LIMIT = Duration.ofMillis(500);
+
+    /** Settings of the process. */
+    private final SiteSettings settings;
+
+    /** Clock that never jumps. */
+    private final MonotonicClock clock = new MonotonicClock();
+
+    /** Control thread. */
+    private final ControlThread thread = new ControlThread("control");
+
+    /** Event loop of all connections. */
+    private final WireRuntime runtime = new WireRuntime(1);
+
+    /** Client for short calls. */
+    private final HttpClient http = new HttpClient(runtime.group());
+
+    /** Client of other daemons. */
+    private final PeerClient peers = new PeerClient(runtime);
+
+    /** The platform's state. */
+    private final SiteState state = new SiteState(clock, thread);
+
+    /** Entries known. */
+    private final EntryDirectory entries;
+
+    /** Rows by which entries are found. */
+    private final EntryRegistry registry;
+
+    /** Feeds of the tables. */
+    private final List<StoreFeed> feeds = new ArrayList<>();
+
+    /** Servers of messages. */
+    private final List<PeerServer> servers = new ArrayList<>();
+
+    /** When an entry last answered this agent. */
+    private Instant entryHeardAt;
+
+    /** Number of entries heard lately, this daemon included if it is one. */
+    private volatile int entryCount = 1;
+
+    /**
+     * Creates a node that does not run yet.
+     *
+     * @param settings settings of the process
+     */
+    public SiteNode(SiteSettings settings) {
+        this.settings = settings;
+        entries = new EntryDirectory(settings.peerAddress());
+        registry = new EntryRegistry(settings, http, entries, thread, clock);
+        entryHeardAt = clock.instant();
+        for (String table : state.tableNames()) {
+            feeds.add(new StoreFeed(http, settings.storeAddress(), table, thread, receiver(table)));
+        }
+    }
+
+    /**
+     * Starts as an entry: follows the store, tells other entries, and answers agents.
+     *
+     * @param suspects evidence against requests
+     * @throws IOException if an address cannot be used
+     */
+    public void runAsEntry(SuspectRegistry suspects) throws IOException {
+        ViewServer server =
+                new ViewServer(
+                        state,
+                        entries,
+                        suspects,
+                        settings.peerAddress(),
+                        settings.domain(),
+                        thread,
+                        clock);
+        MessageHandler handler = handler(server);
+        listen(settings.peerAddress(), handler);
+        if (settings.controlAddress().isPresent()) {
+            listen(settings.controlAddress().get(), handler);
+        }
+        ViewClient client = client(suspects);
+        thread.run(
+                () -> {
+                    feeds.forEach(StoreFeed::start);
+                    client.runAsEntry();
+                    registry.register();
+                    registry.follow();
+                });
+        thread.every(Duration.ofSeconds(1), this::countEntries);
+    }
+
+    /**
+     * Starts as an agent: follows an entry, and the store while no entry answers.
+     *
+     * @param handler takes messages of other agents
+     * @throws IOException if the address cannot be used
+     */
+    public void runAsAgent(MessageHandler handler) throws IOException {
+        listen(settings.peerAddress(), handler);
+        ViewClient client = client(new SuspectRegistry(1, Duration.ofSeconds(1)));
+        thread.run(() -> client.runAsAgent(this::entryAnswered));
+    }
+
+    /**
+     * Returns the settings.
+     *
+     * @return settings of the process
+     */
+    public SiteSettings settings() {
+        return settings;
+    }
+
+    /**
+     * Returns the clock.
+     *
+     * @return clock that never jumps
+     */
+    public InstantSource clock() {
+        return clock;
+    }
+
+    /**
+     * Returns the control thread.
+     *
+     * @return control thread
+     */
+    public ControlThread thread() {
+        return thread;
+    }
+
+    /**
+     * Returns the event loop of all connections.
+     *
+     * @return runtime
+     */
+    public WireRuntime runtime() {
+        return runtime;
+    }
+
+    /**
+     * Returns the client for short calls.
+     *
+     * @return client
+     */
+    public HttpClient http() {
+        return http;
+    }
+
+    /**
+     * Returns the client of other daemons.
+     *
+     * @return client
+     */
+    public PeerClient peers() {
+        return peers;
+    }
+
+    /**
+     * Returns the platform's state.
+     *
+     * @return state
+     */
+    public SiteState state() {
+        return state;
+    }
+
+    /**
+     * Returns the number of entries heard lately.
+     *
+     * @return at least 1
+     */
+    public int entryCount() {
+        return entryCount;
+    }
+
+    /** Removes the row of this entry from the store. Waits for a short time. */
+    public void deregister() {
+        try {
+            registry.deregister().get(LEAVE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException e) {
+            Event.named("entry-row-left").with("reason", e).info();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Creates the client of entries.
+     *
+     * @param suspects evidence against requests
+     * @return client
+     */
+    private ViewClient client(SuspectRegistry suspects) {
+        return new ViewClient(
+                state,
+                entries,
+                settings.seeds(),
+                suspects,
+                peers,
+                thread,
+                clock,
+                settings.peerAddress(),
+                settings.domain());
+    }
+
+    /**
+     * Listens for messages.
+     *
+     * @param address IP number and port
+     * @param handler takes the messages
+     * @throws IOException if the address cannot be used
+     */
+    private void listen(String address, MessageHandler handler) throws IOException {
+        servers.add(new PeerServer(runtime, Addresses.parse(address), handler));
+    }
+
+    /**
+     * Records whether an entry answered this agent.
+     *
+     * @param answered true if one did
+     */
+    private void entryAnswered(boolean answered) {
+        Instant now = clock.instant();
+        if (answered) {
+            entryHeardAt = now;
+            feeds.forEach(StoreFeed::stop);
+        } else if (entryHeardAt.plus(ENTRY_SILENCE).isBefore(now)) {
+            feeds.forEach(StoreFeed::start);
+        }
+    }
+
+    /** Counts the entries heard lately. */
+    private void countEntries() {
+        entryCount = entries.fresh(clock.instant()).size() + 1;
+    }
+
+    /**
+     * Creates the receiver of a feed.
+     *
+     * @param table name of the table
+     * @return receiver
+     */
+    private StoreFeed.Receiver receiver(String table) {
+        return new StoreFeed.Receiver() {
+            @Override
+            public long version() {
+                return state.table(table).version();
+            }
+
+            @Override
+            public void read(TableBatch batch, long after) {
+                state.read(table, batch, after, "store");
+            }
+
+            @Override
+            public void away() {
+                state.storeAway();
+            }
+        };
+    }
+
+    /**
+     * Creates the handler of an entry's messages.
+     *
+     * @param server answers queries
+     * @return handler
+     */
+    private static MessageHandler handler(ViewServer server) {
+        return new MessageHandler() {
+            @Override
+            public void received(Envelope message, PeerChannel from) {
+                if (message.hasViewQuery()) {
+                    server.received(message, from);
+                }
+            }
+
+            @Override
+            public void closed(PeerChannel from) {
+                // Answers to a closed connection are dropped by the connection itself.
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/http/HttpAnswer.java
@@ -0,0 +1,19 @@
+package org.papayawalk.http;
+
+/**
+ * Whole answer to a short call. Immutable by agreement: the bytes are not changed.
+ *
+ * @param status status code
+ * @param body bytes of the body
+ */
+public record HttpAnswer(int status, byte[] body) {
+
+    /**
+     * Tells whether the call succeeded.
+     *
+     * @return true for a status from 200 to 299
+     */
+    public boolean success() {
+        return status / 100 == 2;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/http/HttpClient.java
@@ -0,0 +1,286 @@
+package org.papayawalk.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.papayawalk.core.Addresses;
+import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
+
+/**
+ * Client for short calls. Connections are kept for further calls to the same address; one carries
+ * one call at a time, and one whose call failed is closed. Thread-safe.
+ */
+public final class HttpClient {
+    /** Longest time to connect, in milliseconds. */
+    private static final int CONNECT_LIMIT_MILLIS = 1000;
+
+    /** Largest answer, in bytes. */
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+    /** Time after which an idle connection is not used again, in nanoseconds. */
+    private static final long IDLE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Event loops. */
+    private final EventLoopGroup group;
+
+    /** Idle connections by address. */
+    private final Map<String, Deque<Connection>> idle = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a client.
+     *
+     * @param group event loops
+     */
+    public HttpClient(EventLoopGroup group) {
+        this.group = group;
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param call call to send
+     * @return answer or fault; never completes exceptionally
+     */
+    public CompletableFuture<Either<Fault, HttpAnswer>> call(ShortCall call) {
+        CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+        Connection kept = takeIdle(call.address());
+        if (kept == null) {
+            connect(call, answer);
+        } else {
+            kept.send(call, answer);
+        }
+        return answer.orTimeout(call.limit().toNanos(), TimeUnit.NANOSECONDS)
+                .handle(
+                        (a, e) ->
+                                e == null
+                                        ? Either.<Fault, HttpAnswer>right(a)
+                                        : Either.<Fault, HttpAnswer>left(fault(call, e)));
+    }
+
+    /**
+     * Takes an idle connection.
+     *
+     * @param address address of the other side
+     * @return connection, or null if there is none
+     */
+    private Connection takeIdle(String address) {
+        Deque<Connection> kept = idle.get(address);
+        if (kept == null) {
+            return null;
+        }
+        long oldest = System.nanoTime() - IDLE_LIMIT_NANOS;
+        synchronized (kept) {
+            while (!kept.isEmpty()) {
+                Connection c = kept.removeLast();
+                if (c.usableSince(oldest)) {
+                    return c;
+                }
+                c.close();
+            }
+        }
+        return null;
+    }
+
+    /**
+     * Keeps a connection for further calls.
+     *
+     * @param connection connection without a call
+     */
+    private void keep(Connection connection) {
+        Deque<Connection> kept = idle.computeIfAbsent(connection.address, a -> new ArrayDeque<>());
+        synchronized (kept) {
+            kept.addLast(connection);
+        }
+    }
+
+    /**
+     * Opens a connection and sends a call on it.
+     *
+     * @param call call to send
+     * @param answer takes the answer
+     */
+    private void connect(ShortCall call, CompletableFuture<HttpAnswer> answer) {
+        Connection connection = new Connection(call.address());
+        SocketOptions.apply(new Bootstrap(), CONNECT_LIMIT_MILLIS)
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline()
+                                        .addLast(new HttpClientCodec())
+                                        .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                                        .addLast(connection);
+                            }
+                        })
+                .connect(Addresses.parse(call.address()))
+                .addListener(
+                        done -> {
+                            if (done.isSuccess()) {
+                                connection.send(call, answer);
+                            } else {
+                                answer.completeExceptionally(done.cause());
+                            }
+                        });
+    }
+
+    /**
+     * Makes the fault of a failed call.
+     *
+     * @param call call that failed
+     * @param failure cause
+     * @return fault
+     */
+    private static Fault fault(ShortCall call, Throwable failure) {
+        String step = call.method() + " " + call.target();
+        if (failure instanceof TimeoutException) {
+            String reason = "no answer within " + call.limit().toMillis() + " ms";
+            return new Fault(FaultKind.UNKNOWN_OUTCOME, step, call.address(), reason);
+        }
+        return Fault.of(FaultKind.UNKNOWN_OUTCOME, step, call.address(), failure);
+    }
+
+    /** One connection. Its calls come one after the other; its state changes on its event loop. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        /** Address of the other side. */
+        private final String address;
+
+        /** Channel, once it is open. */
+        private volatile Channel channel;
+
+        /** Takes the answer to the call under way; null without one. */
+        private volatile CompletableFuture<HttpAnswer> waiting;
+
+        /** When the last call ended, on the clock of {@link System#nanoTime()}. */
+        private volatile long idleSince;
+
+        /**
+         * Creates a connection that is not open yet.
+         *
+         * @param address address of the other side
+         */
+        Connection(String address) {
+            this.address = address;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            channel = context.channel();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            fail(new IOException("connection closed before the answer was complete"));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            fail(cause);
+            context.close();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            CompletableFuture<HttpAnswer> answer = waiting;
+            waiting = null;
+            boolean broken = response.decoderResult().isFailure();
+            if (answer == null || broken) {
+                context.close();
+                if (answer != null) {
+                    answer.completeExceptionally(response.decoderResult().cause());
+                }
+                return;
+            }
+            byte[] body = ByteBufUtil.getBytes(response.content());
+            idleSince = System.nanoTime();
+            if (HttpUtil.isKeepAlive(response)) {
+                keep(this);
+            } else {
+                context.close();
+            }
+            answer.complete(new HttpAnswer(response.status().code(), body));
+        }
+
+        /**
+         * Sends a call.
+         *
+         * @param call call to send
+         * @param answer takes the answer
+         */
+        void send(ShortCall call, CompletableFuture<HttpAnswer> answer) {
+            waiting = answer;
+            answer.whenComplete(
+                    (a, e) -> {
+                        if (e != null) {
+                            close();
+                        }
+                    });
+            DefaultFullHttpRequest request =
+                    new DefaultFullHttpRequest(
+                            HttpVersion.HTTP_1_1,
+                            call.method(),
+                            call.target(),
+                            Unpooled.wrappedBuffer(call.body()));
+            request.headers().set(HttpHeaderNames.HOST, call.address());
+            if (call.body().length > 0) {
+                request.headers()
+                        .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                        .set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+            }
+            channel.writeAndFlush(request);
+        }
+
+        /**
+         * Tells whether the connection may carry a call.
+         *
+         * @param oldest time before which it must not have become idle
+         * @return true if it is open and was used lately
+         */
+        boolean usableSince(long oldest) {
+            return channel.isActive() && idleSince - oldest > 0;
+        }
+
+        /** Closes the connection. */
+        void close() {
+            channel.close();
+        }
+
+        /**
+         * Fails the call under way.
+         *
+         * @param cause cause of the failure
+         */
+        private void fail(Throwable cause) {
+            CompletableFuture<HttpAnswer> answer = waiting;
+            waiting = null;
+            if (answer != null) {
+                answer.completeExceptionally(cause);
+            }
+        }
+    }
+}
--- a/src/main/java/org/papayawalk/lab/FaultCommand.java
+++ b/src/main/java/org/papayawalk/lab/FaultCommand.java
@@ -3,9 +3,9 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.time.Duration;
+import org.papayawalk.adapter.HttpCall;
+import org.papayawalk.adapter.HttpCaller;
 import org.papayawalk.lab.standin.FaultSettings;
-import org.papayawalk.platform.HttpCall;
-import org.papayawalk.platform.HttpCaller;
 
 /** Switches faults of a running stand-in. */
 @Parameters(commandDescription = "Set the faults of a running stand-in")
--- a/src/main/java/org/papayawalk/lab/PlatformCommand.java
+++ b/src/main/java/org/papayawalk/lab/PlatformCommand.java
@@ -9,6 +9,8 @@
 import java.time.Duration;
 import java.util.List;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.papayawalk.adapter.HttpEndpoint;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.member.HostRecord;
@@ -16,8 +18,6 @@
 import org.papayawalk.lab.standin.HostListStandIn;
 import org.papayawalk.lab.standin.OriginStandIn;
 import org.papayawalk.lab.standin.TableStandIn;
-import org.papayawalk.platform.HttpEndpoint;
-import org.papayawalk.platform.Json;
 
 /** Starts the platform's stand-ins, each on an address of its own. */
 @Parameters(commandDescription = "Start table service, object store, host list and origin")
--- a/src/main/java/org/papayawalk/lab/PublishCommand.java
+++ b/src/main/java/org/papayawalk/lab/PublishCommand.java
@@ -5,10 +5,10 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import java.time.Duration;
 import java.util.Map;
+import org.papayawalk.adapter.HttpCall;
+import org.papayawalk.adapter.HttpCaller;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.lab.standin.PublishRequest;
-import org.papayawalk.platform.HttpCall;
-import org.papayawalk.platform.HttpCaller;
-import org.papayawalk.platform.Json;
 
 /** Has the origin make up a version and prints the digest of its manifest. */
 @Parameters(commandDescription = "Make up a version at the origin and print its digest")
--- a/src/main/java/org/papayawalk/lab/UpstreamCommand.java
+++ b/src/main/java/org/papayawalk/lab/UpstreamCommand.java
@@ -4,12 +4,12 @@
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.papayawalk.adapter.HttpEndpoint;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.lab.standin.EngineSettings;
 import org.papayawalk.lab.standin.EngineStandIn;
 import org.papayawalk.lab.standin.FaultSwitch;
 import org.papayawalk.lab.standin.ServiceStandIn;
-import org.papayawalk.platform.HttpEndpoint;
 
 /** Starts the stand-in of one upstream. */
 @Parameters(commandDescription = "Start a model engine or a plain service")
--- a/src/main/java/org/papayawalk/lab/VerifyCommand.java
+++ b/src/main/java/org/papayawalk/lab/VerifyCommand.java
@@ -9,14 +9,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.papayawalk.adapter.HttpCall;
+import org.papayawalk.adapter.HttpCaller;
+import org.papayawalk.adapter.HttpHeader;
+import org.papayawalk.adapter.HttpReply;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.api.CallerHeaders;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.lab.standin.EngineText;
-import org.papayawalk.platform.HttpCall;
-import org.papayawalk.platform.HttpCaller;
-import org.papayawalk.platform.HttpHeader;
-import org.papayawalk.platform.HttpReply;
-import org.papayawalk.platform.Json;
 
 /** Sends requests through the entries and checks every byte of the answers. */
 @Parameters(commandDescription = "Check streamed requests and an order through the entries")
--- a/src/main/java/org/papayawalk/lab/burst/BurstCommand.java
+++ b/src/main/java/org/papayawalk/lab/burst/BurstCommand.java
@@ -7,9 +7,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.weight.DistributionPolicy;
 import org.papayawalk.lab.LabCommand;
-import org.papayawalk.platform.Json;
 
 /** Measures how a version spreads. */
 @Parameters(commandDescription = "Measure how a version spreads over paced links")
--- a/src/main/java/org/papayawalk/lab/burst/LiveLoad.java
+++ b/src/main/java/org/papayawalk/lab/burst/LiveLoad.java
@@ -14,13 +14,13 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import org.papayawalk.adapter.HttpCall;
+import org.papayawalk.adapter.HttpCaller;
+import org.papayawalk.adapter.HttpReply;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.api.CallerHeaders;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.lab.standin.EngineText;
-import org.papayawalk.platform.HttpCall;
-import org.papayawalk.platform.HttpCaller;
-import org.papayawalk.platform.HttpReply;
-import org.papayawalk.platform.Json;
 
 /**
  * Sends requests at a fixed rate whatever the answers take, and checks every answer against the
--- a/src/main/java/org/papayawalk/lab/cluster/LabAgent.java
+++ b/src/main/java/org/papayawalk/lab/cluster/LabAgent.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.Function;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.papayawalk.adapter.HttpEndpoint;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.id.FleetId;
 import org.papayawalk.core.member.HostRecord;
@@ -17,7 +18,6 @@
 import org.papayawalk.daemon.node.Node;
 import org.papayawalk.lab.standin.EngineStandIn;
 import org.papayawalk.lab.standin.FaultSwitch;
-import org.papayawalk.platform.HttpEndpoint;
 import org.papayawalk.wire.proto.Heartbeat;
 
 /** An agent with its upstream's stand-in, which outlives the agent. Thread-safe. */
@@ -105,7 +105,7 @@
                         settings,
                         origin,
                         platform.objects(),
-                        links.apply(new WireChunkTransport(newNode)));
+                        links.apply(WireChunkTransport.of(newNode)));
         node = newNode;
         role = newRole;
         running = true;
--- a/src/main/java/org/papayawalk/lab/config/ConfigCommand.java
+++ b/src/main/java/org/papayawalk/lab/config/ConfigCommand.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
+import org.papayawalk.adapter.ApplyResult;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.config.FleetSpec;
 import org.papayawalk.core.config.UpstreamKind;
 import org.papayawalk.core.id.Digest;
@@ -31,8 +33,6 @@
 import org.papayawalk.lab.cluster.LabPlatform;
 import org.papayawalk.lab.standin.FaultSettings;
 import org.papayawalk.lab.standin.ServiceStandIn;
-import org.papayawalk.platform.ApplyResult;
-import org.papayawalk.platform.Json;
 
 /** Measures how fast changes are in force, and what control costs by the number of daemons. */
 @Parameters(commandDescription = "Measure changes of the configuration and the cost of control")
--- a/src/main/java/org/papayawalk/lab/requests/RequestsCommand.java
+++ b/src/main/java/org/papayawalk/lab/requests/RequestsCommand.java
@@ -13,9 +13,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.lab.LabCommand;
 import org.papayawalk.lab.standin.EngineSettings;
-import org.papayawalk.platform.Json;
 
 /** Measures requests under load and faults. */
 @Parameters(commandDescription = "Measure requests under load and faults")
--- a/src/main/java/org/papayawalk/lab/requests/TestCaller.java
+++ b/src/main/java/org/papayawalk/lab/requests/TestCaller.java
@@ -11,17 +11,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.papayawalk.adapter.HttpCall;
+import org.papayawalk.adapter.HttpCaller;
+import org.papayawalk.adapter.HttpHeader;
+import org.papayawalk.adapter.HttpReply;
+import org.papayawalk.adapter.HttpStream;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.api.CallerHeaders;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.lab.SseText;
 import org.papayawalk.lab.standin.EngineText;
-import org.papayawalk.platform.HttpCall;
-import org.papayawalk.platform.HttpCaller;
-import org.papayawalk.platform.HttpHeader;
-import org.papayawalk.platform.HttpReply;
-import org.papayawalk.platform.HttpStream;
-import org.papayawalk.platform.Json;
 
 /** Makes calls as a caller would and checks the answers byte by byte. Thread-safe. */
 public final class TestCaller implements AutoCloseable {
--- a/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
@@ -19,12 +19,12 @@
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.papayawalk.adapter.Json;
+import org.papayawalk.adapter.VersionChange;
 import org.papayawalk.core.api.CallerHeaders;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.port.EngineStatus;
 import org.papayawalk.core.weight.Manifest;
-import org.papayawalk.platform.Json;
-import org.papayawalk.platform.VersionChange;
 
 /**
  * Model engine that generates computable text at a set pace, with a prefix cache, resume, cancel,
--- a/src/main/java/org/papayawalk/lab/standin/EngineVersions.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineVersions.java
@@ -3,10 +3,10 @@
 import java.security.MessageDigest;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.papayawalk.adapter.VersionChange;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.port.EngineStatus;
 import org.papayawalk.core.weight.Manifest;
-import org.papayawalk.platform.VersionChange;
 
 /** Versions of an engine stand-in: the one that serves and the one that is staged. Thread-safe. */
 final class EngineVersions {
--- a/src/main/java/org/papayawalk/lab/standin/HostListStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/HostListStandIn.java
@@ -13,9 +13,9 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.member.HostRecord;
 import org.papayawalk.core.member.HostState;
-import org.papayawalk.platform.Json;
 
 /**
  * Host list that shows each change only after a lag. {@code PUT /lab/hosts} sets the list, {@code
--- a/src/main/java/org/papayawalk/lab/standin/OriginStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/OriginStandIn.java
@@ -9,9 +9,9 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.weight.LinkPacer;
-import org.papayawalk.platform.Json;
 
 /**
  * Origin behind a link of limited rate. {@code POST /lab/publish} makes a version up. Thread-safe.
--- a/src/main/java/org/papayawalk/lab/standin/PublishedVersion.java
+++ b/src/main/java/org/papayawalk/lab/standin/PublishedVersion.java
@@ -5,9 +5,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import org.papayawalk.adapter.ManifestCodec;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.weight.Manifest;
-import org.papayawalk.platform.ManifestCodec;
 
 /**
  * Version with made-up content that follows from its seed. Immutable; safe from any thread.
--- a/src/main/java/org/papayawalk/lab/standin/TableStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/TableStandIn.java
@@ -12,9 +12,9 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.papayawalk.adapter.Json;
 import org.papayawalk.core.port.TableRow;
 import org.papayawalk.core.port.TableWrite;
-import org.papayawalk.platform.Json;
 
 /** Table service in memory, with objects beside the tables. Thread-safe: one lock. */
 public final class TableStandIn implements HttpRequestHandler {
--- /dev/null
+++ b/src/main/java/org/papayawalk/platform/DesiredStateCodec.java
@@ -0,0 +1,197 @@
+package org.papayawalk.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.papayawalk.core.desired.Caller;
+import org.papayawalk.core.desired.CallerLimits;
+import org.papayawalk.core.desired.DesiredState;
+import org.papayawalk.core.desired.EngineSpec;
+import org.papayawalk.core.desired.OriginSpec;
+import org.papayawalk.core.desired.RequestKind;
+import org.papayawalk.core.desired.RouteRule;
+import org.papayawalk.core.desired.RouteTable;
+import org.papayawalk.core.desired.ServiceSpec;
+import org.papayawalk.core.desired.TrafficShare;
+import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.id.TeamId;
+
+/** Reads the operator's desired state. Holds no state; safe from any thread. */
+public final class DesiredStateCodec {
+    /** Time limit of a route that states none. */
+    private static final int DEFAULT_TIMEOUT_MILLIS = 30_000;
+
+    /** Prevents instances. */
+    private DesiredStateCodec() {}
+
+    /**
+     * Decodes a desired state.
+     *
+     * @param data JSON text
+     * @return desired state
+     * @throws IOException if the text is not a desired state
+     */
+    public static DesiredState decode(byte[] data) throws IOException {
+        JsonNode root = JsonTree.object(data);
+        try {
+            List<RouteRule> routes = new ArrayList<>();
+            root.path("routes").forEach(r -> routes.add(route(r)));
+            Map<ServiceId, ServiceSpec> services = new HashMap<>();
+            root.path("services")
+                    .forEach(
+                            s -> {
+                                ServiceSpec spec = service(s);
+                                services.put(spec.id(), spec);
+                            });
+            return new DesiredState(
+                    root.path("version").asLong(),
+                    new RouteTable(routes),
+                    services,
+                    limits(root.path("limits")),
+                    root.has("tenants"),
+                    keys(root.path("tenants")));
+        } catch (IllegalArgumentException e) {
+            throw new IOException("desired state: " + e.getMessage(), e);
+        }
+    }
+
+    /**
+     * Decodes a route.
+     *
+     * @param node table of the route
+     * @return route
+     */
+    private static RouteRule route(JsonNode node) {
+        List<TrafficShare> shares = new ArrayList<>();
+        for (JsonNode s : node.path("trafficSplit")) {
+            ServiceId service = new ServiceId(s.path("service").asText());
+            shares.add(new TrafficShare(service, s.path("weight").asInt()));
+        }
+        if (shares.isEmpty()) {
+            shares.add(new TrafficShare(new ServiceId(node.path("service").asText()), 1));
+        }
+        int timeout = node.path("timeoutMs").asInt(DEFAULT_TIMEOUT_MILLIS);
+        return new RouteRule(
+                node.path("name").asText(),
+                node.path("host").asText(),
+                node.path("prefix").asText(),
+                kind(node.path("kind").asText()),
+                Duration.ofMillis(timeout),
+                Duration.ofMillis(node.path("targetLatencyMs").asInt(timeout)),
+                node.path("priority").asInt(),
+                shares,
+                Math.max(1, node.path("maxAttempts").asInt(1)),
+                node.path("allowAnonymous").asBoolean(),
+                node.path("resumeStreams").asBoolean());
+    }
+
+    /**
+     * Decodes a kind of request. A kind that is not known may not be repeated.
+     *
+     * @param text word of the platform
+     * @return kind
+     */
+    private static RequestKind kind(String text) {
+        return switch (text) {
+            case "safe" -> RequestKind.SAFE;
+            case "streaming" -> RequestKind.STREAMING;
+            default -> RequestKind.NON_IDEMPOTENT;
+        };
+    }
+
+    /**
+     * Decodes a service.
+     *
+     * @param node table of the service
+     * @return service
+     */
+    private static ServiceSpec service(JsonNode node) {
+        Optional<OriginSpec> origin =
+                node.hasNonNull("origin")
+                        ? Optional.of(
+                                new OriginSpec(
+                                        node.get("origin").asText(),
+                                        new DomainId(node.path("zone").asText("unknown")),
+                                        node.path("maxConnections").asInt(8)))
+                        : Optional.empty();
+        Optional<EngineSpec> engine =
+                node.hasNonNull("engine")
+                        ? Optional.of(engine(node.get("engine")))
+                        : Optional.empty();
+        return new ServiceSpec(
+                new ServiceId(node.path("name").asText()),
+                node.path("maxConnections").asInt(Integer.MAX_VALUE),
+                engine,
+                origin);
+    }
+
+    /**
+     * Decodes the engines of a service.
+     *
+     * @param node table of the engines
+     * @return engines
+     */
+    private static EngineSpec engine(JsonNode node) {
+        List<String> models = new ArrayList<>();
+        node.path("models").forEach(m -> models.add(m.path("name").asText()));
+        double warmup = node.path("models").path(0).path("warmupS").asDouble();
+        JsonNode usual = node.path("usual");
+        return new EngineSpec(
+                models,
+                Math.max(1, node.path("slots").asInt(1)),
+                node.path("chunks").asInt(),
+                node.path("chunkBytes").asInt(),
+                node.path("step_ms").asDouble(),
+                node.path("per_seq_ms").asDouble(),
+                node.path("read_per_s").asDouble(),
+                Math.max(1, node.path("stride").asInt(1)),
+                usual.path("prompt").asInt(),
+                usual.path("answer").asInt(),
+                Duration.ofMillis((long) (warmup * 1000)));
+    }
+
+    /**
+     * Decodes the limits on callers.
+     *
+     * @param node table of limits
+     * @return limits, with the usual ones where none is given
+     */
+    private static CallerLimits limits(JsonNode node) {
+        CallerLimits usual = CallerLimits.DEFAULT;
+        long header = node.path("headerTimeoutMs").asLong(usual.headerTimeout().toMillis());
+        long idle = node.path("idleTimeoutMs").asLong(usual.idleTimeout().toMillis());
+        return new CallerLimits(
+                node.path("maxHeaderBytes").asInt(usual.headerBytes()),
+                node.path("maxBodyBytes").asInt(usual.bodyBytes()),
+                Duration.ofMillis(header),
+                Duration.ofMillis(idle));
+    }
+
+    /**
+     * Decodes the keys of the teams.
+     *
+     * @param node list of teams
+     * @return holder of each key
+     */
+    private static Map<String, Caller> keys(JsonNode node) {
+        Map<String, Caller> keys = new HashMap<>();
+        for (JsonNode t : node) {
+            JsonNode priority = t.path("priority");
+            Caller caller =
+                    new Caller(
+                            new TeamId(t.path("name").asText()),
+                            priority.isInt()
+                                    ? OptionalInt.of(priority.asInt())
+                                    : OptionalInt.empty());
+            t.path("apiKeys").forEach(k -> keys.put(k.asText(), caller));
+        }
+        return keys;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/platform/SettingsCodec.java
@@ -0,0 +1,132 @@
+package org.papayawalk.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.id.RegionId;
+import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.site.SiteSettings;
+import org.papayawalk.core.site.SiteSettings.SiteBounds;
+
+/** Reads the platform's settings file. Holds no state; safe from any thread. */
+public final class SettingsCodec {
+    /** Variable that names the settings file. */
+    public static final String FILE_VARIABLE = "PAPAYAWALK_NODE_FILE";
+
+    /** Bits of a megabit. */
+    private static final double MEGABIT = 1e6;
+
+    /** Prevents instances. */
+    private SettingsCodec() {}
+
+    /**
+     * Reads a settings file.
+     *
+     * @param file path
+     * @return settings
+     * @throws IOException if the file cannot be read or lacks a field that is needed
+     */
+    public static SiteSettings read(Path file) throws IOException {
+        return decode(Files.readAllBytes(file));
+    }
+
+    /**
+     * Decodes settings.
+     *
+     * @param data JSON text
+     * @return settings
+     * @throws IOException if the text lacks a field that is needed
+     */
+    public static SiteSettings decode(byte[] data) throws IOException {
+        JsonNode root = JsonTree.object(data);
+        try {
+            return settings(root);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("settings: " + e.getMessage(), e);
+        }
+    }
+
+    /**
+     * Decodes settings.
+     *
+     * @param root root of the tree
+     * @return settings
+     */
+    private static SiteSettings settings(JsonNode root) {
+        Map<DomainId, RegionId> regions = new HashMap<>();
+        root.path("zones")
+                .properties()
+                .forEach(
+                        e ->
+                                regions.put(
+                                        new DomainId(e.getKey()),
+                                        new RegionId(e.getValue().asText())));
+        List<String> seeds = new ArrayList<>();
+        root.path("seeds").forEach(s -> seeds.add(s.asText()));
+        JsonNode listen = root.path("listen");
+        return new SiteSettings(
+                new HostId(required(root, "nodeName").asText()),
+                required(root, "ip").asText(),
+                new DomainId(required(root, "zone").asText()),
+                regions,
+                text(listen, "front"),
+                text(listen, "ready"),
+                text(listen, "control"),
+                required(root, "internalPorts").path(0).asInt(),
+                seeds,
+                required(required(root, "provider"), "address").asText(),
+                text(root, "app"),
+                text(root, "service").map(ServiceId::new),
+                root.path("limits").path("linkMbps").asDouble(1000) * MEGABIT / Byte.SIZE,
+                bounds(root.path("bounds")));
+    }
+
+    /**
+     * Decodes the time limits.
+     *
+     * @param node table of limits
+     * @return limits, with usual ones where none is given
+     */
+    private static SiteBounds bounds(JsonNode node) {
+        return new SiteBounds(
+                Duration.ofSeconds(node.path("graceS").asLong(8)),
+                Duration.ofMillis(node.path("version_ms").asLong(8000)),
+                node.path("retryBudgetRatio").asDouble(0.2),
+                node.path("budgetSlack").asDouble(50),
+                Duration.ofSeconds(node.path("budgetWindowS").asLong(10)));
+    }
+
+    /**
+     * Returns a field that must be there.
+     *
+     * @param node table
+     * @param field name of the field
+     * @return the field
+     */
+    private static JsonNode required(JsonNode node, String field) {
+        if (!node.hasNonNull(field)) {
+            throw new IllegalArgumentException("field \"" + field + "\" is missing");
+        }
+        return node.get(field);
+    }
+
+    /**
+     * Returns a text that may be absent.
+     *
+     * @param node table
+     * @param field name of the field
+     * @return text, empty if there is none
+     */
+    private static Optional<String> text(JsonNode node, String field) {
+        return node.hasNonNull(field) ? Optional.of(node.get(field).asText()) : Optional.empty();
+    }
+}
--- a/src/main/java/org/papayawalk/wire/PeerClient.java
+++ b/src/main/java/org/papayawalk/wire/PeerClient.java
@@ -109,6 +109,19 @@
         connection(new Key(address, lane)).thenAccept(c -> c.send(message));
     }
 
+    /**
+     * Closes the connection to a peer that does not answer. The next call opens a new one.
+     *
+     * @param address address of the peer
+     * @param lane kind of traffic
+     */
+    public void drop(String address, Lane lane) {
+        CompletableFuture<PeerConnection> known = connections.remove(new Key(address, lane));
+        if (known != null) {
+            known.thenAccept(PeerConnection::close);
+        }
+    }
+
     /**
      * Returns the bytes of control messages sent.
      *
--- a/src/main/java/org/papayawalk/wire/WireRuntime.java
+++ b/src/main/java/org/papayawalk/wire/WireRuntime.java
@@ -27,7 +27,7 @@
      *
      * @return event loop group
      */
-    EventLoopGroup group() {
+    public EventLoopGroup group() {
         return group;
     }
 
--- a/src/test/java/org/papayawalk/platform/HttpCallerTest.java
+++ b/src/test/java/org/papayawalk/adapter/HttpCallerTest.java
@@ -1,4 +1,4 @@
-package org.papayawalk.platform;
+package org.papayawalk.adapter;
 
 import static org.testng.Assert.assertEquals;
 
--- a/src/test/java/org/papayawalk/lab/standin/EngineVersionsTest.java
+++ b/src/test/java/org/papayawalk/lab/standin/EngineVersionsTest.java
@@ -5,9 +5,9 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.papayawalk.adapter.VersionChange;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.weight.Manifest;
-import org.papayawalk.platform.VersionChange;
 import org.testng.annotations.Test;
 
 /** Tests {@link EngineVersions} and what an engine stand-in reports late. */
