--- a/src/main/java/org/papayawalk/core/desired/EngineSpec.java
+++ b/src/main/java/org/papayawalk/core/desired/EngineSpec.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * What the desired state says of the model engines of a service. Immutable.
@@ -35,4 +36,13 @@
     public EngineSpec {
         models = List.copyOf(models);
     }
+
+    /**
+     * Returns the model whose weights are distributed.
+     *
+     * @return name of the first model, empty if there is none
+     */
+    public Optional<String> model() {
+        return models.stream().findFirst();
+    }
 }
--- /dev/null
+++ b/src/main/java/org/papayawalk/core/place/NamedVersion.java
@@ -0,0 +1,12 @@
+package org.papayawalk.core.place;
+
+import java.time.Instant;
+
+/**
+ * Version of a model's weights that the operator named. Immutable.
+ *
+ * @param number number of the version
+ * @param learnedAt when this daemon learned of it; {@link Instant#MIN} if it was named before this
+ *     daemon started
+ */
+public record NamedVersion(int number, Instant learnedAt) {}
--- a/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
+++ b/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
@@ -18,8 +18,11 @@
     /** Longest pause after failures in a row. */
     private static final Duration MAX_FAILURE_PAUSE = Duration.ofSeconds(3);
 
-    /** Pause after the upstream refused a request. */
-    private static final Duration REFUSAL_PAUSE = Duration.ofMillis(120);
+    /** Pause after the upstream refused a request; doubled each time in a row. */
+    private static final Duration REFUSAL_PAUSE = Duration.ofMillis(150);
+
+    /** Longest pause after refusals in a row. */
+    private static final Duration MAX_REFUSAL_PAUSE = Duration.ofMillis(600);
 
     /** Time after which a report of load no longer counts. */
     private static final Duration REPORT_MEMORY = Duration.ofSeconds(2);
@@ -36,6 +39,9 @@
     /** Failures in a row. */
     private int failures;
 
+    /** Refusals in a row. */
+    private int refusals;
+
     /** Share of failures among the latest outcomes, 0 to 1. */
     private double failureShare;
 
@@ -58,9 +64,10 @@
         switch (result) {
             case ANSWERED -> {
                 failures = 0;
+                refusals = 0;
                 failureShare *= 1 - FAILURE_WEIGHT;
             }
-            case REFUSED -> pausedUntil = later(pausedUntil, now.plus(REFUSAL_PAUSE));
+            case REFUSED -> refused(now);
             case SERVER_ERROR -> failureShare += FAILURE_WEIGHT / 2 * (1 - failureShare);
             case UNREACHABLE, BROKEN -> failed(now);
             default -> {}
@@ -126,6 +133,18 @@
         return failureShare;
     }
 
+    /**
+     * Records a refusal. An upstream that loads weights refuses for a second or two.
+     *
+     * @param now present time
+     */
+    private void refused(Instant now) {
+        long millis = REFUSAL_PAUSE.toMillis() << Math.min(refusals, 4);
+        refusals++;
+        Duration pause = Duration.ofMillis(Math.min(millis, MAX_REFUSAL_PAUSE.toMillis()));
+        pausedUntil = later(pausedUntil, now.plus(pause));
+    }
+
     /**
      * Records a failure of the connection.
      *
--- a/src/main/java/org/papayawalk/core/place/VersionRule.java
+++ b/src/main/java/org/papayawalk/core/place/VersionRule.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.OptionalInt;
 
 /**
@@ -10,7 +11,7 @@
  */
 public final class VersionRule {
     /** Time before the limit at which old versions stop answering. */
-    private static final Duration MARGIN = Duration.ofMillis(1200);
+    private static final Duration MARGIN = Duration.ofMillis(900);
 
     /** Time for which old versions go on answering. */
     private final Duration oldAnswers;
@@ -25,15 +26,17 @@
     }
 
     /**
-     * Returns the version that has to answer.
+     * Returns the version that has to answer. Each version is judged from its own naming on, so
+     * that a newer one does not give an older one more time.
      *
-     * @param newest newest version named
-     * @param learnedAt when this daemon learned of it
+     * @param named versions named, the newest last
      * @param now present time
-     * @return the newest version once older ones have to stop, empty before that
+     * @return lowest version that may answer, empty if any may
      */
-    public OptionalInt required(int newest, Instant learnedAt, Instant now) {
-        boolean required = !learnedAt.plus(oldAnswers).isAfter(now);
-        return required ? OptionalInt.of(newest) : OptionalInt.empty();
+    public OptionalInt lowest(List<NamedVersion> named, Instant now) {
+        return named.stream()
+                .filter(v -> !v.learnedAt().plus(oldAnswers).isAfter(now))
+                .mapToInt(NamedVersion::number)
+                .max();
     }
 }
--- a/src/main/java/org/papayawalk/core/weight/Download.java
+++ b/src/main/java/org/papayawalk/core/weight/Download.java
@@ -203,7 +203,8 @@
 
     @Override
     public boolean expects(int index) {
-        return open.contains(index) || (turns.own(index) && !have.get(index));
+        boolean turn = settings.relay() || turns.own(index);
+        return open.contains(index) || (turn && !have.get(index));
     }
 
     /**
@@ -274,7 +275,7 @@
      * @return the request, or null
      */
     private FetchOrder chooseWalk(Instant now, boolean own) {
-        int start = random.nextInt(chunkCount);
+        int start = settings.relay() ? 0 : random.nextInt(chunkCount);
         FetchOrder blind = null;
         for (int k = 0; k < chunkCount; k++) {
             int i = (start + k) % chunkCount;
--- a/src/main/java/org/papayawalk/daemon/agent/AgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/agent/AgentRole.java
@@ -123,11 +123,12 @@
                         settings.weights(),
                         node.clock(),
                         node.work(),
-                        transport,
-                        origin,
-                        new ChunkStager(engine),
-                        ManifestCodec::read,
-                        this::swarmPeers);
+                        new SwarmPorts(
+                                transport,
+                                origin,
+                                new ChunkStager(engine),
+                                ManifestCodec::read,
+                                this::swarmPeers));
         chunkServer =
                 new ChunkServer(
                         swarm,
--- a/src/main/java/org/papayawalk/daemon/agent/ChunkServer.java
+++ b/src/main/java/org/papayawalk/daemon/agent/ChunkServer.java
@@ -68,12 +68,13 @@
             return;
         }
         ChunkRequest r = message.getChunkRequest();
-        swarm.requested(
-                new HostId(r.getHost()),
-                new Digest(r.getDigest()),
-                r.getIndex(),
-                BitSet.valueOf(r.getBitmap().toByteArray()),
-                answer -> reply(message, from, answer));
+        ChunkQuery query =
+                new ChunkQuery(
+                        new HostId(r.getHost()),
+                        new Digest(r.getDigest()),
+                        r.getIndex(),
+                        BitSet.valueOf(r.getBitmap().toByteArray()));
+        swarm.requested(query, answer -> reply(message, from, answer));
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/agent/HeldVersion.java
+++ b/src/main/java/org/papayawalk/daemon/agent/HeldVersion.java
@@ -106,7 +106,8 @@
      */
     ChunkAnswer answer(Digest wanted, int index, boolean coming) {
         if (!wanted.equals(digest)) {
-            return new ChunkAnswer(FetchResult.NOT_HELD, new byte[0], new BitSet());
+            FetchResult result = coming ? FetchResult.BUSY : FetchResult.NOT_HELD;
+            return new ChunkAnswer(result, new byte[0], new BitSet());
         }
         return chunk(index)
                 .map(data -> new ChunkAnswer(FetchResult.VERIFIED, data, chunks()))
--- a/src/main/java/org/papayawalk/daemon/agent/ManifestFinder.java
+++ b/src/main/java/org/papayawalk/daemon/agent/ManifestFinder.java
@@ -1,6 +1,7 @@
 package org.papayawalk.daemon.agent;
 
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -71,8 +72,8 @@
      */
     CompletableFuture<Either<Fault, FoundManifest>> find(
             Digest digest, List<SwarmPeer> peers, int attempt) {
-        List<HostId> hosts = peers.stream().map(SwarmPeer::host).toList();
-        List<HostId> order = Rendezvous.order(hosts, digest + "/manifest");
+        List<HostId> order = new ArrayList<>(order(digest, peers, true));
+        order.addAll(order(digest, peers, false));
         int own = order.indexOf(self);
         int before = own < 0 ? order.size() : own;
         int from = before == 0 ? 0 : attempt % before;
@@ -80,6 +81,20 @@
         return ask(digest, order.subList(from, to), before * ATTEMPTS_PER_RANK <= attempt);
     }
 
+    /**
+     * Orders the hosts that are relays, or those that are not.
+     *
+     * @param digest digest of the manifest
+     * @param peers hosts that want the version
+     * @param relays whether relays are meant
+     * @return hosts, first choice first
+     */
+    private static List<HostId> order(Digest digest, List<SwarmPeer> peers, boolean relays) {
+        List<HostId> hosts =
+                peers.stream().filter(p -> p.relay() == relays).map(SwarmPeer::host).toList();
+        return Rendezvous.order(hosts, digest + "/manifest");
+    }
+
     /**
      * Asks peers in turn, then the origin.
      *
--- a/src/main/java/org/papayawalk/daemon/agent/ParkedRequests.java
+++ b/src/main/java/org/papayawalk/daemon/agent/ParkedRequests.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.papayawalk.daemon.node.ControlThread;
 
 /**
@@ -30,13 +31,30 @@
         this.thread = thread;
     }
 
+    /**
+     * Answers a request, now or when its chunk has come.
+     *
+     * @param held chunks held
+     * @param query request
+     * @param coming whether the chunk is being fetched
+     * @param reply takes the answer
+     */
+    void answer(HeldVersion held, ChunkQuery query, boolean coming, Consumer<ChunkAnswer> reply) {
+        Runnable answer = () -> reply.accept(held.answer(query.digest(), query.index(), coming));
+        if (coming && held.chunk(query.digest(), query.index()).isEmpty()) {
+            park(query.index(), answer);
+        } else {
+            answer.run();
+        }
+    }
+
     /**
      * Lets a request wait for a chunk.
      *
      * @param index index of the chunk
      * @param resume answers the request; runs once
      */
-    void park(int index, Runnable resume) {
+    private void park(int index, Runnable resume) {
         waiting.computeIfAbsent(index, i -> new ArrayList<>()).add(resume);
         thread.later(
                 LIMIT,
--- a/src/main/java/org/papayawalk/daemon/agent/StagingLine.java
+++ b/src/main/java/org/papayawalk/daemon/agent/StagingLine.java
@@ -14,7 +14,7 @@
  */
 final class StagingLine {
     /** Pause before a write that failed is tried again. */
-    private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
 
     /** Writes chunks. */
     private final Stager stager;
--- a/src/main/java/org/papayawalk/daemon/agent/Swarm.java
+++ b/src/main/java/org/papayawalk/daemon/agent/Swarm.java
@@ -4,14 +4,15 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.BitSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.id.HostId;
-import org.papayawalk.core.port.Origin;
 import org.papayawalk.core.weight.ChunkPlanner;
 import org.papayawalk.core.weight.FetchOrder;
 import org.papayawalk.core.weight.FetchResult;
@@ -30,6 +31,9 @@
     /** Time between looks for requests to send. */
     private static final Duration TICK_INTERVAL = Duration.ofMillis(25);
 
+    /** Time between looks while the version wanted is complete. */
+    private static final Duration CALM_INTERVAL = Duration.ofMillis(500);
+
     /** Reserved time on the downlink above which no further chunk is asked for. */
     private static final Duration MAX_BACKLOG = Duration.ofMillis(100);
 
@@ -51,11 +55,8 @@
     /** Writes chunks to the engine. */
     private final StagingLine staging;
 
-    /** Hosts that want a version. */
-    private final SwarmView view;
-
-    /** Messages to peers. */
-    private final ChunkTransport transport;
+    /** What the swarm talks to. */
+    private final SwarmPorts ports;
 
     /** Weights thread. */
     private final ControlThread thread;
@@ -75,6 +76,9 @@
     /** Chunks that an earlier process staged. */
     private final RestoredChunks restoring;
 
+    /** Whether looks for work follow each other closely. */
+    private boolean running;
+
     /** Version wanted. */
     private Digest wanted = Digest.NONE;
 
@@ -94,41 +98,41 @@
      * @param settings settings
      * @param clock clock
      * @param work threads for calls that block
-     * @param transport messages to peers
-     * @param origin origin of the weights
-     * @param stager writes chunks to the engine
-     * @param reader reads manifests
-     * @param view hosts that want a version
+     * @param ports what the swarm talks to
      */
     public Swarm(
             SwarmPeer self,
             WeightSettings settings,
             InstantSource clock,
             Executor work,
-            ChunkTransport transport,
-            Origin origin,
-            Stager stager,
-            ManifestReader reader,
-            SwarmView view) {
+            SwarmPorts ports) {
         this.self = self;
         this.settings = settings;
         this.clock = clock;
-        this.transport = transport;
-        this.view = view;
+        this.ports = ports;
         this.held = new HeldVersion(new ChunkStore(settings.memoryBytes()));
         this.downlink = new LinkPacer(settings.downlinkBytesPerSecond());
-        this.fetcher = new ChunkFetcher(transport, origin, downlink, clock, work);
-        this.offers = new OfferExchange(transport);
+        this.fetcher = new ChunkFetcher(ports.transport(), ports.origin(), downlink, clock, work);
+        this.offers = new OfferExchange(ports.transport());
         this.thread = new ControlThread("weights-" + self.host());
         this.parked = new ParkedRequests(thread);
-        this.restoring = new RestoredChunks(stager, work, thread);
+        this.restoring = new RestoredChunks(ports.stager(), work, thread);
         this.manifests =
                 new ManifestSeeker(
-                        new ManifestFinder(self.host(), transport, origin, reader, work), thread);
+                        new ManifestFinder(
+                                self.host(),
+                                ports.transport(),
+                                ports.origin(),
+                                ports.reader(),
+                                work),
+                        thread);
         this.staging =
                 new StagingLine(
-                        stager, work, thread, () -> publish("the engine does not take chunks"));
-        thread.every(TICK_INTERVAL, this::tick);
+                        ports.stager(),
+                        work,
+                        thread,
+                        () -> publish("the engine does not take chunks"));
+        thread.every(CALM_INTERVAL, this::tick);
     }
 
     /**
@@ -150,7 +154,9 @@
                     staging.reset();
                     parked.releaseAll();
                     publish("");
-                    tick();
+                    if (!running) {
+                        run();
+                    }
                 });
     }
 
@@ -197,48 +203,38 @@
                     }
                     download.offered(peer, peerHeld);
                     if (offers.contact(peer, clock.instant())) {
-                        transport.offer(peer, wanted, held.chunks());
+                        ports.transport().offer(peer, wanted, held.chunks());
                     }
                 });
     }
 
     /**
-     * Provides a chunk that is held.
+     * Provides a chunk.
      *
      * @param digest digest of the version
      * @param index index of the chunk
-     * @return bytes, empty if the chunk is not held
+     * @return bytes, empty if it is not held
      */
     public CompletableFuture<Optional<byte[]>> chunk(Digest digest, int index) {
-        CompletableFuture<Optional<byte[]>> data = new CompletableFuture<>();
-        thread.run(() -> data.complete(held.chunk(digest, index)));
-        return data;
+        return CompletableFuture.supplyAsync(() -> held.chunk(digest, index), thread::run);
     }
 
     /**
-     * Answers a peer's request for a chunk. One that is being fetched is waited for a little.
+     * Answers a peer, which may wait a little for a chunk that is being fetched.
      *
-     * @param peer peer that asks
-     * @param digest digest of the manifest
-     * @param index index of the chunk
-     * @param peerHeld chunks that the peer holds
+     * @param query request
      * @param reply takes the answer
      */
-    public void requested(
-            HostId peer, Digest digest, int index, BitSet peerHeld, Consumer<ChunkAnswer> reply) {
+    public void requested(ChunkQuery query, Consumer<ChunkAnswer> reply) {
         thread.run(
                 () -> {
-                    boolean current = digest.equals(wanted) && download != null;
-                    if (current) {
-                        offers.contact(peer, clock.instant());
-                        download.offered(peer, peerHeld);
-                    }
-                    boolean coming = current && download.expects(index);
-                    if (coming && held.chunk(index).isEmpty()) {
-                        parked.park(index, () -> reply.accept(held.answer(digest, index, true)));
-                        return;
+                    boolean meant = query.digest().equals(wanted);
+                    if (meant && download != null) {
+                        offers.contact(query.peer(), clock.instant());
+                        download.offered(query.peer(), query.held());
                     }
-                    reply.accept(held.answer(digest, index, coming));
+                    boolean coming = meant && (download == null || download.expects(query.index()));
+                    parked.answer(held, query, coming, reply);
                 });
     }
 
@@ -248,16 +244,22 @@
     }
 
     /** Sends the requests and offers that are due. */
+    private void run() {
+        tick();
+        running = wanted.isPresent() && (download == null || !download.complete());
+        if (running) {
+            thread.later(TICK_INTERVAL, this::run);
+        }
+    }
+
+    /** Sends what is due. */
     private void tick() {
         Instant now = clock.instant();
-        if (!wanted.isPresent()) {
-            return;
-        }
         if (download == null) {
             seekManifest();
             return;
         }
-        download.swarm(view.peers(wanted, now));
+        download.swarm(ports.view().peers(wanted, now));
         if (downlink.backlog(now).compareTo(MAX_BACKLOG) <= 0) {
             BitSet chunks = held.chunks();
             ChunkPlanner current = download;
@@ -267,29 +269,31 @@
                         wanted,
                         manifest,
                         chunks,
-                        (o, answer, delay) ->
-                                thread.later(delay, () -> arrived(o, answer, current)));
+                        (o, a, delay) -> thread.later(delay, () -> arrived(o, a, current)));
             }
         }
         offers.offer(wanted, held.chunks(), download.neighbours(), now);
     }
 
-    /** Looks for the manifest of the wanted version. */
+    /** Looks for the manifest of the wanted version, if there is one. */
     private void seekManifest() {
+        if (!wanted.isPresent()) {
+            return;
+        }
         Optional<FoundManifest> known = held.manifest(wanted);
         if (known.isPresent()) {
             start(known.get());
             return;
         }
         Digest sought = wanted;
-        manifests.seek(
-                sought, () -> view.peers(sought, clock.instant()), this::start, this::publish);
+        Supplier<List<SwarmPeer>> peers = () -> ports.view().peers(sought, clock.instant());
+        manifests.seek(sought, peers, this::start, this::publish);
     }
 
     /**
-     * Starts the download of a version whose manifest is known.
+     * Takes the manifest of the version wanted.
      *
-     * @param found manifest of the wanted version
+     * @param found manifest
      */
     private void start(FoundManifest found) {
         held.turnTo(wanted, found);
@@ -304,7 +308,7 @@
         }
         Set<Integer> kept = restoring.takeOver(manifest, held);
         download = settings.planners().create(self, wanted, manifest, clock.instant());
-        download.swarm(view.peers(wanted, clock.instant()));
+        download.swarm(ports.view().peers(wanted, clock.instant()));
         for (int i = 0; i < manifest.chunkCount(); i++) {
             int index = i;
             if (kept.contains(i)) {
@@ -316,7 +320,6 @@
         Event.named("download-started")
                 .with("digest", wanted.shortText())
                 .with("chunks", manifest.chunkCount())
-                .with("bytes", manifest.sizeBytes())
                 .info();
         publish("");
     }
@@ -375,26 +378,23 @@
         if (answer.held() != null && !order.source().isOrigin()) {
             download.offered(order.source().host(), answer.held());
         }
-        download.ended(order, answer.result(), clock.instant());
-        if (answer.result() == FetchResult.VERIFIED) {
+        FetchResult result = answer.result();
+        download.ended(order, result, clock.instant());
+        if (result == FetchResult.VERIFIED) {
             return;
         }
         if (!download.expects(order.index())) {
             parked.release(order.index());
         }
-        boolean busy = answer.result() == FetchResult.BUSY;
-        publish(busy ? "" : "source " + order.source() + " gave " + answer.result());
+        publish(result == FetchResult.BUSY ? "" : order.source() + " gave " + result);
     }
 
     /**
      * Publishes the progress.
      *
-     * @param remark what keeps the version back, empty if nothing does
+     * @param remark what keeps the version back, may be empty
      */
     private void publish(String remark) {
-        int total = manifest == null ? 0 : manifest.chunkCount();
-        int held = download == null ? 0 : download.haveCount();
-        boolean staged = download != null && download.complete();
-        progress = new WeightProgress(wanted, held, total, staged, staged ? "" : remark);
+        progress = WeightProgress.of(wanted, manifest, download, remark);
     }
 }
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/agent/SwarmPorts.java
@@ -0,0 +1,19 @@
+package org.papayawalk.daemon.agent;
+
+import org.papayawalk.core.port.Origin;
+
+/**
+ * What a swarm talks to. Immutable.
+ *
+ * @param transport messages to peers
+ * @param origin origin of the weights
+ * @param stager writes chunks to the engine
+ * @param reader reads manifests
+ * @param view hosts that want a version
+ */
+public record SwarmPorts(
+        ChunkTransport transport,
+        Origin origin,
+        Stager stager,
+        ManifestReader reader,
+        SwarmView view) {}
--- a/src/main/java/org/papayawalk/daemon/agent/WeightProgress.java
+++ b/src/main/java/org/papayawalk/daemon/agent/WeightProgress.java
@@ -1,6 +1,8 @@
 package org.papayawalk.daemon.agent;
 
 import org.papayawalk.core.id.Digest;
+import org.papayawalk.core.weight.ChunkPlanner;
+import org.papayawalk.core.weight.Manifest;
 
 /**
  * How far the wanted version is. Immutable.
@@ -14,4 +16,21 @@
 public record WeightProgress(Digest digest, int held, int total, boolean staged, String remark) {
     /** Progress when no version is wanted. */
     public static final WeightProgress NONE = new WeightProgress(Digest.NONE, 0, 0, false, "");
+
+    /**
+     * Describes a download.
+     *
+     * @param digest version wanted
+     * @param manifest its manifest, null before it is known
+     * @param download its download, null before it began
+     * @param remark what holds it up, empty for nothing
+     * @return progress
+     */
+    static WeightProgress of(
+            Digest digest, Manifest manifest, ChunkPlanner download, String remark) {
+        int total = manifest == null ? 0 : manifest.chunkCount();
+        int held = download == null ? 0 : download.haveCount();
+        boolean staged = download != null && download.complete();
+        return new WeightProgress(digest, held, total, staged, staged ? "" : remark);
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/edge/EdgeRole.java
+++ b/src/main/java/org/papayawalk/daemon/edge/EdgeRole.java
@@ -22,6 +22,7 @@
 import org.papayawalk.daemon.site.SiteNode;
 import org.papayawalk.daemon.site.SiteView;
 import org.papayawalk.daemon.site.StatusEndpoint;
+import org.papayawalk.daemon.weight.WeightRelay;
 import org.papayawalk.http.SocketOptions;
 import org.papayawalk.log.Event;
 
@@ -51,6 +52,9 @@
     /** What all exchanges share. */
     private final Edge edge;
 
+    /** Keeps weights for the agents of the region. */
+    private final WeightRelay relay;
+
     /** Whether requests can be decided. */
     private volatile boolean ready;
 
@@ -65,6 +69,7 @@
     public EdgeRole(SiteNode node) {
         this.node = node;
         this.loop = node.runtime().group().next();
+        this.relay = new WeightRelay(node);
         this.edge =
                 new Edge(
                         node.settings(),
@@ -77,7 +82,7 @@
     @Override
     public void start() throws IOException {
         node.state().listen(this::viewChanged);
-        node.runAsEntry(edge.suspects());
+        node.runAsEntry(edge.suspects(), relay.handler());
         StatusEndpoint status =
                 new StatusEndpoint(node.runtime().group(), () -> ready && !stopping, registry);
         if (node.settings().readyAddress().isPresent()) {
--- a/src/main/java/org/papayawalk/daemon/edge/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Exchange.java
@@ -247,13 +247,27 @@
                         choice.entry().id(),
                         Math.max(1, Duration.between(now, deadline).toMillis()),
                         call.caller().map(Caller::team),
-                        edge.fleet().requiredVersion(facts.model(), now),
+                        pinnedVersion(choice, now),
                         facts.model().isPresent()
                                 ? OptionalInt.of(Math.min(LAST_PRIORITY, call.priority()))
                                 : OptionalInt.empty(),
                         stream.lastEvent()));
     }
 
+    /**
+     * Returns the version of weights that an upstream must hold to answer. Once old versions may
+     * not answer any more, the upstream is held to the version that it is known to hold.
+     *
+     * @param choice upstream
+     * @param now present time
+     * @return number of the version, empty if any may answer
+     */
+    private OptionalInt pinnedVersion(Candidate choice, Instant now) {
+        OptionalInt lowest = edge.fleet().lowestVersion(facts.model(), now);
+        Integer held = facts.model().map(choice.entry().models()::get).orElse(null);
+        return lowest.isEmpty() || held == null ? OptionalInt.empty() : OptionalInt.of(held);
+    }
+
     /** Ends the request because its stream is complete. */
     void streamEnded() {
         sending = null;
--- a/src/main/java/org/papayawalk/daemon/edge/Fleet.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Fleet.java
@@ -118,18 +118,16 @@
     }
 
     /**
-     * Returns the version of weights that a request has to be answered with.
+     * Returns the lowest version of weights that may answer a request.
      *
      * @param model model of the request, empty if it is for none
      * @param now present time
      * @return number of the version, empty if any that upstreams hold may answer
      */
-    OptionalInt requiredVersion(Optional<String> model, Instant now) {
-        SiteView.NamedVersion named = model.map(view.versions()::get).orElse(null);
-        if (named == null) {
-            return OptionalInt.empty();
-        }
-        return versionRule.required(named.number(), named.learnedAt(), now);
+    OptionalInt lowestVersion(Optional<String> model, Instant now) {
+        return model.map(m -> view.versions().getOrDefault(m, List.of()))
+                .map(named -> versionRule.lowest(named, now))
+                .orElse(OptionalInt.empty());
     }
 
     /**
@@ -191,7 +189,7 @@
         if (held == null) {
             return false;
         }
-        OptionalInt required = requiredVersion(Optional.of(model), now);
+        OptionalInt required = lowestVersion(Optional.of(model), now);
         return required.isEmpty() || held >= required.getAsInt();
     }
 }
--- a/src/main/java/org/papayawalk/daemon/side/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/side/LocalEngine.java
@@ -11,6 +11,7 @@
 import org.papayawalk.core.upstream.EngineReport;
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.daemon.agent.Stager;
+import org.papayawalk.daemon.weight.WeightVersion;
 import org.papayawalk.http.HttpAnswer;
 import org.papayawalk.http.HttpClient;
 import org.papayawalk.http.ShortCall;
@@ -31,6 +32,9 @@
     /** Address of the engine. */
     private final String address;
 
+    /** Whether staging is held back, because what is staged is to be loaded first. */
+    private volatile boolean holdsStaging;
+
     /**
      * Creates an engine.
      *
@@ -49,6 +53,18 @@
 
     @Override
     public boolean write(Digest digest, Manifest manifest, int index, byte[] data) {
+        return !holdsStaging && repair(manifest, index, data);
+    }
+
+    /**
+     * Stages a chunk, also while staging is held back.
+     *
+     * @param manifest manifest of the version
+     * @param index index of the chunk
+     * @param data verified bytes
+     * @return true if the engine took it
+     */
+    boolean repair(Manifest manifest, int index, byte[] data) {
         String target = EngineCodec.stageTarget(manifest.model(), index);
         return call(new ShortCall(address, HttpMethod.PUT, target, data, CALL_LIMIT))
                 .peekLeft(f -> Event.named("stage-failed").with("fault", f).warn())
@@ -63,6 +79,24 @@
                 .toJavaOptional();
     }
 
+    /**
+     * Holds staging back, or lets it go on.
+     *
+     * @param hold whether to hold it back
+     */
+    void holdStaging(boolean hold) {
+        holdsStaging = hold;
+    }
+
+    /**
+     * Tells whether staging is held back.
+     *
+     * @return true if it is
+     */
+    boolean holdsStaging() {
+        return holdsStaging;
+    }
+
     /**
      * Asks for the report.
      *
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/side/SiteWantedVersion.java
@@ -0,0 +1,82 @@
+package org.papayawalk.daemon.side;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.papayawalk.core.desired.EngineSpec;
+import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.place.NamedVersion;
+import org.papayawalk.daemon.site.SiteNode;
+import org.papayawalk.daemon.site.SiteView;
+import org.papayawalk.daemon.weight.SiteOrigin;
+import org.papayawalk.daemon.weight.WeightVersion;
+
+/** Version that the site wants of the engines of one service. Thread-safe. */
+final class SiteWantedVersion implements WantedVersion {
+    /** Common part of the daemon. */
+    private final SiteNode node;
+
+    /** Service of the engine. */
+    private final Optional<ServiceId> service;
+
+    /** Origin, which has to know the versions that are asked for. */
+    private final SiteOrigin origin;
+
+    /**
+     * Creates a view of what is wanted.
+     *
+     * @param node common part of the daemon
+     * @param service service of the engine
+     * @param origin origin, which has to know the versions that are asked for
+     */
+    SiteWantedVersion(SiteNode node, Optional<ServiceId> service, SiteOrigin origin) {
+        this.node = node;
+        this.service = service;
+        this.origin = origin;
+    }
+
+    @Override
+    public Optional<WeightVersion> version() {
+        SiteView view = node.state().view();
+        Optional<String> model = model(view);
+        if (model.isEmpty() || view.upstreams().isEmpty()) {
+            return Optional.empty();
+        }
+        int number = view.newest(model.get()).map(NamedVersion::number).orElse(1);
+        WeightVersion version = new WeightVersion(model.get(), number);
+        origin.know(version);
+        return Optional.of(version);
+    }
+
+    @Override
+    public List<NamedVersion> named() {
+        SiteView view = node.state().view();
+        return model(view).map(m -> view.versions().getOrDefault(m, List.of())).orElse(List.of());
+    }
+
+    @Override
+    public Instant endOf(int held) {
+        Duration limit = node.settings().bounds().versionLimit();
+        return named().stream()
+                .filter(v -> v.number() > held)
+                .findFirst()
+                .map(
+                        v ->
+                                v.learnedAt().equals(Instant.MIN)
+                                        ? v.learnedAt()
+                                        : v.learnedAt().plus(limit))
+                .orElse(Instant.MIN);
+    }
+
+    /**
+     * Returns the model of the service.
+     *
+     * @param view view of the site
+     * @return name of the model
+     */
+    private Optional<String> model(SiteView view) {
+        return service.flatMap(s -> view.desired().flatMap(d -> d.engine(s)))
+                .flatMap(EngineSpec::model);
+    }
+}
--- a/src/main/java/org/papayawalk/daemon/side/StagedCheck.java
+++ b/src/main/java/org/papayawalk/daemon/side/StagedCheck.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.daemon.agent.Swarm;
+import org.papayawalk.daemon.weight.WeightVersion;
 import org.papayawalk.log.Event;
 
 /**
@@ -33,13 +34,12 @@
     /**
      * Checks all chunks of a version.
      *
-     * @param version version
-     * @param manifest manifest of the version
+     * @param staged version
      * @return true if the engine holds every chunk as it should be
      */
-    boolean whole(WeightVersion version, Manifest manifest) {
-        for (int i = 0; i < manifest.chunkCount(); i++) {
-            if (!whole(version, manifest, i)) {
+    boolean whole(StagedVersion staged) {
+        for (int i = 0; i < staged.manifest().chunkCount(); i++) {
+            if (!whole(staged.version(), staged.manifest(), i)) {
                 return false;
             }
         }
@@ -70,7 +70,7 @@
             if (good.isEmpty()) {
                 return false;
             }
-            engine.write(version.key(), manifest, index, good.get());
+            engine.repair(manifest, index, good.get());
         }
         return false;
     }
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/side/StagedVersion.java
@@ -0,0 +1,14 @@
+package org.papayawalk.daemon.side;
+
+import java.time.Instant;
+import org.papayawalk.core.weight.Manifest;
+import org.papayawalk.daemon.weight.WeightVersion;
+
+/**
+ * Version whose chunks are all staged at the engine. Immutable.
+ *
+ * @param version version
+ * @param manifest its manifest
+ * @param stagedAt when the last chunk was staged
+ */
+record StagedVersion(WeightVersion version, Manifest manifest, Instant stagedAt) {}
--- a/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
+++ b/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
@@ -6,13 +6,14 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.Executor;
-import java.util.function.Supplier;
 import org.papayawalk.core.Fault;
+import org.papayawalk.core.place.NamedVersion;
+import org.papayawalk.core.rollout.SwitchTime;
 import org.papayawalk.core.upstream.EngineReport;
-import org.papayawalk.daemon.agent.FoundManifest;
-import org.papayawalk.daemon.agent.Swarm;
 import org.papayawalk.daemon.agent.WeightProgress;
 import org.papayawalk.daemon.node.ControlThread;
+import org.papayawalk.daemon.weight.SiteSwarm;
+import org.papayawalk.daemon.weight.WeightVersion;
 import org.papayawalk.log.Event;
 
 /**
@@ -28,11 +29,14 @@
     /** Pause between looks while it is. */
     private static final Duration CALM_LOOK = Duration.ofMillis(700);
 
+    /** Time that fetching, staging and switching to a new version takes. */
+    private static final Duration FETCH_AND_SWITCH = Duration.ofMillis(4800);
+
     /** Engine. */
     private final LocalEngine engine;
 
     /** Fetches weights. */
-    private final Swarm swarm;
+    private final SiteSwarm swarm;
 
     /** Runs calls. */
     private final Executor work;
@@ -43,8 +47,8 @@
     /** Clock that never jumps. */
     private final InstantSource clock;
 
-    /** Version wanted, empty while it is not known. */
-    private final Supplier<Optional<WeightVersion>> wanted;
+    /** Version wanted, and those named before. */
+    private final WantedVersion wanted;
 
     /** Checks what is staged. */
     private final StagedCheck check;
@@ -55,6 +59,9 @@
     /** When the version was first wanted. */
     private Instant wantedAt = Instant.MIN;
 
+    /** Version that is staged to its end and was not loaded when last seen. */
+    private Optional<StagedVersion> staged = Optional.empty();
+
     /** Whether the engine was seen at the version wanted. */
     private boolean settled;
 
@@ -72,22 +79,22 @@
      * @param work runs calls
      * @param thread control thread
      * @param clock clock that never jumps
-     * @param wanted version wanted, empty while it is not known
+     * @param wanted version wanted, and those named before
      */
     VersionDriver(
             LocalEngine engine,
-            Swarm swarm,
+            SiteSwarm swarm,
             Executor work,
             ControlThread thread,
             InstantSource clock,
-            Supplier<Optional<WeightVersion>> wanted) {
+            WantedVersion wanted) {
         this.engine = engine;
         this.swarm = swarm;
         this.work = work;
         this.thread = thread;
         this.clock = clock;
         this.wanted = wanted;
-        this.check = new StagedCheck(engine, swarm);
+        this.check = new StagedCheck(engine, swarm.swarm());
     }
 
     /** Starts to look after the engine. */
@@ -97,18 +104,11 @@
 
     /** Lets the swarm fetch the version wanted and asks the engine where it is. */
     private void look() {
-        Optional<WeightVersion> version = wanted.get();
+        Optional<WeightVersion> version = wanted.version();
         if (version.isEmpty()) {
             thread.later(LOOK, this::look);
             return;
         }
-        if (!version.equals(fetching)) {
-            fetching = version;
-            settled = false;
-            wantedAt = clock.instant();
-            swarm.want(version.get().key());
-            Event.named("weights-wanted").with("version", version.get()).info();
-        }
         work.execute(
                 () -> {
                     Either<Fault, EngineReport> report = engine.report();
@@ -119,62 +119,170 @@
     /**
      * Takes the engine's report.
      *
-     * @param version version that was wanted when it was asked for
+     * @param newest newest version that was wanted when it was asked for
      * @param result report or fault
      */
-    private void reported(WeightVersion version, Either<Fault, EngineReport> result) {
-        if (result.isLeft() || !Optional.of(version).equals(fetching)) {
+    private void reported(WeightVersion newest, Either<Fault, EngineReport> result) {
+        Optional<Integer> held = result.toJavaOptional().map(r -> r.models().get(newest.model()));
+        if (!Optional.of(newest).equals(fetching)) {
+            fetch(newest, held);
+        }
+        if (result.isLeft()) {
             thread.later(LOOK, this::look);
             return;
         }
         EngineReport report = result.get();
         noteIncarnation(report);
-        Integer held = report.models().get(version.model());
-        if (held != null && held >= version.number()) {
-            settle(version);
+        if (held.isPresent() && held.get() >= newest.number()) {
+            settle(newest);
             thread.later(CALM_LOOK, this::look);
             return;
         }
         settled = false;
-        WeightProgress progress = swarm.progress();
-        boolean staged = progress.staged() && progress.digest().equals(version.key());
-        if (!staged || report.loading()) {
-            thread.later(LOOK, this::look);
-            return;
+        noteStaged(newest);
+        boolean superseded = staged.filter(s -> !s.version().equals(newest)).isPresent();
+        boolean done = staged.isPresent() && held.filter(h -> h >= number()).isPresent();
+        if (superseded && (done || !engine.holdsStaging())) {
+            staged = Optional.empty();
+            engine.holdStaging(false);
+        }
+        if (staged.isPresent() && !report.loading() && !done && due(held)) {
+            order(staged.get(), report);
         }
-        swarm.manifest(version.key(), found -> found.ifPresent(m -> order(version, m, report)));
         thread.later(LOOK, this::look);
     }
 
+    /**
+     * Lets the swarm fetch a version. If another one is staged already, and the engine's own will
+     * not last until the new one can be staged, the engine gets the staged one first.
+     *
+     * @param newest version
+     * @param held version that the engine serves
+     */
+    private void fetch(WeightVersion newest, Optional<Integer> held) {
+        Instant now = clock.instant();
+        boolean isNew = wanted.named().stream().anyMatch(v -> isNews(v, newest));
+        boolean ends =
+                held.filter(h -> wanted.endOf(h).isBefore(now.plus(FETCH_AND_SWITCH))).isPresent();
+        boolean first = staged.isPresent() && ends && held.filter(h -> h < number()).isPresent();
+        engine.holdStaging(first);
+        if (!first) {
+            staged = Optional.empty();
+        }
+        fetching = Optional.of(newest);
+        settled = false;
+        wantedAt = now;
+        swarm.want(newest, isNew, Optional.empty());
+        Event.named("weights-wanted")
+                .with("version", newest)
+                .with("held", held.map(String::valueOf).orElse("none"))
+                .with("first", first ? staged.get().version() : "none")
+                .info();
+    }
+
+    /**
+     * Records that the version wanted is staged to its end.
+     *
+     * @param newest version wanted
+     */
+    private void noteStaged(WeightVersion newest) {
+        WeightProgress progress = swarm.swarm().progress();
+        boolean complete = progress.staged() && progress.digest().equals(newest.key());
+        if (!complete || staged.filter(s -> s.version().equals(newest)).isPresent()) {
+            return;
+        }
+        Instant now = clock.instant();
+        swarm.swarm()
+                .manifest(
+                        newest.key(),
+                        found ->
+                                found.ifPresent(
+                                        m ->
+                                                thread.run(
+                                                        () ->
+                                                                staged =
+                                                                        Optional.of(
+                                                                                new StagedVersion(
+                                                                                        newest,
+                                                                                        m
+                                                                                                .manifest(),
+                                                                                        now)))));
+    }
+
+    /**
+     * Returns the number of the staged version.
+     *
+     * @return number, 0 if none is staged
+     */
+    private int number() {
+        return staged.map(s -> s.version().number()).orElse(0);
+    }
+
+    /**
+     * Tells whether it is this host's time to switch to the staged version.
+     *
+     * @param held version that the engine serves
+     * @return true if it is
+     */
+    private boolean due(Optional<Integer> held) {
+        StagedVersion s = staged.orElseThrow();
+        Instant at = SwitchTime.of(s.stagedAt(), held.map(wanted::endOf), swarm.place(s.version()));
+        return !at.isAfter(clock.instant());
+    }
+
     /**
      * Checks what is staged and orders the engine to load it.
      *
-     * @param version version
-     * @param found manifest of the version
+     * @param target staged version
      * @param report state of the engine
      */
-    private void order(WeightVersion version, FoundManifest found, EngineReport report) {
+    private void order(StagedVersion target, EngineReport report) {
         if (ordering) {
             return;
         }
         ordering = true;
         work.execute(
                 () -> {
+                    boolean taken = false;
                     try {
-                        if (check.whole(version, found.manifest())) {
-                            Either<Fault, Boolean> taken = engine.load(version, report.orders());
-                            Event.named("load-ordered")
-                                    .with("version", version)
-                                    .with("orders_seen", report.orders())
-                                    .with("outcome", taken.fold(Fault::toString, t -> "taken=" + t))
-                                    .info();
-                        }
+                        taken = check.whole(target) && load(target.version(), report);
                     } finally {
                         ordering = false;
                     }
+                    if (!taken) {
+                        engine.holdStaging(false);
+                    }
                 });
     }
 
+    /**
+     * Orders the engine to load the staged version.
+     *
+     * @param version version
+     * @param report state of the engine that the order is decided on
+     * @return true if the engine took the order
+     */
+    private boolean load(WeightVersion version, EngineReport report) {
+        Either<Fault, Boolean> taken = engine.load(version, report.orders());
+        Event.named("load-ordered")
+                .with("version", version)
+                .with("orders_seen", report.orders())
+                .with("outcome", taken.fold(Fault::toString, t -> "taken=" + t))
+                .info();
+        return taken.getOrElse(false);
+    }
+
+    /**
+     * Tells whether a version was named while this daemon ran.
+     *
+     * @param named version named
+     * @param version version meant
+     * @return true if they are the same and it is news
+     */
+    private static boolean isNews(NamedVersion named, WeightVersion version) {
+        return named.number() == version.number() && !named.learnedAt().equals(Instant.MIN);
+    }
+
     /**
      * Records that the engine serves the version wanted.
      *
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/side/WantedVersion.java
@@ -0,0 +1,33 @@
+package org.papayawalk.daemon.side;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.papayawalk.core.place.NamedVersion;
+import org.papayawalk.daemon.weight.WeightVersion;
+
+/** What the operator wants of the engine. Thread-safe. */
+interface WantedVersion {
+
+    /**
+     * Returns the version that the engine should serve.
+     *
+     * @return version, empty while it is not known
+     */
+    Optional<WeightVersion> version();
+
+    /**
+     * Returns the versions that were named.
+     *
+     * @return versions, the newest last
+     */
+    List<NamedVersion> named();
+
+    /**
+     * Returns when a version may not answer any more, because a newer one was named.
+     *
+     * @param held number of the version
+     * @return time, {@link Instant#MIN} if it may not answer now
+     */
+    Instant endOf(int held);
+}
--- a/src/main/java/org/papayawalk/daemon/site/EntryDirectory.java
+++ b/src/main/java/org/papayawalk/daemon/site/EntryDirectory.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.papayawalk.core.id.DomainId;
 
 /**
@@ -15,7 +16,7 @@
  */
 final class EntryDirectory {
     /** Time after which an entry that was not heard is no longer told to others. */
-    private static final Duration FRESH = Duration.ofSeconds(3);
+    private static final Duration FRESH = Duration.ofSeconds(5);
 
     /** Time after which an entry that was not heard is forgotten. */
     private static final Duration MEMORY = Duration.ofSeconds(60);
@@ -127,20 +128,40 @@
     }
 
     /**
-     * Returns the entries that were heard lately.
+     * Returns the entries that were heard lately, to be told to others.
      *
      * @param now present time
      * @return failure domain by address
      */
-    Map<String, DomainId> fresh(Instant now) {
-        Map<String, DomainId> fresh = new HashMap<>();
+    Map<String, DomainId> heard(Instant now) {
+        return select(k -> k.heardAt.plus(FRESH).isAfter(now));
+    }
+
+    /**
+     * Returns the entries that were heard lately, or mentioned by one who had heard them.
+     *
+     * @param now present time
+     * @return failure domain by address
+     */
+    Map<String, DomainId> alive(Instant now) {
+        return select(k -> k.mentionedAt.plus(FRESH).isAfter(now));
+    }
+
+    /**
+     * Selects entries.
+     *
+     * @param wanted condition
+     * @return failure domain by address
+     */
+    private Map<String, DomainId> select(Predicate<Known> wanted) {
+        Map<String, DomainId> selected = new HashMap<>();
         entries.forEach(
                 (a, k) -> {
-                    if (k.heardAt.plus(FRESH).isAfter(now)) {
-                        fresh.put(a, k.domain);
+                    if (wanted.test(k)) {
+                        selected.put(a, k.domain);
                     }
                 });
-        return fresh;
+        return selected;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/site/SiteNode.java
+++ b/src/main/java/org/papayawalk/daemon/site/SiteNode.java
@@ -6,11 +6,13 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.MonotonicClock;
+import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.site.SiteSettings;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.TableBatch;
@@ -32,6 +34,9 @@
     /** Time without an entry after which an agent follows the store itself. */
     private static final Duration ENTRY_SILENCE = Duration.ofMillis(1500);
 
+    /** Pause between counts of the entries. */
+    private static final Duration COUNT_INTERVAL = Duration.ofMillis(500);
+
     /** Longest wait for the store at the stop. */
     private static final Duration LEAVE_LIMIT = Duration.ofMillis(500);
 
@@ -71,8 +76,8 @@
     /** When an entry last answered this agent. */
     private Instant entryHeardAt;
 
-    /** Number of entries heard lately, this daemon included if it is one. */
-    private volatile int entryCount = 1;
+    /** Failure domains of the entries heard lately, by address, without this daemon. */
+    private volatile Map<String, DomainId> heard = Map.of();
 
     /**
      * Creates a node that does not run yet.
@@ -93,9 +98,10 @@
      * Starts as an entry: follows the store, tells other entries, and answers agents.
      *
      * @param suspects evidence against requests
+     * @param weights takes messages about weights
      * @throws IOException if an address cannot be used
      */
-    public void runAsEntry(SuspectRegistry suspects) throws IOException {
+    public void runAsEntry(SuspectRegistry suspects, MessageHandler weights) throws IOException {
         ViewServer server =
                 new ViewServer(
                         state,
@@ -105,7 +111,7 @@
                         settings.domain(),
                         thread,
                         clock);
-        MessageHandler handler = handler(server);
+        MessageHandler handler = handler(server, weights);
         listen(settings.peerAddress(), handler);
         if (settings.controlAddress().isPresent()) {
             listen(settings.controlAddress().get(), handler);
@@ -118,7 +124,7 @@
                     registry.register();
                     registry.follow();
                 });
-        thread.every(Duration.ofSeconds(1), this::countEntries);
+        thread.every(COUNT_INTERVAL, this::countEntries);
     }
 
     /**
@@ -131,6 +137,7 @@
         listen(settings.peerAddress(), handler);
         ViewClient client = client(new SuspectRegistry(1, Duration.ofSeconds(1)));
         thread.run(() -> client.runAsAgent(this::entryAnswered));
+        thread.every(COUNT_INTERVAL, this::countEntries);
     }
 
     /**
@@ -197,12 +204,21 @@
     }
 
     /**
-     * Returns the number of entries heard lately.
+     * Returns the number of entries that run, as an entry sees it.
      *
      * @return at least 1
      */
     public int entryCount() {
-        return entryCount;
+        return heard.size() + 1;
+    }
+
+    /**
+     * Returns the other entries that were heard or told of lately.
+     *
+     * @return failure domain by address
+     */
+    public Map<String, DomainId> entries() {
+        return heard;
     }
 
     /** Removes the row of this entry from the store. Waits for a short time. */
@@ -263,7 +279,7 @@
 
     /** Counts the entries heard lately. */
     private void countEntries() {
-        entryCount = entries.fresh(clock.instant()).size() + 1;
+        heard = Map.copyOf(entries.alive(clock.instant()));
     }
 
     /**
@@ -295,14 +311,17 @@
      * Creates the handler of an entry's messages.
      *
      * @param server answers queries
+     * @param weights takes messages about weights
      * @return handler
      */
-    private static MessageHandler handler(ViewServer server) {
+    private static MessageHandler handler(ViewServer server, MessageHandler weights) {
         return new MessageHandler() {
             @Override
             public void received(Envelope message, PeerChannel from) {
                 if (message.hasViewQuery()) {
                     server.received(message, from);
+                } else {
+                    weights.received(message, from);
                 }
             }
 
--- a/src/main/java/org/papayawalk/daemon/site/SiteState.java
+++ b/src/main/java/org/papayawalk/daemon/site/SiteState.java
@@ -12,6 +12,7 @@
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.core.place.NamedVersion;
 import org.papayawalk.core.upstream.TableBatch;
 import org.papayawalk.core.upstream.TableCopy;
 import org.papayawalk.core.upstream.TableRecord;
@@ -29,14 +30,17 @@
  * thread.
  */
 public final class SiteState {
+    /** Versions of one model that are remembered. */
+    private static final int VERSIONS_KEPT = 16;
+
     /** Copies of the tables by name. */
     private final Map<String, TableCopy> tables = new HashMap<>();
 
     /** Upstreams that are present. */
     private final UpstreamBook book = new UpstreamBook();
 
-    /** Newest version of each model's weights. */
-    private final Map<String, SiteView.NamedVersion> versions = new HashMap<>();
+    /** Versions of each model's weights, the newest last. */
+    private final Map<String, List<NamedVersion>> versions = new HashMap<>();
 
     /** Told of each new view. */
     private final List<Consumer<SiteView>> listeners = new ArrayList<>();
@@ -232,12 +236,15 @@
      * @param source where it comes from
      */
     private void name(String model, int number, boolean first, String source) {
-        SiteView.NamedVersion known = versions.get(model);
-        if (known != null && known.number() >= number) {
+        List<NamedVersion> known = versions.getOrDefault(model, List.of());
+        if (!known.isEmpty() && known.get(known.size() - 1).number() >= number) {
             return;
         }
         Instant at = first ? Instant.MIN : clock.instant();
-        versions.put(model, new SiteView.NamedVersion(number, at));
+        List<NamedVersion> named = new ArrayList<>(known);
+        named.add(new NamedVersion(number, at));
+        int from = Math.max(0, named.size() - VERSIONS_KEPT);
+        versions.put(model, List.copyOf(named.subList(from, named.size())));
         Event.named("weights-named")
                 .with("model", model)
                 .with("version", number)
--- a/src/main/java/org/papayawalk/daemon/site/SiteView.java
+++ b/src/main/java/org/papayawalk/daemon/site/SiteView.java
@@ -1,11 +1,11 @@
 package org.papayawalk.daemon.site;
 
-import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.place.NamedVersion;
 import org.papayawalk.core.upstream.UpstreamEntry;
 
 /**
@@ -13,12 +13,12 @@
  *
  * @param desired desired state in force, empty before the first one is known
  * @param upstreams upstreams that may take new work, by service; empty before they are known
- * @param versions newest version of each model's weights that was named
+ * @param versions versions of each model's weights that were named, the newest last
  */
 public record SiteView(
         Optional<DesiredState> desired,
         Optional<Map<ServiceId, List<UpstreamEntry>>> upstreams,
-        Map<String, NamedVersion> versions) {
+        Map<String, List<NamedVersion>> versions) {
     /** View of a daemon that knows nothing yet. */
     public static final SiteView EMPTY = new SiteView(Optional.empty(), Optional.empty(), Map.of());
 
@@ -33,20 +33,22 @@
     }
 
     /**
-     * Tells whether requests can be decided.
+     * Returns the newest version of a model's weights.
      *
-     * @return true once the desired state and the upstreams are known
+     * @param model name of the model
+     * @return version, empty if none was named
      */
-    public boolean complete() {
-        return desired.isPresent() && upstreams.isPresent();
+    public Optional<NamedVersion> newest(String model) {
+        List<NamedVersion> named = versions.getOrDefault(model, List.of());
+        return named.isEmpty() ? Optional.empty() : Optional.of(named.get(named.size() - 1));
     }
 
     /**
-     * Version of a model's weights that the operator named. Immutable.
+     * Tells whether requests can be decided.
      *
-     * @param number number of the version
-     * @param learnedAt when this daemon learned of it; {@link Instant#MIN} if it was named before
-     *     this daemon started
+     * @return true once the desired state and the upstreams are known
      */
-    public record NamedVersion(int number, Instant learnedAt) {}
+    public boolean complete() {
+        return desired.isPresent() && upstreams.isPresent();
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/site/ViewServer.java
+++ b/src/main/java/org/papayawalk/daemon/site/ViewServer.java
@@ -139,7 +139,7 @@
             return false;
         }
         reply.addEntries(ViewMessages.entry(self, domain));
-        for (Map.Entry<String, DomainId> e : entries.fresh(now).entrySet()) {
+        for (Map.Entry<String, DomainId> e : entries.heard(now).entrySet()) {
             reply.addEntries(ViewMessages.entry(e.getKey(), e.getValue()));
         }
         if (waiting.query.hasEntry()) {
--- a/src/main/java/org/papayawalk/daemon/side/SiteOrigin.java
+++ b/src/main/java/org/papayawalk/daemon/weight/SiteOrigin.java
@@ -1,4 +1,4 @@
-package org.papayawalk.daemon.side;
+package org.papayawalk.daemon.weight;
 
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -25,7 +25,7 @@
  * Origin of weights on the users' platform. It may send wrong bytes; a manifest counts only if two
  * readings agree, and chunks are checked against it. Thread-safe; calls block.
  */
-final class SiteOrigin implements Origin, ManifestReader {
+public final class SiteOrigin implements Origin, ManifestReader {
     /** Longest time of a call. */
     private static final Duration CALL_LIMIT = Duration.ofSeconds(2);
 
@@ -44,7 +44,7 @@
      * @param http client
      * @param view present view of the site
      */
-    SiteOrigin(HttpClient http, Supplier<SiteView> view) {
+    public SiteOrigin(HttpClient http, Supplier<SiteView> view) {
         this.http = http;
         this.view = view;
     }
@@ -54,7 +54,7 @@
      *
      * @param version version
      */
-    void know(WeightVersion version) {
+    public void know(WeightVersion version) {
         versions.put(version.key(), version);
     }
 
--- a/src/main/java/org/papayawalk/daemon/side/WeightVersion.java
+++ b/src/main/java/org/papayawalk/daemon/weight/WeightVersion.java
@@ -1,4 +1,4 @@
-package org.papayawalk.daemon.side;
+package org.papayawalk.daemon.weight;
 
 import java.nio.charset.StandardCharsets;
 import org.papayawalk.core.id.Digest;
@@ -9,7 +9,7 @@
  * @param model name of the model
  * @param number number of the version, at least 1
  */
-record WeightVersion(String model, int number) {
+public record WeightVersion(String model, int number) {
 
     /**
      * Returns the name of the version among agents. Agents name versions by a digest; here the
@@ -17,7 +17,7 @@
      *
      * @return name
      */
-    Digest key() {
+    public Digest key() {
         return Digest.of((model + " " + number).getBytes(StandardCharsets.UTF_8));
     }
 
--- a/src/main/java/org/papayawalk/log/Event.java
+++ b/src/main/java/org/papayawalk/log/Event.java
@@ -43,12 +43,12 @@
 
     /** Writes the line at level info. */
     public void info() {
-        Logger.info(line.toString().replace("{", "{{"));
+        Logger.info(line.toString());
     }
 
     /** Writes the line at level warn. */
     public void warn() {
-        Logger.warn(line.toString().replace("{", "{{"));
+        Logger.warn(line.toString());
     }
 
     /**
@@ -57,7 +57,7 @@
      * @param cause exception whose stack trace is added
      */
     public void error(Throwable cause) {
-        Logger.error(cause, line.toString().replace("{", "{{"));
+        Logger.error(cause, line.toString());
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
@@ -0,0 +1,113 @@
+package org.papayawalk.core.place;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.papayawalk.core.call.ReportedLoad;
+import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.core.upstream.UpstreamEntry;
+import org.testng.annotations.Test;
+
+/** Places requests on upstreams under load and faults. */
+public final class LeastLoadedTest {
+    /** Some moment. */
+    private static final Instant T0 = Instant.parse("2026-01-01T00:00:00Z");
+
+    /** Slots of each upstream. */
+    private static final int SLOTS = 16;
+
+    /** A full upstream takes nothing, so that the request waits where it can be sent elsewhere. */
+    @Test
+    public void fullUpstreamsTakeNothing() {
+        Candidate full = candidate("full");
+        full.load().reported(new ReportedLoad(SLOTS, 8, SLOTS), T0);
+        assertTrue(rule().choose(List.of(full), Set.of(), T0).isEmpty());
+    }
+
+    /** Requests of other entries count, as the upstream reports them. */
+    @Test
+    public void reportedLoadOfOthersCounts() {
+        Candidate busy = candidate("busy");
+        Candidate idle = candidate("idle");
+        busy.load().reported(new ReportedLoad(12, 0, SLOTS), T0);
+        for (int i = 0; i < 50; i++) {
+            assertEquals(rule().choose(List.of(busy, idle), Set.of(), T0).orElseThrow(), idle);
+        }
+    }
+
+    /** An upstream that fails part of its requests gets less, though it looks idle. */
+    @Test
+    public void failingUpstreamIsAvoided() {
+        Candidate grey = candidate("grey");
+        Candidate sound = candidate("sound");
+        for (int i = 0; i < 12; i++) {
+            grey.load().sent();
+            SendResult result = i % 2 == 0 ? SendResult.BROKEN : SendResult.ANSWERED;
+            grey.load().ended(result, T0);
+        }
+        for (int i = 0; i < 3; i++) {
+            sound.load().sent();
+        }
+        Instant later = T0.plusSeconds(5);
+        int toGrey = 0;
+        for (int i = 0; i < 100; i++) {
+            Candidate c = rule().choose(List.of(grey, sound), Set.of(), later).orElseThrow();
+            toGrey += c == grey ? 1 : 0;
+        }
+        assertEquals(toGrey, 0);
+    }
+
+    /** An upstream that refused is left alone for a moment, and longer if it refuses again. */
+    @Test
+    public void refusingUpstreamIsLeftAlone() {
+        Candidate loading = candidate("loading");
+        loading.load().sent();
+        loading.load().ended(SendResult.REFUSED, T0);
+        assertTrue(rule().choose(List.of(loading), Set.of(), T0.plusMillis(100)).isEmpty());
+        assertTrue(rule().choose(List.of(loading), Set.of(), T0.plusMillis(200)).isPresent());
+    }
+
+    /** A request is not sent twice to the same upstream. */
+    @Test
+    public void triedUpstreamIsNotChosenAgain() {
+        Candidate only = candidate("only");
+        Set<UpstreamId> tried = Set.of(only.entry().id());
+        assertTrue(rule().choose(List.of(only), tried, T0).isEmpty());
+    }
+
+    /**
+     * Makes the rule of engines without distances.
+     *
+     * @return rule
+     */
+    private static PlacementRule rule() {
+        return new LeastLoaded(0.15, c -> 0, new SplittableRandom(7));
+    }
+
+    /**
+     * Makes an idle upstream.
+     *
+     * @param name name
+     * @return candidate
+     */
+    private static Candidate candidate(String name) {
+        UpstreamEntry entry =
+                new UpstreamEntry(
+                        new UpstreamId(name),
+                        1,
+                        new ServiceId("s"),
+                        "10.0.0.1:80",
+                        new DomainId("luzon-a"),
+                        SLOTS,
+                        false,
+                        Map.of());
+        return new Candidate(entry, new UpstreamLoad());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/papayawalk/core/upstream/TableCopyTest.java
@@ -0,0 +1,83 @@
+package org.papayawalk.core.upstream;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Applies readings of a table in the orders in which stores and peers give them. */
+public final class TableCopyTest {
+
+    /** A reading that is older than the copy changes nothing, also if it claims to be whole. */
+    @Test
+    public void olderReadingChangesNothing() {
+        TableCopy copy = new TableCopy();
+        copy.apply(whole(10, row("a", 5), row("b", 9)), 0);
+        assertTrue(copy.apply(whole(8, row("a", 5)), 0).isEmpty());
+        assertEquals(copy.version(), 10);
+        assertEquals(copy.existing().size(), 2);
+    }
+
+    /** Changes that begin behind the copy's version would leave a gap and are not taken. */
+    @Test
+    public void changesBehindAGapAreNotTaken() {
+        TableCopy copy = new TableCopy();
+        copy.apply(whole(10, row("a", 5)), 0);
+        assertTrue(copy.apply(changes(20, row("a", 19)), 15).isEmpty());
+        assertEquals(copy.version(), 10);
+    }
+
+    /** A row that a later whole reading lacks was removed, and peers learn of it. */
+    @Test
+    public void rowMissingFromWholeReadingIsRemoved() {
+        TableCopy copy = new TableCopy();
+        copy.apply(whole(10, row("a", 5), row("b", 9)), 0);
+        List<TableRecord> changed = copy.apply(whole(30, row("a", 5)), 0);
+        assertEquals(changed.size(), 1);
+        assertTrue(changed.get(0).removed());
+        assertEquals(copy.changesAfter(10).get(0).key(), "b");
+    }
+
+    /** The same changes from the store and from a peer are taken once. */
+    @Test
+    public void repeatedChangesAreTakenOnce() {
+        TableCopy copy = new TableCopy();
+        copy.apply(whole(10, row("a", 5)), 0);
+        assertEquals(copy.apply(changes(12, row("a", 12)), 10).size(), 1);
+        assertEquals(copy.apply(changes(12, row("a", 12)), 10).size(), 0);
+    }
+
+    /**
+     * Makes a row.
+     *
+     * @param key key
+     * @param version version
+     * @return row
+     */
+    private static TableRecord row(String key, long version) {
+        return new TableRecord(key, new byte[] {1}, version, false);
+    }
+
+    /**
+     * Makes a whole reading.
+     *
+     * @param version version
+     * @param rows rows
+     * @return reading
+     */
+    private static TableBatch whole(long version, TableRecord... rows) {
+        return new TableBatch(List.of(rows), version, true);
+    }
+
+    /**
+     * Makes a reading of changes.
+     *
+     * @param version version
+     * @param rows rows
+     * @return reading
+     */
+    private static TableBatch changes(long version, TableRecord... rows) {
+        return new TableBatch(List.of(rows), version, false);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/edge/EdgeRoleTest.java
@@ -0,0 +1,400 @@
+package org.papayawalk.daemon.edge;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.papayawalk.daemon.site.SiteNode;
+import org.papayawalk.daemon.site.StandInServer;
+import org.papayawalk.daemon.site.StandInServer.Mode;
+import org.papayawalk.daemon.site.StandInStore;
+import org.papayawalk.platform.SettingsCodec;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Plays callers, servers and the store against an entry on loopback. Proves that callers get whole
+ * answers to their own requests, that "not run" is true, and that a non-idempotent request runs at
+ * most once.
+ */
+public final class EdgeRoleTest {
+    /** Longest wait for something that must happen, in milliseconds. */
+    private static final long LIMIT_MILLIS = 10_000;
+
+    /** Desired state, with places for its version and its key. */
+    private static final String DESIRED =
+            """
+            {"version":%d,"routes":[
+            {"name":"read","host":"shop.example","prefix":"/read/","kind":"safe","timeoutMs":3000,
+             "targetLatencyMs":500,"priority":2,"service":"desk","maxAttempts":2},
+            {"name":"pay","host":"shop.example","prefix":"/pay/","kind":"non_idempotent",
+             "timeoutMs":1500,"targetLatencyMs":500,"priority":2,"service":"desk","maxAttempts":1},
+            {"name":"advice","host":"shop.example","prefix":"/advice/","kind":"streaming",
+             "timeoutMs":4000,"targetLatencyMs":500,"priority":1,"service":"desk","maxAttempts":2,
+             "resumeStreams":true}],
+            "services":[{"name":"desk","maxConnections":50}],
+            "limits":{"maxHeaderBytes":2048,"maxBodyBytes":4096,"headerTimeoutMs":3000,
+             "idleTimeoutMs":15000},
+            "tenants":[{"name":"bakers","apiKeys":["%s"]}]}
+            """;
+
+    /** Store. */
+    private StandInStore store;
+
+    /** First server. */
+    private StandInServer first;
+
+    /** Second server. */
+    private StandInServer second;
+
+    /** Caller. */
+    private TestCaller caller;
+
+    /** Version of the desired state last written. */
+    private int version = 1;
+
+    /**
+     * Starts the store, the servers and the entry.
+     *
+     * @throws IOException if a port cannot be had
+     */
+    @BeforeClass
+    public void start() throws IOException {
+        store = new StandInStore();
+        first = new StandInServer(Mode.WHOLE);
+        second = new StandInServer(Mode.WHOLE);
+        store.put("op", "config", DESIRED.formatted(version, "key-1"));
+        store.put("servers", "i-1", entry(first, "ready"));
+        store.put("servers", "i-2", entry(second, "ready"));
+        int port = freePort();
+        int readyPort = freePort();
+        caller = new TestCaller(port);
+        String settings =
+                """
+                {"nodeName":"front-1","ip":"127.0.0.1","zone":"luzon-a",
+                 "zones":{"luzon-a":"luzon"},"internalPorts":[%d,%d],"seeds":[],
+                 "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
+                 "provider":{"address":"%s"},"bounds":{"graceS":8,"budgetSlack":500},
+                 "limits":{"linkMbps":1000}}
+                """
+                        .formatted(freePort(), 0, port, readyPort, store.address());
+        byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
+        new EdgeRole(new SiteNode(SettingsCodec.decode(bytes))).start();
+        await(() -> TestCaller.get(readyPort, "/readiness").status() == 200);
+    }
+
+    /**
+     * Stops the stand-ins.
+     *
+     * @throws IOException if a server cannot be closed
+     */
+    @AfterClass
+    public void stop() throws IOException {
+        store.close();
+        first.close();
+        second.close();
+    }
+
+    /** Makes the servers sound, and waits until the entry has forgotten earlier failures. */
+    @BeforeMethod
+    public void sound() {
+        first.mode(Mode.WHOLE);
+        second.mode(Mode.WHOLE);
+        int[] streak = {0};
+        await(
+                () -> {
+                    streak[0] =
+                            caller.send("GET", "/read/x", "key-1").status() == 200
+                                    ? streak[0] + 1
+                                    : 0;
+                    return streak[0] >= 6;
+                });
+        first.seen().clear();
+        second.seen().clear();
+        first.abandoned().clear();
+        second.abandoned().clear();
+    }
+
+    /** The server gets the team in place of the key, and the caller the server's bytes. */
+    @Test
+    public void requestIsForwardedWithTeamInPlaceOfKey() {
+        TestCaller.Answer answer = caller.send("POST", "/pay/x", "key-1");
+        assertEquals(answer.status(), 200);
+        assertTrue(answer.whole() && answer.body().equals("answer to " + caller.lastId()));
+        StandInServer.Seen seen = all().get(0);
+        assertEquals(seen.headers().get("x-tenant"), "bakers");
+        assertFalse(seen.headers().containsKey("x-credential"));
+        assertEquals(seen.body(), "hello");
+    }
+
+    /** An answer to another request is passed over; the caller gets its own. */
+    @Test
+    public void strayAnswerIsPassedOver() {
+        both(Mode.STRAY_ANSWER);
+        for (int i = 0; i < 6; i++) {
+            assertEquals(
+                    caller.send("GET", "/read/x", "key-1").body(), "answer to " + caller.lastId());
+        }
+    }
+
+    /** Bytes behind an answer never reach the next caller. */
+    @Test
+    public void extraBytesReachNobody() {
+        both(Mode.EXTRA_BYTES);
+        for (int i = 0; i < 12; i++) {
+            TestCaller.Answer answer = caller.send("GET", "/read/x", "key-1");
+            assertTrue(
+                    answer.status() != 200 || answer.body().equals("answer to " + caller.lastId()));
+        }
+    }
+
+    /** A cut answer is fetched anew where that is allowed. */
+    @Test
+    public void cutAnswerOfSafeRequestIsFetchedAnew() {
+        first.mode(Mode.CUT);
+        for (int i = 0; i < 4; i++) {
+            TestCaller.Answer answer = caller.send("GET", "/read/x", "key-1");
+            assertEquals(answer.status(), 200);
+            assertEquals(answer.body(), "answer to " + caller.lastId());
+        }
+    }
+
+    /** An answer that ends with a reset instead of a length is not whole. */
+    @Test
+    public void resetOfUnframedAnswerIsNotWhole() {
+        both(Mode.UNFRAMED_RESET);
+        assertEquals(caller.send("POST", "/pay/x", "key-1").status(), 502);
+    }
+
+    /** A non-idempotent request whose answer is lost is neither repeated nor called not run. */
+    @Test
+    public void lostAnswerOfNonIdempotentRequestIsUnknown() {
+        both(Mode.LOST_ANSWER);
+        assertEquals(caller.send("POST", "/pay/x", "key-1").status(), 502);
+        assertEquals(all().size(), 1);
+    }
+
+    /** A request that the server did not run is refused as such, with a time to come back. */
+    @Test
+    public void refusalIsPassedOnAsNotRun() {
+        both(Mode.NOT_RUN);
+        TestCaller.Answer answer = caller.send("POST", "/pay/x", "key-1");
+        assertEquals(answer.status(), 503);
+        assertTrue(answer.head().toLowerCase().contains("retry-after: "), answer.head());
+        assertEquals(all().size(), 1);
+    }
+
+    /** A bare 503 may have run, so that the caller must not take it for a promise. */
+    @Test
+    public void bare503IsNotPassedOnAsPromise() {
+        both(Mode.BARE_503);
+        assertEquals(caller.send("POST", "/pay/x", "key-1").status(), 502);
+    }
+
+    /** A failure of a server is repeated elsewhere if that is allowed, and passed on otherwise. */
+    @Test
+    public void failureIsPassedOnUnchanged() {
+        both(Mode.ERROR);
+        TestCaller.Answer pay = caller.send("POST", "/pay/x", "key-1");
+        assertEquals(pay.status() + " " + pay.body(), "500 failure");
+        TestCaller.Answer read = caller.send("GET", "/read/x", "key-1");
+        assertEquals(read.status() + " " + read.body(), "500 failure");
+        assertEquals(all().size(), 3);
+    }
+
+    /** A stream that breaks off is continued elsewhere: every event once and in order. */
+    @Test
+    public void brokenStreamIsContinuedElsewhere() {
+        first.mode(Mode.CUT_STREAM);
+        second.mode(Mode.STREAM);
+        StringBuilder expected = new StringBuilder();
+        for (int i = 1; i <= StandInServer.EVENTS; i++) {
+            expected.append("id: ").append(i).append("\ndata: part ").append(i).append("\n\n");
+        }
+        for (int i = 0; i < 4; i++) {
+            TestCaller.Answer answer = caller.send("POST", "/advice/x", "key-1");
+            assertTrue(answer.whole());
+            assertEquals(answer.body(), expected.toString());
+        }
+    }
+
+    /** A stream that cannot be continued does not look whole, and ends behind a whole event. */
+    @Test
+    public void brokenStreamDoesNotLookWhole() {
+        both(Mode.CUT_STREAM);
+        TestCaller.Answer answer = caller.send("POST", "/advice/x", "key-1");
+        assertFalse(answer.whole());
+        assertTrue(answer.body().isEmpty() || answer.body().endsWith("\n\n"), answer.body());
+    }
+
+    /** A request without an answer ends at the route's time limit, as unknown. */
+    @Test
+    public void silentServerEndsAtTheTimeLimit() {
+        both(Mode.MUTE);
+        assertEquals(caller.send("POST", "/pay/x", "key-1").status(), 504);
+        assertEquals(all().size(), 1);
+    }
+
+    /**
+     * The server learns soon that the caller has left.
+     *
+     * @throws IOException if the connection is lost
+     */
+    @Test
+    public void leavingCallerEndsTheWork() throws IOException {
+        both(Mode.MUTE);
+        try (Socket socket = caller.connect()) {
+            TestCaller.write(socket, caller.request("POST", "/pay/x", "key-1"));
+            await(() -> all().size() == 1);
+        }
+        await(() -> first.abandoned().size() + second.abandoned().size() == 1);
+    }
+
+    /** Requests beside every route, or with an unknown key, reach no server. */
+    @Test
+    public void requestsThatAreNotAllowedReachNoServer() {
+        assertEquals(caller.send("GET", "/other/x", "key-1").status(), 404);
+        assertEquals(caller.send("GET", "/read/x", "key-9").status(), 401);
+        assertTrue(all().isEmpty());
+    }
+
+    /** A desired state is in force soon, also when the store drops its history on the way. */
+    @Test
+    public void newKeyIsInForceSoon() {
+        version++;
+        store.dropHistory();
+        store.put("op", "config", DESIRED.formatted(version, "key-2"));
+        await(() -> caller.send("GET", "/read/x", "key-2").status() == 200);
+        assertEquals(caller.send("GET", "/read/x", "key-1").status(), 401);
+        version++;
+        store.put("op", "config", DESIRED.formatted(version, "key-1"));
+        await(() -> caller.send("GET", "/read/x", "key-1").status() == 200);
+    }
+
+    /** An older desired state that comes late changes nothing. */
+    @Test
+    public void olderDesiredStateChangesNothing() {
+        store.put("op", "config", DESIRED.formatted(0, "key-old"));
+        store.put("servers", "i-3", entry(first, "ready"));
+        await(() -> caller.send("GET", "/read/x", "key-1").status() == 200);
+        store.remove("servers", "i-3");
+        assertEquals(caller.send("GET", "/read/x", "key-old").status(), 401);
+    }
+
+    /** A server that announces its leaving gets no new request. */
+    @Test
+    public void drainingServerGetsNoNewRequest() {
+        store.put("servers", "i-1", entry(first, "draining"));
+        await(() -> caller.send("GET", "/read/x", "key-1").status() == 200 && idleFor(first, 10));
+        store.put("servers", "i-1b", entry(first, "ready"));
+        store.remove("servers", "i-1");
+    }
+
+    /**
+     * Bytes that are no request, or could be read in two ways, reach no server.
+     *
+     * @throws IOException if the connection is lost
+     */
+    @Test
+    public void ambiguousRequestsReachNoServer() throws IOException {
+        String[] heads = {
+            "Content-Length: 5\r\nContent-Length: 6\r\n",
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            "Content-Length: -1\r\n",
+            "X-Long: " + "x".repeat(4000) + "\r\n",
+            "Bad Header: 1\r\n"
+        };
+        for (String h : heads) {
+            try (Socket socket = caller.connect()) {
+                String start = "POST /pay/x HTTP/1.1\r\nHost: shop.example\r\n";
+                TestCaller.write(socket, start + "X-Credential: key-1\r\n" + h + "\r\nhello");
+                int status = TestCaller.read(socket).status();
+                assertTrue(status == 400 || status == 431, h + " gave " + status);
+            }
+        }
+        assertTrue(all().isEmpty());
+    }
+
+    /**
+     * Waits until something holds.
+     *
+     * @param condition condition
+     */
+    private static void await(BooleanSupplier condition) {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, "did not happen within the limit");
+            Thread.onSpinWait();
+        }
+    }
+
+    /**
+     * Tells whether a server is sent nothing.
+     *
+     * @param server server
+     * @param tries requests to send
+     * @return true if other servers got all of them
+     */
+    private boolean idleFor(StandInServer server, int tries) {
+        int before = server.seen().size();
+        IntStream.range(0, tries).forEach(i -> caller.send("GET", "/read/x", "key-1"));
+        return server.seen().size() == before;
+    }
+
+    /**
+     * Returns the requests that servers saw.
+     *
+     * @return requests
+     */
+    private List<StandInServer.Seen> all() {
+        return Stream.of(first, second).flatMap(s -> s.seen().stream()).toList();
+    }
+
+    /**
+     * Sets the mode of both servers.
+     *
+     * @param mode mode
+     */
+    private void both(Mode mode) {
+        first.mode(mode);
+        second.mode(mode);
+    }
+
+    /**
+     * Writes the entry of a server.
+     *
+     * @param server server
+     * @param state state
+     * @return text
+     */
+    private static String entry(StandInServer server, String state) {
+        return """
+               {"service":"desk","address":"%s","zone":"luzon-a","slots":4,"state":"%s","born":1}
+               """
+                .formatted(server.address(), state);
+    }
+
+    /**
+     * Finds a free port.
+     *
+     * @return port
+     * @throws IOException if none can be had
+     */
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return s.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/site/StandInStore.java
@@ -0,0 +1,283 @@
+package org.papayawalk.daemon.site;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** Stand-in for the platform's store, over HTTP on loopback. Thread-safe. */
+public final class StandInStore implements AutoCloseable {
+    /** Longest wait of a feed, so that tests end soon. */
+    private static final long MAX_WAIT_MILLIS = 300;
+
+    /** Reads and writes JSON. */
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    /** Rows by table and key. */
+    private final Map<String, TreeMap<String, ObjectNode>> tables = new HashMap<>();
+
+    /** Threads of the server. */
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+
+    /** Server. */
+    private final HttpServer server;
+
+    /** Version of the newest transaction. */
+    private long version = 100;
+
+    /** Oldest version after which changes can be had. */
+    private long historyFrom;
+
+    /** Status that every call gets, 0 for none. */
+    private int refusal;
+
+    /**
+     * Starts the store.
+     *
+     * @throws IOException if no port can be had
+     */
+    public StandInStore() throws IOException {
+        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        server.createContext("/rows-get", x -> answer(x, this::read));
+        server.createContext("/rows-feed", x -> answer(x, this::feed));
+        server.createContext("/rows-tx", x -> answer(x, this::write));
+        server.setExecutor(threads);
+        server.start();
+    }
+
+    /** Handles a call. */
+    private interface Call {
+        /**
+         * Handles a call.
+         *
+         * @param query parameters
+         * @param body body
+         * @return answer, null for a dropped history
+         * @throws IOException if the body is not JSON
+         * @throws InterruptedException if the wait is interrupted
+         */
+        ObjectNode handle(Map<String, String> query, byte[] body)
+                throws IOException, InterruptedException;
+    }
+
+    /**
+     * Returns the address.
+     *
+     * @return IP number and port
+     */
+    public String address() {
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    /**
+     * Writes a row.
+     *
+     * @param table table
+     * @param key key
+     * @param value text
+     */
+    public synchronized void put(String table, String key, String value) {
+        row(table, key).put("value", Base64.getEncoder().encodeToString(value.getBytes()));
+        notifyAll();
+    }
+
+    /**
+     * Removes a row.
+     *
+     * @param table table
+     * @param key key
+     */
+    public synchronized void remove(String table, String key) {
+        row(table, key).put("tombstone", true);
+        notifyAll();
+    }
+
+    /** Drops the history, so that feeds have to read anew. */
+    public synchronized void dropHistory() {
+        historyFrom = version;
+        notifyAll();
+    }
+
+    /**
+     * Refuses every call from now on.
+     *
+     * @param status status, 0 to refuse none
+     */
+    public synchronized void refuse(int status) {
+        refusal = status;
+        notifyAll();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+
+    /**
+     * Makes a row with a new version.
+     *
+     * @param table table
+     * @param key key
+     * @return row
+     */
+    private ObjectNode row(String table, String key) {
+        version++;
+        ObjectNode row = mapper.createObjectNode();
+        row.put("table", table).put("part", "").put("key", key).put("ver", version);
+        tables.computeIfAbsent(table, t -> new TreeMap<>()).put(key, row);
+        return row;
+    }
+
+    /**
+     * Reads a table.
+     *
+     * @param query parameters
+     * @param body body
+     * @return answer
+     */
+    private synchronized ObjectNode read(Map<String, String> query, byte[] body) {
+        ObjectNode answer = head();
+        ArrayNode rows = answer.putArray("rows");
+        for (ObjectNode r : table(query).values()) {
+            if (!r.has("tombstone")) {
+                rows.add(r);
+            }
+        }
+        return answer.put("hasMore", false);
+    }
+
+    /**
+     * Waits for changes.
+     *
+     * @param query parameters
+     * @param body body
+     * @return answer, null for a dropped history
+     * @throws InterruptedException if the wait is interrupted
+     */
+    private synchronized ObjectNode feed(Map<String, String> query, byte[] body)
+            throws InterruptedException {
+        long after = Long.parseLong(query.get("after"));
+        long wait = Math.min(MAX_WAIT_MILLIS, Long.parseLong(query.get("waitMs")));
+        long until = System.nanoTime() + wait * 1_000_000;
+        while (refusal == 0 && after >= historyFrom && changes(query, after).isEmpty()) {
+            long left = (until - System.nanoTime()) / 1_000_000;
+            if (left <= 0) {
+                break;
+            }
+            wait(left);
+        }
+        if (after < historyFrom) {
+            return null;
+        }
+        ObjectNode answer = head();
+        answer.set("rows", changes(query, after));
+        return answer;
+    }
+
+    /**
+     * Writes rows.
+     *
+     * @param query parameters
+     * @param body body
+     * @return answer
+     * @throws IOException if the body is not JSON
+     */
+    private synchronized ObjectNode write(Map<String, String> query, byte[] body)
+            throws IOException {
+        JsonNode root = mapper.readTree(body);
+        for (JsonNode r : root.path("upserts")) {
+            row(r.get("table").asText(), r.get("key").asText())
+                    .put("value", r.get("value").asText());
+        }
+        for (JsonNode r : root.path("remove")) {
+            row(r.get("table").asText(), r.get("key").asText()).put("tombstone", true);
+        }
+        return head();
+    }
+
+    /**
+     * Collects changes.
+     *
+     * @param query parameters
+     * @param after version that is known
+     * @return rows
+     */
+    private ArrayNode changes(Map<String, String> query, long after) {
+        ArrayNode rows = mapper.createArrayNode();
+        for (ObjectNode r : table(query).values()) {
+            if (r.get("ver").asLong() > after) {
+                rows.add(r);
+            }
+        }
+        return rows;
+    }
+
+    /**
+     * Returns the table that a call names.
+     *
+     * @param query parameters
+     * @return rows by key
+     */
+    private TreeMap<String, ObjectNode> table(Map<String, String> query) {
+        return tables.getOrDefault(query.get("table"), new TreeMap<>());
+    }
+
+    /**
+     * Starts an answer.
+     *
+     * @return answer with the newest version
+     */
+    private ObjectNode head() {
+        return mapper.createObjectNode().put("ver", version).put("nowMs", 1);
+    }
+
+    /**
+     * Answers a call.
+     *
+     * @param exchange call
+     * @param call handler
+     * @throws IOException if the connection is lost
+     */
+    private void answer(HttpExchange exchange, Call call) throws IOException {
+        Map<String, String> query = new HashMap<>();
+        String text = exchange.getRequestURI().getQuery();
+        for (String pair : text == null ? new String[0] : text.split("&")) {
+            String[] words = pair.split("=", 2);
+            query.put(words[0], words.length > 1 ? words[1] : "");
+        }
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        int status = status();
+        ObjectNode answer = null;
+        try {
+            answer = status == 0 ? call.handle(query, body) : null;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        status = status();
+        int code = status != 0 ? status : answer == null ? 410 : 200;
+        byte[] bytes = code == 200 ? mapper.writeValueAsBytes(answer) : new byte[0];
+        exchange.sendResponseHeaders(code, bytes.length == 0 ? -1 : bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    /**
+     * Returns the status that every call gets.
+     *
+     * @return status, 0 for none
+     */
+    private synchronized int status() {
+        return refusal;
+    }
+}
