--- a/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
+++ b/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
@@ -6,10 +6,12 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.place.NamedVersion;
 import org.papayawalk.core.rollout.SwitchTime;
 import org.papayawalk.core.upstream.EngineReport;
+import org.papayawalk.daemon.agent.FoundManifest;
 import org.papayawalk.daemon.agent.WeightProgress;
 import org.papayawalk.daemon.node.ControlThread;
 import org.papayawalk.daemon.weight.SiteSwarm;
@@ -192,21 +194,9 @@
             return;
         }
         Instant now = clock.instant();
-        swarm.swarm()
-                .manifest(
-                        newest.key(),
-                        found ->
-                                found.ifPresent(
-                                        m ->
-                                                thread.run(
-                                                        () ->
-                                                                staged =
-                                                                        Optional.of(
-                                                                                new StagedVersion(
-                                                                                        newest,
-                                                                                        m
-                                                                                                .manifest(),
-                                                                                        now)))));
+        Consumer<FoundManifest> take =
+                m -> staged = Optional.of(new StagedVersion(newest, m.manifest(), now));
+        swarm.swarm().manifest(newest.key(), found -> thread.run(() -> found.ifPresent(take)));
     }
 
     /**
