--- a/src/main/java/org/papayawalk/core/place/LeastLoaded.java
+++ b/src/main/java/org/papayawalk/core/place/LeastLoaded.java
@@ -9,15 +9,20 @@
 import org.papayawalk.core.id.UpstreamId;
 
 /**
- * Sends a request where the fewest requests for each slot are, near upstreams first, and nowhere if
- * all have more than their slots and a short queue. Answers the load of many entries before few
- * engines: a queue longer than that would only move the wait to where it cannot be left. Holds no
- * state of its own; as safe as its random generator.
+ * Sends a request where the fewest requests and unread prompts for each slot are, near upstreams
+ * first, and nowhere if all have more than their slots and a short queue. An engine's speed hardly
+ * depends on how many requests it writes, but each prompt that it reads delays the first token of
+ * the next. Answers the load of many entries before few engines: a queue longer than that would
+ * only move the wait to where it cannot be left. Holds no state of its own; as safe as its random
+ * generator.
  */
 public final class LeastLoaded implements PlacementRule {
     /** Largest part of a slot by which equal upstreams are told apart at random. */
     private static final double JITTER = 0.6;
 
+    /** Slots that a prompt of usual length counts for while it is being read. */
+    private static final double PROMPT_SLOTS = 3;
+
     /** Slots that a certain failure counts for. */
     private static final double FAILURE_SLOTS = 12;
 
@@ -58,6 +63,7 @@
             }
             double load =
                     expected
+                            + c.load().prompts() * PROMPT_SLOTS
                             + distanceSlots.applyAsDouble(c)
                             + c.load().failureShare() * FAILURE_SLOTS
                             + random.nextDouble() * JITTER;
--- a/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
+++ b/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
@@ -30,6 +30,9 @@
     /** Requests of this entry that have not ended. */
     private int own;
 
+    /** Prompts of this entry that are still being read, in prompts of usual length. */
+    private double prompts;
+
     /** Requests beyond the own ones, by the last report. */
     private int others;
 
@@ -48,9 +51,23 @@
     /** Time before which the upstream takes no request. */
     private Instant pausedUntil = Instant.MIN;
 
-    /** Records that a request is sent. */
-    public void sent() {
+    /**
+     * Records that a request is sent.
+     *
+     * @param prompt length of its prompt, in prompts of usual length
+     */
+    public void sent(double prompt) {
         own++;
+        prompts += prompt;
+    }
+
+    /**
+     * Records that the prompt of a request was read, or that the request ended before that.
+     *
+     * @param prompt length of the prompt, in prompts of usual length
+     */
+    public void promptRead(double prompt) {
+        prompts = Math.max(0, prompts - prompt);
     }
 
     /**
@@ -115,6 +132,15 @@
         return own + (fresh ? others : 0);
     }
 
+    /**
+     * Returns the prompts of this entry that are still being read.
+     *
+     * @return sum of their lengths, in prompts of usual length
+     */
+    public double prompts() {
+        return prompts;
+    }
+
     /**
      * Returns the requests of this entry that have not ended.
      *
--- a/src/main/java/org/papayawalk/core/site/SiteSettings.java
+++ b/src/main/java/org/papayawalk/core/site/SiteSettings.java
@@ -21,6 +21,7 @@
  * @param controlAddress where other daemons find this one first, empty if they do not
  * @param peerPort first port for messages between daemons, the same on every machine
  * @param seeds control addresses of some daemons, possibly stale
+ * @param firstStart whether the whole system starts for the first time
  * @param storeAddress address of the platform's store
  * @param upstreamAddress upstream beside which this process runs, empty if there is none
  * @param upstreamService service of that upstream, empty if there is none
@@ -37,6 +38,7 @@
         Optional<String> controlAddress,
         int peerPort,
         List<String> seeds,
+        boolean firstStart,
         String storeAddress,
         Optional<String> upstreamAddress,
         Optional<ServiceId> upstreamService,
--- a/src/main/java/org/papayawalk/daemon/edge/Edge.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Edge.java
@@ -17,6 +17,7 @@
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.Addresses;
+import org.papayawalk.core.desired.EngineSpec;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.Candidate;
 import org.papayawalk.core.place.LeastLoaded;
@@ -218,6 +219,23 @@
         return engines ? enginePlacement : plainPlacement;
     }
 
+    /**
+     * Returns the length of a prompt.
+     *
+     * @param service service of the request
+     * @param tokens tokens of the prompt
+     * @return length in prompts of usual length, 0 where there are no engines
+     */
+    double promptLength(ServiceId service, int tokens) {
+        int usual =
+                fleet.view()
+                        .desired()
+                        .flatMap(d -> d.engine(service))
+                        .map(EngineSpec::usualPromptTokens)
+                        .orElse(0);
+        return usual == 0 ? 0 : (double) tokens / usual;
+    }
+
     /**
      * Records a request that is over.
      *
--- a/src/main/java/org/papayawalk/daemon/edge/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Exchange.java
@@ -184,6 +184,15 @@
         return facts.requestId();
     }
 
+    /**
+     * Returns the length of the prompt.
+     *
+     * @return tokens, 0 if not stated
+     */
+    int promptTokens() {
+        return facts.promptTokens();
+    }
+
     /**
      * Returns what identifies requests with the same content.
      *
--- a/src/main/java/org/papayawalk/daemon/edge/Sending.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Sending.java
@@ -61,6 +61,9 @@
     /** When something last came, or the request was sent. */
     private Instant progressAt = Instant.MIN;
 
+    /** Length of the prompt while it counts as unread, in prompts of usual length. */
+    private double prompt;
+
     /** Whether the sending is over. */
     private boolean done;
 
@@ -79,7 +82,8 @@
 
     /** Opens a connection and sends the request. */
     void begin() {
-        choice.load().sent();
+        prompt = edge.promptLength(exchange.call().service(), exchange.promptTokens());
+        choice.load().sent(prompt);
         Fleet.Upstream upstream = edge.fleet().find(choice.entry().id()).orElse(null);
         if (upstream == null) {
             lost("upstream is gone", false);
@@ -146,6 +150,7 @@
     @Override
     public void data(ByteBuf data) {
         progressAt = edge.clock().instant();
+        promptRead();
         if (!passing) {
             whole.writeBytes(data);
             if (whole.readableBytes() > MAX_WHOLE_ANSWER) {
@@ -229,10 +234,17 @@
      */
     private void close(SendResult result) {
         done = true;
+        promptRead();
         choice.load().ended(result, edge.clock().instant());
         edge.line(exchange.call().service()).roomMade();
     }
 
+    /** Counts the prompt as read. */
+    private void promptRead() {
+        choice.load().promptRead(prompt);
+        prompt = 0;
+    }
+
     /**
      * Drops the sending as failed.
      *
--- a/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
+++ b/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.papayawalk.core.Fault;
-import org.papayawalk.core.place.NamedVersion;
 import org.papayawalk.core.rollout.SwitchTime;
 import org.papayawalk.core.upstream.EngineReport;
 import org.papayawalk.daemon.agent.FoundManifest;
@@ -163,7 +162,11 @@
      */
     private void fetch(WeightVersion newest, Optional<Integer> held) {
         Instant now = clock.instant();
-        boolean isNew = wanted.named().stream().anyMatch(v -> isNews(v, newest));
+        boolean isNew =
+                swarm.isNews(
+                        wanted.named().stream()
+                                .filter(v -> v.number() == newest.number())
+                                .findFirst());
         boolean ends =
                 held.filter(h -> wanted.endOf(h).isBefore(now.plus(FETCH_AND_SWITCH))).isPresent();
         boolean first = staged.isPresent() && ends && held.filter(h -> h < number()).isPresent();
@@ -262,17 +265,6 @@
         return taken.getOrElse(false);
     }
 
-    /**
-     * Tells whether a version was named while this daemon ran.
-     *
-     * @param named version named
-     * @param version version meant
-     * @return true if they are the same and it is news
-     */
-    private static boolean isNews(NamedVersion named, WeightVersion version) {
-        return named.number() == version.number() && !named.learnedAt().equals(Instant.MIN);
-    }
-
     /**
      * Records that the engine serves the version wanted.
      *
--- a/src/main/java/org/papayawalk/daemon/weight/SiteSwarm.java
+++ b/src/main/java/org/papayawalk/daemon/weight/SiteSwarm.java
@@ -15,6 +15,7 @@
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.RegionId;
 import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.place.NamedVersion;
 import org.papayawalk.core.site.SiteSettings;
 import org.papayawalk.core.upstream.UpstreamEntry;
 import org.papayawalk.core.weight.ChunkPlanner;
@@ -136,6 +137,18 @@
         swarm.want(version.key());
     }
 
+    /**
+     * Tells whether nobody is sure to hold a version yet: it was named while this daemon ran, or
+     * the daemon was restarted, maybe with all others.
+     *
+     * @param named version as named, empty if the operator named none
+     * @return true if it has to be looked for as far as the origin
+     */
+    public boolean isNews(Optional<NamedVersion> named) {
+        boolean whileRunning = named.filter(v -> !v.learnedAt().equals(Instant.MIN)).isPresent();
+        return whileRunning || !node.settings().firstStart();
+    }
+
     /**
      * Returns the exchange of chunks.
      *
--- a/src/main/java/org/papayawalk/daemon/weight/WeightRelay.java
+++ b/src/main/java/org/papayawalk/daemon/weight/WeightRelay.java
@@ -1,7 +1,6 @@
 package org.papayawalk.daemon.weight;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -83,7 +82,7 @@
             return;
         }
         kept = Optional.of(version);
-        boolean isNew = named.isPresent() && !named.get().learnedAt().equals(Instant.MIN);
+        boolean isNew = swarm.isNews(named);
         Optional<ServiceId> service = engines.map(ServiceSpec::id);
         Duration delay = isNew ? Duration.ZERO : OLD_VERSION_DELAY;
         node.thread().later(delay, () -> fetch(version, isNew, service));
--- a/src/main/java/org/papayawalk/platform/SettingsCodec.java
+++ b/src/main/java/org/papayawalk/platform/SettingsCodec.java
@@ -83,6 +83,7 @@
                 text(listen, "control"),
                 required(root, "internalPorts").path(0).asInt(),
                 seeds,
+                root.path("bootstrap").asBoolean(),
                 required(required(root, "provider"), "address").asText(),
                 text(root, "app"),
                 text(root, "service").map(ServiceId::new),
--- a/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
+++ b/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
@@ -48,12 +48,12 @@
         Candidate grey = candidate("grey");
         Candidate sound = candidate("sound");
         for (int i = 0; i < 12; i++) {
-            grey.load().sent();
+            grey.load().sent(0);
             SendResult result = i % 2 == 0 ? SendResult.BROKEN : SendResult.ANSWERED;
             grey.load().ended(result, T0);
         }
         for (int i = 0; i < 3; i++) {
-            sound.load().sent();
+            sound.load().sent(0);
         }
         Instant later = T0.plusSeconds(5);
         int toGrey = 0;
@@ -68,12 +68,30 @@
     @Test
     public void refusingUpstreamIsLeftAlone() {
         Candidate loading = candidate("loading");
-        loading.load().sent();
+        loading.load().sent(0);
         loading.load().ended(SendResult.REFUSED, T0);
         assertTrue(rule().choose(List.of(loading), Set.of(), T0.plusMillis(100)).isEmpty());
         assertTrue(rule().choose(List.of(loading), Set.of(), T0.plusMillis(200)).isPresent());
     }
 
+    /**
+     * An upstream that reads long prompts gets the next one later than a busier one that does not.
+     */
+    @Test
+    public void unreadPromptsCountMoreThanRunningRequests() {
+        Candidate reading = candidate("reading");
+        Candidate writing = candidate("writing");
+        reading.load().sent(2);
+        for (int i = 0; i < 4; i++) {
+            writing.load().sent(1);
+            writing.load().promptRead(1);
+        }
+        for (int i = 0; i < 50; i++) {
+            assertEquals(
+                    rule().choose(List.of(reading, writing), Set.of(), T0).orElseThrow(), writing);
+        }
+    }
+
     /** A request is not sent twice to the same upstream. */
     @Test
     public void triedUpstreamIsNotChosenAgain() {
