Fetch a version as soon as it is named; prove the agent against a stand-in engine

Cause: SideRoleTest showed 700 ms between the naming of a version and its fetching, as the driver asked the settled engine only that often. Change: the driver hears of each new view. The test plays an origin that sends wrong bytes, staged chunks that turn bad, an engine that loses its weights, and versions in quick succession. Conclusion: no load took a missing or wrong chunk in any of the four cases.

--- a/src/main/java/org/papayawalk/daemon/side/SideRole.java
+++ b/src/main/java/org/papayawalk/daemon/side/SideRole.java
@@ -52,6 +52,7 @@
         WantedVersion wanted = new SiteWantedVersion(node, service(), origin);
         VersionDriver driver =
                 new VersionDriver(engine, swarm, work, node.thread(), node.clock(), wanted);
+        node.state().listen(v -> driver.viewChanged());
         node.thread().run(driver::start);
         serveMetrics(swarm.swarm());
     }
--- a/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
+++ b/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
@@ -60,6 +60,9 @@
     /** When the version was first wanted. */
     private Instant wantedAt = Instant.MIN;
 
+    /** Version that the engine served when last seen. */
+    private Optional<Integer> lastHeld = Optional.empty();
+
     /** Version that is staged to its end and was not loaded when last seen. */
     private Optional<StagedVersion> staged = Optional.empty();
 
@@ -103,6 +106,14 @@
         look();
     }
 
+    /** Lets the swarm fetch a version as soon as it is named, without waiting for the next look. */
+    void viewChanged() {
+        Optional<WeightVersion> newest = wanted.version();
+        if (fetching.isPresent() && newest.isPresent() && !newest.equals(fetching)) {
+            fetch(newest.get(), lastHeld);
+        }
+    }
+
     /** Lets the swarm fetch the version wanted and asks the engine where it is. */
     private void look() {
         Optional<WeightVersion> version = wanted.version();
@@ -125,13 +136,14 @@
      */
     private void reported(WeightVersion newest, Either<Fault, EngineReport> result) {
         Optional<Integer> held = result.toJavaOptional().map(r -> r.models().get(newest.model()));
-        if (!Optional.of(newest).equals(fetching)) {
+        if (fetching.isEmpty()) {
             fetch(newest, held);
         }
-        if (result.isLeft()) {
+        if (result.isLeft() || !Optional.of(newest).equals(fetching)) {
             thread.later(LOOK, this::look);
             return;
         }
+        lastHeld = held;
         EngineReport report = result.get();
         noteIncarnation(report);
         if (held.isPresent() && held.get() >= newest.number()) {
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/side/SideRoleTest.java
@@ -0,0 +1,140 @@
+package org.papayawalk.daemon.side;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.papayawalk.daemon.site.SiteNode;
+import org.papayawalk.daemon.site.StandInStore;
+import org.papayawalk.platform.SettingsCodec;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * Plays an engine, the origin and the store against an agent on loopback. Proves that an engine is
+ * never told to load weights that are partial, spoilt or of another version.
+ */
+public final class SideRoleTest {
+    /** Longest wait for something that must happen, in milliseconds. */
+    private static final long LIMIT_MILLIS = 20_000;
+
+    /** Desired state, with a place for the origin. */
+    private static final String DESIRED =
+            """
+            {"version":1,"routes":[],"services":[
+            {"name":"helper","engine":{"slots":4,"models":[{"name":"m","warmupS":0.1}],"chunks":6,
+             "chunkBytes":512}},
+            {"name":"origin","origin":"%s","zone":"luzon-a"}]}
+            """;
+
+    /** Store. */
+    private StandInStore store;
+
+    /** Engine and origin. */
+    private StandInEngine engine;
+
+    /**
+     * Starts the stand-ins and the agent. No entry runs, so the agent follows the store itself.
+     *
+     * @throws IOException if a port cannot be had
+     */
+    @BeforeClass
+    public void start() throws IOException {
+        store = new StandInStore();
+        engine = new StandInEngine();
+        store.put("op", "config", DESIRED.formatted(engine.address()));
+        store.put(
+                "servers",
+                "i-1",
+                """
+                {"service":"helper","address":"%s","zone":"luzon-a","slots":4,"state":"ready"}
+                """
+                        .formatted(engine.address()));
+        String settings =
+                """
+                {"nodeName":"side-1","ip":"127.0.0.1","zone":"luzon-a",
+                 "zones":{"luzon-a":"luzon"},"internalPorts":[%d,%d],"seeds":[],"listen":{},
+                 "bootstrap":true,"provider":{"address":"%s"},"bounds":{"version_ms":8000},
+                 "limits":{"linkMbps":1000},"app":"%s","service":"helper"}
+                """
+                        .formatted(freePort(), 0, store.address(), engine.address());
+        byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
+        new SideRole(new SiteNode(SettingsCodec.decode(bytes))).start();
+    }
+
+    /** Stops the stand-ins. */
+    @AfterClass
+    public void stop() {
+        store.close();
+        engine.close();
+    }
+
+    /** An engine that serves nothing gets the first version, each chunk from the origin once. */
+    @Test
+    public void emptyEngineIsFilled() {
+        await(() -> engine.serving() == 1);
+        assertEquals(engine.spoiltLoads(), 0);
+        assertEquals(engine.chunksSent(), StandInEngine.CHUNKS);
+    }
+
+    /**
+     * Wrong bytes of the origin are not staged, and what turns bad is staged anew before the load.
+     */
+    @Test(dependsOnMethods = "emptyEngineIsFilled")
+    public void spoiltChunksAreNeverLoaded() {
+        engine.spoil(3, 2);
+        store.put("op", "version/m", "{\"model\":\"m\",\"version\":2}");
+        await(() -> engine.serving() == 2);
+        assertEquals(engine.spoiltLoads(), 0);
+    }
+
+    /** An engine that lost its weights gets them again, without a further copy from the origin. */
+    @Test(dependsOnMethods = "spoiltChunksAreNeverLoaded")
+    public void restartedEngineIsFilledAgain() {
+        int before = engine.chunksSent();
+        engine.restart();
+        await(() -> engine.serving() == 2);
+        assertEquals(engine.spoiltLoads(), 0);
+        assertEquals(engine.chunksSent(), before);
+    }
+
+    /** Of versions named in quick succession the newest is served in the end. */
+    @Test(dependsOnMethods = "restartedEngineIsFilledAgain")
+    public void newestOfSeveralVersionsIsServed() {
+        store.put("op", "version/m", "{\"model\":\"m\",\"version\":3}");
+        store.put("op", "version/m", "{\"model\":\"m\",\"version\":5}");
+        await(() -> engine.serving() == 5);
+        assertEquals(engine.spoiltLoads(), 0);
+    }
+
+    /**
+     * Waits until something holds.
+     *
+     * @param condition condition
+     */
+    private static void await(BooleanSupplier condition) {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, "did not happen within the limit");
+            Thread.onSpinWait();
+        }
+    }
+
+    /**
+     * Finds a free port.
+     *
+     * @return port
+     * @throws IOException if none can be had
+     */
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return s.getLocalPort();
+        }
+    }
+}
