--- a/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
+++ b/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
@@ -4,10 +4,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.papayawalk.core.Fault;
+import org.papayawalk.core.place.NamedVersion;
 import org.papayawalk.core.rollout.SwitchTime;
 import org.papayawalk.core.upstream.EngineReport;
 import org.papayawalk.daemon.agent.FoundManifest;
@@ -30,6 +32,12 @@
     /** Pause between looks while it is. */
     private static final Duration CALM_LOOK = Duration.ofMillis(700);
 
+    /** A version of which one part in this many is here is fetched to its end. */
+    private static final int FINISH_PART = 3;
+
+    /** Longest time that a newer version waits for that. */
+    private static final Duration FINISH_LIMIT = Duration.ofMillis(2200);
+
     /** Time that fetching, staging and switching to a new version takes. */
     private static final Duration FETCH_AND_SWITCH = Duration.ofMillis(4800);
 
@@ -109,7 +117,8 @@
     /** Lets the swarm fetch a version as soon as it is named, without waiting for the next look. */
     void viewChanged() {
         Optional<WeightVersion> newest = wanted.version();
-        if (fetching.isPresent() && newest.isPresent() && !newest.equals(fetching)) {
+        boolean changed = fetching.isPresent() && !newest.equals(fetching);
+        if (changed && newest.isPresent() && !finishesFirst()) {
             fetch(newest.get(), lastHeld);
         }
     }
@@ -139,11 +148,15 @@
         if (fetching.isEmpty()) {
             fetch(newest, held);
         }
-        if (result.isLeft() || !Optional.of(newest).equals(fetching)) {
+        if (result.isLeft()) {
             thread.later(LOOK, this::look);
             return;
         }
         lastHeld = held;
+        noteStaged(fetching.get());
+        if (!Optional.of(newest).equals(fetching) && !finishesFirst()) {
+            fetch(newest, held);
+        }
         EngineReport report = result.get();
         noteIncarnation(report);
         if (held.isPresent() && held.get() >= newest.number()) {
@@ -152,10 +165,10 @@
             return;
         }
         settled = false;
-        noteStaged(newest);
         boolean superseded = staged.filter(s -> !s.version().equals(newest)).isPresent();
         boolean done = staged.isPresent() && held.filter(h -> h >= number()).isPresent();
-        if (superseded && (done || !engine.holdsStaging())) {
+        boolean beingFetched = staged.map(StagedVersion::version).equals(fetching);
+        if (superseded && !beingFetched && (done || !engine.holdsStaging())) {
             staged = Optional.empty();
             engine.holdStaging(false);
         }
@@ -165,6 +178,25 @@
         thread.later(LOOK, this::look);
     }
 
+    /**
+     * Tells whether the version that is fetched comes to its end before a newer one is begun,
+     * because much of it is here and the newer one can still be everywhere in time.
+     *
+     * @return true if the newer version waits
+     */
+    private boolean finishesFirst() {
+        WeightProgress progress = swarm.swarm().progress();
+        WeightVersion current = fetching.orElseThrow();
+        boolean noted = staged.map(StagedVersion::version).equals(fetching);
+        boolean open = progress.digest().equals(current.key()) && !noted;
+        boolean useful = lastHeld.filter(h -> h >= current.number()).isEmpty();
+        boolean far = progress.held() * FINISH_PART >= Math.max(1, progress.total());
+        List<NamedVersion> named = wanted.named();
+        Instant newestAt = named.isEmpty() ? Instant.MIN : named.get(named.size() - 1).learnedAt();
+        boolean early = newestAt.plus(FINISH_LIMIT).isAfter(clock.instant());
+        return open && useful && far && early;
+    }
+
     /**
      * Lets the swarm fetch a version. If another one is staged already, and the engine's own will
      * not last until the new one can be staged, the engine gets the staged one first.
