--- a/src/main/java/org/papayawalk/lab/LabMain.java
+++ b/src/main/java/org/papayawalk/lab/LabMain.java
@@ -34,6 +34,12 @@
         JCommander.Builder builder = JCommander.newBuilder().programName("papayawalk-lab");
         commands.forEach(builder::addCommand);
         JCommander parser = builder.build();
+        if (asksForHelp(arguments, commands)) {
+            StringBuilder usage = new StringBuilder();
+            parser.getUsageFormatter().usage(arguments[0], usage);
+            System.out.print(usage);
+            return;
+        }
         try {
             parser.parse(arguments);
         } catch (ParameterException e) {
@@ -50,6 +56,19 @@
         }
     }
 
+    /**
+     * Tells whether the options of a command are asked for.
+     *
+     * @param arguments command and options
+     * @param commands commands by name
+     * @return true for a command followed by {@code --help}
+     */
+    private static boolean asksForHelp(String[] arguments, Map<String, LabCommand> commands) {
+        return arguments.length == 2
+                && commands.containsKey(arguments[0])
+                && arguments[1].equals("--help");
+    }
+
     /**
      * Runs a command.
      *
@@ -59,6 +78,9 @@
     private static int run(LabCommand command) {
         try {
             return command.run();
+        } catch (ParameterException e) {
+            System.err.println("papayawalk-lab: " + e.getMessage());
+            return USAGE;
         } catch (Exception e) {
             Event.named("lab-failed").with("command", command.name()).error(e);
             return FAILED;
--- a/src/main/java/org/papayawalk/lab/burst/BurstCommand.java
+++ b/src/main/java/org/papayawalk/lab/burst/BurstCommand.java
@@ -9,11 +9,15 @@
 import java.util.Locale;
 import org.papayawalk.adapter.Json;
 import org.papayawalk.core.weight.DistributionPolicy;
+import org.papayawalk.lab.FaultNames;
 import org.papayawalk.lab.LabCommand;
 
 /** Measures how a version spreads. */
 @Parameters(commandDescription = "Measure how a version spreads over paced links")
 public final class BurstCommand implements LabCommand {
+    /** Faults that can be caused. */
+    private static final List<String> FAULTS = List.of("kill", "corrupt", "stall", "platform-away");
+
     /** Hosts. */
     @Parameter(names = "--hosts", description = "Hosts that get the version")
     private int hosts = 14;
@@ -61,7 +65,7 @@
     private int maxUnavailable = 4;
 
     /** Faults. */
-    @Parameter(names = "--faults", description = "kill, corrupt, stall, platform-away")
+    @Parameter(names = "--faults", description = "kill, corrupt, stall, platform-away, or all")
     private List<String> faults = new ArrayList<>();
 
     /** Limit. */
@@ -92,7 +96,7 @@
                         windowSeconds,
                         rate,
                         maxUnavailable,
-                        new HashSet<>(faults),
+                        new HashSet<>(FaultNames.select(faults, FAULTS)),
                         limitSeconds);
         BurstReport report = new Burst(settings).run();
         System.out.println(Json.pretty(report));
--- a/src/main/java/org/papayawalk/lab/config/ConfigCommand.java
+++ b/src/main/java/org/papayawalk/lab/config/ConfigCommand.java
@@ -25,6 +25,7 @@
 import org.papayawalk.core.weight.DownloadFactory;
 import org.papayawalk.core.weight.DownloadSettings;
 import org.papayawalk.daemon.agent.WeightSettings;
+import org.papayawalk.lab.FaultNames;
 import org.papayawalk.lab.LabCommand;
 import org.papayawalk.lab.cluster.ControlCost;
 import org.papayawalk.lab.cluster.LabAddresses;
@@ -37,6 +38,9 @@
 /** Measures how fast changes are in force, and what control costs by the number of daemons. */
 @Parameters(commandDescription = "Measure changes of the configuration and the cost of control")
 public final class ConfigCommand implements LabCommand {
+    /** Faults that can be caused. */
+    private static final List<String> FAULTS = List.of("lose-answer");
+
     /** Length of the phase without changes, in seconds. */
     private static final int IDLE_SECONDS = 6;
 
@@ -66,7 +70,7 @@
     private long seed = 1;
 
     /** Faults. */
-    @Parameter(names = "--faults", description = "lose-answer")
+    @Parameter(names = "--faults", description = "lose-answer, or all")
     private List<String> faults = new ArrayList<>();
 
     /** JSON. */
@@ -106,7 +110,7 @@
             TimeUnit.SECONDS.sleep(IDLE_SECONDS);
             double idleBytes = (controlBytes() - bytes) / (double) IDLE_SECONDS / daemons;
             double idleCpu = (controlCpuNanos() - cpu) / 1e9 / IDLE_SECONDS / daemons;
-            if (faults.contains("lose-answer")) {
+            if (FaultNames.select(faults, FAULTS).contains("lose-answer")) {
                 platform.tableFaults().set(new FaultSettings(false, false, 0, 0.1, 0));
             }
             long start = System.nanoTime();
--- a/src/main/java/org/papayawalk/lab/requests/RequestsCommand.java
+++ b/src/main/java/org/papayawalk/lab/requests/RequestsCommand.java
@@ -14,12 +14,26 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.papayawalk.adapter.Json;
+import org.papayawalk.lab.FaultNames;
 import org.papayawalk.lab.LabCommand;
 import org.papayawalk.lab.standin.EngineSettings;
 
 /** Measures requests under load and faults. */
 @Parameters(commandDescription = "Measure requests under load and faults")
 public final class RequestsCommand implements LabCommand {
+    /** Faults that can be caused. */
+    private static final List<String> FAULTS =
+            List.of(
+                    "kill-agent",
+                    "kill-service-agent",
+                    "kill-entry",
+                    "lose-answer",
+                    "table-away",
+                    "table-slow",
+                    "freeze-upstream",
+                    "poison",
+                    "drain");
+
     /** Length of the measurement straight to an engine, in seconds. */
     private static final int DIRECT_SECONDS = 4;
 
@@ -49,7 +63,7 @@
             names = "--faults",
             description =
                     "kill-agent, kill-service-agent, kill-entry, lose-answer, table-away,"
-                            + " table-slow, freeze-upstream, poison, drain")
+                            + " table-slow, freeze-upstream, poison, drain, or all")
     private List<String> faults = new ArrayList<>();
 
     /** Model hosts. */
@@ -100,7 +114,7 @@
                     (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
             long cpuBefore = system.getProcessCpuTime();
             long start = System.nanoTime();
-            Chaos chaos = new Chaos(cluster, faults, caller, seed);
+            Chaos chaos = new Chaos(cluster, FaultNames.select(faults, FAULTS), caller, seed);
             Thread chaosThread = new Thread(chaos, "chaos");
             chaosThread.start();
             load(seconds, rate, (n, due) -> call(cluster, n, due));
