Answer a request whose head or body comes too slowly

Cause: the desired state bounds the time for a head; a caller that stalled in it kept its connection until the idle limit and got no answer. EdgeFixture holds what two test classes share. Figures: CallerHandlerTest.slowHeadIsRejected fails before (no answer within 10 s), passes now. Conclusion: nothing of such a request reaches a server.

--- a/src/main/java/org/papayawalk/daemon/edge/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/edge/CallerHandler.java
@@ -64,9 +64,12 @@
     /** Whether the connection takes no further request. */
     private boolean closing;
 
-    /** Ends the connection when nothing comes. */
+    /** Ends the connection when nothing comes, or a request takes too long to come. */
     private ScheduledFuture<?> idleTimer;
 
+    /** Whether a head has begun to come. */
+    private boolean headBegun;
+
     /**
      * Creates the handler of a connection.
      *
@@ -82,7 +85,7 @@
     public void channelActive(ChannelHandlerContext newContext) {
         context = newContext;
         edge.opened(this);
-        watchIdle(limits.idleTimeout().plus(IDLE_MARGIN));
+        watchIdle();
     }
 
     @Override
@@ -96,6 +99,15 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ignored, Object event) {
+        boolean first = event == CallerDecoder.Progress.PARTIAL && head == null && !headBegun;
+        if (first && exchange == null && waiting.isEmpty() && !closing) {
+            headBegun = true;
+            watch(limits.headerTimeout(), () -> tooSlow("headers"));
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
@@ -211,8 +223,9 @@
             return;
         }
         if (part instanceof HttpRequest request) {
-            stopIdleWatch();
+            headBegun = false;
             head = request;
+            watch(limits.idleTimeout(), () -> tooSlow("body"));
             if (HttpUtil.is100ContinueExpected(request)) {
                 context.writeAndFlush(
                         new DefaultFullHttpResponse(
@@ -243,6 +256,7 @@
         }
         if (content instanceof LastHttpContent) {
             CallerRequest request = new CallerRequest(head, body, edge.clock().instant());
+            stopIdleWatch();
             head = null;
             body = Unpooled.EMPTY_BUFFER;
             waiting.addLast(request);
@@ -259,7 +273,7 @@
             return;
         }
         if (waiting.isEmpty()) {
-            watchIdle(limits.idleTimeout().plus(IDLE_MARGIN));
+            watchIdle();
             return;
         }
         CallerRequest request = waiting.removeFirst();
@@ -333,6 +347,15 @@
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
+    /**
+     * Rejects a request that takes too long to come. It was not read and will not run.
+     *
+     * @param part what is missing
+     */
+    private void tooSlow(String part) {
+        reject(HttpResponseStatus.REQUEST_TIMEOUT, part + " took too long");
+    }
+
     /** Drops the request that is being read. */
     private void resetBody() {
         head = null;
@@ -340,16 +363,20 @@
         body = Unpooled.EMPTY_BUFFER;
     }
 
+    /** Closes the connection if no request has come after a while. */
+    private void watchIdle() {
+        watch(limits.idleTimeout().plus(IDLE_MARGIN), this::closeIfIdle);
+    }
+
     /**
-     * Closes the connection if no request has come after a while.
+     * Does something if nothing else has happened by then.
      *
      * @param limit time to wait
+     * @param late what to do
      */
-    private void watchIdle(Duration limit) {
+    private void watch(Duration limit, Runnable late) {
         stopIdleWatch();
-        idleTimer =
-                context.executor()
-                        .schedule(this::closeIfIdle, limit.toMillis(), TimeUnit.MILLISECONDS);
+        idleTimer = context.executor().schedule(late, limit.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Ends the watch for an idle connection. */
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/edge/CallerHandlerTest.java
@@ -0,0 +1,82 @@
+package org.papayawalk.daemon.edge;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * Sends an entry bytes that are no request, or not yet. Proves that none of them reach a server.
+ */
+public final class CallerHandlerTest {
+    /** Stand-ins and entry. */
+    private EdgeFixture site;
+
+    /**
+     * Starts the site.
+     *
+     * @throws IOException if a port cannot be had
+     */
+    @BeforeClass
+    public void start() throws IOException {
+        site = new EdgeFixture();
+    }
+
+    /**
+     * Stops the stand-ins.
+     *
+     * @throws IOException if a server cannot be closed
+     */
+    @AfterClass
+    public void stop() throws IOException {
+        site.close();
+    }
+
+    /**
+     * Bytes that are no request, or could be read in two ways, reach no server.
+     *
+     * @throws IOException if the connection is lost
+     */
+    @Test
+    public void ambiguousRequestsReachNoServer() throws IOException {
+        String[] heads = {
+            "Content-Length: 5\r\nContent-Length: 6\r\n",
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            "Content-Length: -1\r\n",
+            "X-Long: " + "x".repeat(4000) + "\r\n",
+            "Bad Header: 1\r\n"
+        };
+        for (String h : heads) {
+            try (Socket socket = site.caller().connect()) {
+                String start = "POST /pay/x HTTP/1.1\r\nHost: shop.example\r\n";
+                TestCaller.write(socket, start + "X-Credential: key-1\r\n" + h + "\r\nhello");
+                int status = TestCaller.read(socket).status();
+                assertTrue(status == 400 || status == 431, h + " gave " + status);
+            }
+        }
+        assertNothingArrived();
+    }
+
+    /**
+     * A head that does not come to its end gets an answer, and reaches no server.
+     *
+     * @throws IOException if the connection is lost
+     */
+    @Test
+    public void slowHeadIsRejected() throws IOException {
+        try (Socket socket = site.caller().connect()) {
+            TestCaller.write(socket, "POST /pay/x HTTP/1.1\r\nHost: shop");
+            assertEquals(TestCaller.read(socket).status(), 408);
+        }
+        assertNothingArrived();
+    }
+
+    /** Fails if a server saw a request. */
+    private void assertNothingArrived() {
+        assertTrue(site.first().seen().isEmpty() && site.second().seen().isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/edge/EdgeFixture.java
@@ -0,0 +1,172 @@
+package org.papayawalk.daemon.edge;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.papayawalk.daemon.site.SiteNode;
+import org.papayawalk.daemon.site.StandInServer;
+import org.papayawalk.daemon.site.StandInServer.Mode;
+import org.papayawalk.daemon.site.StandInStore;
+import org.papayawalk.platform.SettingsCodec;
+
+/** Entry on loopback before a store and two servers. Confined to one thread. */
+final class EdgeFixture implements AutoCloseable {
+    /** Longest wait for something that must happen, in milliseconds. */
+    private static final long LIMIT_MILLIS = 10_000;
+
+    /** Desired state, with places for its version and its key. */
+    private static final String DESIRED =
+            """
+            {"version":%d,"routes":[
+            {"name":"read","host":"shop.example","prefix":"/read/","kind":"safe","timeoutMs":3000,
+             "targetLatencyMs":500,"priority":2,"service":"desk","maxAttempts":2},
+            {"name":"pay","host":"shop.example","prefix":"/pay/","kind":"non_idempotent",
+             "timeoutMs":1500,"targetLatencyMs":500,"priority":2,"service":"desk","maxAttempts":1},
+            {"name":"advice","host":"shop.example","prefix":"/advice/","kind":"streaming",
+             "timeoutMs":4000,"targetLatencyMs":500,"priority":1,"service":"desk","maxAttempts":2,
+             "resumeStreams":true}],
+            "services":[{"name":"desk","maxConnections":50}],
+            "limits":{"maxHeaderBytes":2048,"maxBodyBytes":4096,"headerTimeoutMs":400,
+             "idleTimeoutMs":15000},
+            "tenants":[{"name":"bakers","apiKeys":["%s"]}]}
+            """;
+
+    /** Store. */
+    private final StandInStore store;
+
+    /** First server. */
+    private final StandInServer first;
+
+    /** Second server. */
+    private final StandInServer second;
+
+    /** Caller. */
+    private final TestCaller caller;
+
+    /**
+     * Starts the store, the servers and the entry.
+     *
+     * @throws IOException if a port cannot be had
+     */
+    EdgeFixture() throws IOException {
+        store = new StandInStore();
+        first = new StandInServer(Mode.WHOLE);
+        second = new StandInServer(Mode.WHOLE);
+        store.put("op", "config", desired(1, "key-1"));
+        store.put("servers", "i-1", entry(first, "ready"));
+        store.put("servers", "i-2", entry(second, "ready"));
+        int port = freePort();
+        int readyPort = freePort();
+        caller = new TestCaller(port);
+        String settings =
+                """
+                {"nodeName":"front-1","ip":"127.0.0.1","zone":"luzon-a",
+                 "zones":{"luzon-a":"luzon"},"internalPorts":[%d,%d],"seeds":[],
+                 "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
+                 "provider":{"address":"%s"},"bounds":{"graceS":8,"budgetSlack":500},
+                 "limits":{"linkMbps":1000}}
+                """
+                        .formatted(freePort(), 0, port, readyPort, store.address());
+        byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
+        new EdgeRole(new SiteNode(SettingsCodec.decode(bytes))).start();
+        await(() -> TestCaller.get(readyPort, "/readiness").status() == 200);
+    }
+
+    /**
+     * Returns the store.
+     *
+     * @return store
+     */
+    StandInStore store() {
+        return store;
+    }
+
+    /**
+     * Returns the first server.
+     *
+     * @return server
+     */
+    StandInServer first() {
+        return first;
+    }
+
+    /**
+     * Returns the second server.
+     *
+     * @return server
+     */
+    StandInServer second() {
+        return second;
+    }
+
+    /**
+     * Returns the caller.
+     *
+     * @return caller
+     */
+    TestCaller caller() {
+        return caller;
+    }
+
+    /**
+     * Writes a desired state.
+     *
+     * @param version number
+     * @param key the only key
+     * @return text
+     */
+    static String desired(int version, String key) {
+        return DESIRED.formatted(version, key);
+    }
+
+    @Override
+    public void close() throws IOException {
+        store.close();
+        first.close();
+        second.close();
+    }
+
+    /**
+     * Waits until something holds.
+     *
+     * @param condition condition
+     */
+    static void await(BooleanSupplier condition) {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, "did not happen within the limit");
+            Thread.onSpinWait();
+        }
+    }
+
+    /**
+     * Writes the entry of a server.
+     *
+     * @param server server
+     * @param state state
+     * @return text
+     */
+    static String entry(StandInServer server, String state) {
+        return """
+               {"service":"desk","address":"%s","zone":"luzon-a","slots":4,"state":"%s","born":1}
+               """
+                .formatted(server.address(), state);
+    }
+
+    /**
+     * Finds a free port.
+     *
+     * @return port
+     * @throws IOException if none can be had
+     */
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return s.getLocalPort();
+        }
+    }
+}
--- a/src/test/java/org/papayawalk/daemon/edge/EdgeRoleTest.java
+++ b/src/test/java/org/papayawalk/daemon/edge/EdgeRoleTest.java
@@ -5,20 +5,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
-import org.papayawalk.daemon.site.SiteNode;
 import org.papayawalk.daemon.site.StandInServer;
 import org.papayawalk.daemon.site.StandInServer.Mode;
 import org.papayawalk.daemon.site.StandInStore;
-import org.papayawalk.platform.SettingsCodec;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
@@ -30,26 +23,6 @@
  * most once.
  */
 public final class EdgeRoleTest {
-    /** Longest wait for something that must happen, in milliseconds. */
-    private static final long LIMIT_MILLIS = 10_000;
-
-    /** Desired state, with places for its version and its key. */
-    private static final String DESIRED =
-            """
-            {"version":%d,"routes":[
-            {"name":"read","host":"shop.example","prefix":"/read/","kind":"safe","timeoutMs":3000,
-             "targetLatencyMs":500,"priority":2,"service":"desk","maxAttempts":2},
-            {"name":"pay","host":"shop.example","prefix":"/pay/","kind":"non_idempotent",
-             "timeoutMs":1500,"targetLatencyMs":500,"priority":2,"service":"desk","maxAttempts":1},
-            {"name":"advice","host":"shop.example","prefix":"/advice/","kind":"streaming",
-             "timeoutMs":4000,"targetLatencyMs":500,"priority":1,"service":"desk","maxAttempts":2,
-             "resumeStreams":true}],
-            "services":[{"name":"desk","maxConnections":50}],
-            "limits":{"maxHeaderBytes":2048,"maxBodyBytes":4096,"headerTimeoutMs":3000,
-             "idleTimeoutMs":15000},
-            "tenants":[{"name":"bakers","apiKeys":["%s"]}]}
-            """;
-
     /** Store. */
     private StandInStore store;
 
@@ -62,37 +35,24 @@
     /** Caller. */
     private TestCaller caller;
 
+    /** Stand-ins and entry. */
+    private EdgeFixture site;
+
     /** Version of the desired state last written. */
     private int version = 1;
 
     /**
-     * Starts the store, the servers and the entry.
+     * Starts the site.
      *
      * @throws IOException if a port cannot be had
      */
     @BeforeClass
     public void start() throws IOException {
-        store = new StandInStore();
-        first = new StandInServer(Mode.WHOLE);
-        second = new StandInServer(Mode.WHOLE);
-        store.put("op", "config", DESIRED.formatted(version, "key-1"));
-        store.put("servers", "i-1", entry(first, "ready"));
-        store.put("servers", "i-2", entry(second, "ready"));
-        int port = freePort();
-        int readyPort = freePort();
-        caller = new TestCaller(port);
-        String settings =
-                """
-                {"nodeName":"front-1","ip":"127.0.0.1","zone":"luzon-a",
-                 "zones":{"luzon-a":"luzon"},"internalPorts":[%d,%d],"seeds":[],
-                 "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
-                 "provider":{"address":"%s"},"bounds":{"graceS":8,"budgetSlack":500},
-                 "limits":{"linkMbps":1000}}
-                """
-                        .formatted(freePort(), 0, port, readyPort, store.address());
-        byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
-        new EdgeRole(new SiteNode(SettingsCodec.decode(bytes))).start();
-        await(() -> TestCaller.get(readyPort, "/readiness").status() == 200);
+        site = new EdgeFixture();
+        store = site.store();
+        first = site.first();
+        second = site.second();
+        caller = site.caller();
     }
 
     /**
@@ -102,9 +62,7 @@
      */
     @AfterClass
     public void stop() throws IOException {
-        store.close();
-        first.close();
-        second.close();
+        site.close();
     }
 
     /** Makes the servers sound, and waits until the entry has forgotten earlier failures. */
@@ -113,7 +71,7 @@
         first.mode(Mode.WHOLE);
         second.mode(Mode.WHOLE);
         int[] streak = {0};
-        await(
+        EdgeFixture.await(
                 () -> {
                     streak[0] =
                             caller.send("GET", "/read/x", "key-1").status() == 200
@@ -257,9 +215,9 @@
         both(Mode.MUTE);
         try (Socket socket = caller.connect()) {
             TestCaller.write(socket, caller.request("POST", "/pay/x", "key-1"));
-            await(() -> all().size() == 1);
+            EdgeFixture.await(() -> all().size() == 1);
         }
-        await(() -> first.abandoned().size() + second.abandoned().size() == 1);
+        EdgeFixture.await(() -> first.abandoned().size() + second.abandoned().size() == 1);
     }
 
     /** Requests beside every route, or with an unknown key, reach no server. */
@@ -275,20 +233,20 @@
     public void newKeyIsInForceSoon() {
         version++;
         store.dropHistory();
-        store.put("op", "config", DESIRED.formatted(version, "key-2"));
-        await(() -> caller.send("GET", "/read/x", "key-2").status() == 200);
+        store.put("op", "config", EdgeFixture.desired(version, "key-2"));
+        EdgeFixture.await(() -> caller.send("GET", "/read/x", "key-2").status() == 200);
         assertEquals(caller.send("GET", "/read/x", "key-1").status(), 401);
         version++;
-        store.put("op", "config", DESIRED.formatted(version, "key-1"));
-        await(() -> caller.send("GET", "/read/x", "key-1").status() == 200);
+        store.put("op", "config", EdgeFixture.desired(version, "key-1"));
+        EdgeFixture.await(() -> caller.send("GET", "/read/x", "key-1").status() == 200);
     }
 
     /** An older desired state that comes late changes nothing. */
     @Test
     public void olderDesiredStateChangesNothing() {
-        store.put("op", "config", DESIRED.formatted(0, "key-old"));
-        store.put("servers", "i-3", entry(first, "ready"));
-        await(() -> caller.send("GET", "/read/x", "key-1").status() == 200);
+        store.put("op", "config", EdgeFixture.desired(0, "key-old"));
+        store.put("servers", "i-3", EdgeFixture.entry(first, "ready"));
+        EdgeFixture.await(() -> caller.send("GET", "/read/x", "key-1").status() == 200);
         store.remove("servers", "i-3");
         assertEquals(caller.send("GET", "/read/x", "key-old").status(), 401);
     }
@@ -296,50 +254,13 @@
     /** A server that announces its leaving gets no new request. */
     @Test
     public void drainingServerGetsNoNewRequest() {
-        store.put("servers", "i-1", entry(first, "draining"));
-        await(() -> caller.send("GET", "/read/x", "key-1").status() == 200 && idleFor(first, 10));
-        store.put("servers", "i-1b", entry(first, "ready"));
+        store.put("servers", "i-1", EdgeFixture.entry(first, "draining"));
+        EdgeFixture.await(
+                () -> caller.send("GET", "/read/x", "key-1").status() == 200 && idleFor(first, 10));
+        store.put("servers", "i-1b", EdgeFixture.entry(first, "ready"));
         store.remove("servers", "i-1");
     }
 
-    /**
-     * Bytes that are no request, or could be read in two ways, reach no server.
-     *
-     * @throws IOException if the connection is lost
-     */
-    @Test
-    public void ambiguousRequestsReachNoServer() throws IOException {
-        String[] heads = {
-            "Content-Length: 5\r\nContent-Length: 6\r\n",
-            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
-            "Content-Length: -1\r\n",
-            "X-Long: " + "x".repeat(4000) + "\r\n",
-            "Bad Header: 1\r\n"
-        };
-        for (String h : heads) {
-            try (Socket socket = caller.connect()) {
-                String start = "POST /pay/x HTTP/1.1\r\nHost: shop.example\r\n";
-                TestCaller.write(socket, start + "X-Credential: key-1\r\n" + h + "\r\nhello");
-                int status = TestCaller.read(socket).status();
-                assertTrue(status == 400 || status == 431, h + " gave " + status);
-            }
-        }
-        assertTrue(all().isEmpty());
-    }
-
-    /**
-     * Waits until something holds.
-     *
-     * @param condition condition
-     */
-    private static void await(BooleanSupplier condition) {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < until, "did not happen within the limit");
-            Thread.onSpinWait();
-        }
-    }
-
     /**
      * Tells whether a server is sent nothing.
      *
@@ -371,30 +292,4 @@
         first.mode(mode);
         second.mode(mode);
     }
-
-    /**
-     * Writes the entry of a server.
-     *
-     * @param server server
-     * @param state state
-     * @return text
-     */
-    private static String entry(StandInServer server, String state) {
-        return """
-               {"service":"desk","address":"%s","zone":"luzon-a","slots":4,"state":"%s","born":1}
-               """
-                .formatted(server.address(), state);
-    }
-
-    /**
-     * Finds a free port.
-     *
-     * @return port
-     * @throws IOException if none can be had
-     */
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
-        }
-    }
 }
