Open connections in one place; prove that cut machines learn from entries

Cause: three classes opened TCP connections with the same lines; the exchange between daemons had no test of its own. Change: Connector opens connections; SiteNodeTest runs two entries and an agent, one entry and the agent cut off from the store, and waits for a desired state, a drain and evidence to reach them.

--- a/src/main/java/org/papayawalk/daemon/edge/Edge.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Edge.java
@@ -1,10 +1,7 @@
 package org.papayawalk.daemon.edge;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.time.Instant;
@@ -16,7 +13,6 @@
 import java.util.SplittableRandom;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
-import org.papayawalk.core.Addresses;
 import org.papayawalk.core.desired.EngineSpec;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.Candidate;
@@ -27,7 +23,7 @@
 import org.papayawalk.core.site.SiteSettings;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.UpstreamEntry;
-import org.papayawalk.http.SocketOptions;
+import org.papayawalk.http.Connector;
 import org.papayawalk.log.Event;
 
 /**
@@ -270,19 +266,16 @@
      * @param upstream upstream whose connection was lost
      */
     void suspect(String fingerprint, UpstreamEntry upstream) {
-        SocketOptions.apply(new Bootstrap(), CRASH_CHECK_MILLIS)
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(Addresses.parse(upstream.address()))
-                .addListener(
-                        (ChannelFutureListener)
-                                f -> {
-                                    f.channel().close();
-                                    if (f.cause() instanceof ConnectException) {
-                                        crashed(fingerprint, upstream);
-                                    }
-                                });
+        Connector.open(
+                loop,
+                upstream.address(),
+                CRASH_CHECK_MILLIS,
+                Channel::close,
+                cause -> {
+                    if (cause instanceof ConnectException) {
+                        crashed(fingerprint, upstream);
+                    }
+                });
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/edge/UpstreamPool.java
+++ b/src/main/java/org/papayawalk/daemon/edge/UpstreamPool.java
@@ -1,18 +1,13 @@
 package org.papayawalk.daemon.edge;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
-import org.papayawalk.core.Addresses;
-import org.papayawalk.http.SocketOptions;
+import org.papayawalk.http.Connector;
 
 /** Connections to one upstream process. Confined to the traffic thread. */
 final class UpstreamPool {
@@ -62,28 +57,15 @@
             return;
         }
         UpstreamConnection connection = new UpstreamConnection(clock, this::keep);
-        SocketOptions.apply(new Bootstrap(), CONNECT_LIMIT_MILLIS)
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .handler(
-                        new ChannelInitializer<Channel>() {
-                            @Override
-                            protected void initChannel(Channel channel) {
-                                channel.pipeline()
-                                        .addLast(new HttpRequestEncoder())
-                                        .addLast(connection.decoder())
-                                        .addLast(connection);
-                            }
-                        })
-                .connect(Addresses.parse(address))
-                .addListener(
-                        done -> {
-                            if (done.isSuccess()) {
-                                use.accept(connection);
-                            } else {
-                                failed.accept(String.valueOf(done.cause().getMessage()));
-                            }
-                        });
+        Connector.open(
+                loop,
+                address,
+                CONNECT_LIMIT_MILLIS,
+                channel -> use.accept(connection),
+                cause -> failed.accept(String.valueOf(cause.getMessage())),
+                new HttpRequestEncoder(),
+                connection.decoder(),
+                connection);
     }
 
     /** Closes the idle connections. */
--- a/src/main/java/org/papayawalk/http/HttpClient.java
+++ b/src/main/java/org/papayawalk/http/HttpClient.java
@@ -1,14 +1,11 @@
 package org.papayawalk.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -26,7 +23,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.papayawalk.core.Addresses;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 
@@ -125,28 +121,15 @@
      */
     private void connect(ShortCall call, CompletableFuture<HttpAnswer> answer) {
         Connection connection = new Connection(call.address());
-        SocketOptions.apply(new Bootstrap(), CONNECT_LIMIT_MILLIS)
-                .group(group)
-                .channel(NioSocketChannel.class)
-                .handler(
-                        new ChannelInitializer<Channel>() {
-                            @Override
-                            protected void initChannel(Channel channel) {
-                                channel.pipeline()
-                                        .addLast(new HttpClientCodec())
-                                        .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
-                                        .addLast(connection);
-                            }
-                        })
-                .connect(Addresses.parse(call.address()))
-                .addListener(
-                        done -> {
-                            if (done.isSuccess()) {
-                                connection.send(call, answer);
-                            } else {
-                                answer.completeExceptionally(done.cause());
-                            }
-                        });
+        Connector.open(
+                group,
+                call.address(),
+                CONNECT_LIMIT_MILLIS,
+                channel -> connection.send(call, answer),
+                answer::completeExceptionally,
+                new HttpClientCodec(),
+                new HttpObjectAggregator(MAX_ANSWER_BYTES),
+                connection);
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/site/SiteNodeTest.java
@@ -0,0 +1,193 @@
+package org.papayawalk.daemon.site;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.papayawalk.core.desired.DesiredState;
+import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.suspect.SuspectRegistry;
+import org.papayawalk.platform.SettingsCodec;
+import org.papayawalk.wire.MessageHandler;
+import org.papayawalk.wire.PeerChannel;
+import org.papayawalk.wire.proto.Envelope;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * Lets two entries and an agent follow the platform, one entry cut off from the store. Proves that
+ * what the operator wants, and what servers say, reaches machines that the store turns away.
+ */
+public final class SiteNodeTest {
+    /** Longest wait for something that must happen, in milliseconds. */
+    private static final long LIMIT_MILLIS = 15_000;
+
+    /** Service of the only server. */
+    private static final ServiceId DESK = new ServiceId("desk");
+
+    /** Handler of an entry that keeps no weights. */
+    private static final MessageHandler NO_WEIGHTS =
+            new MessageHandler() {
+                @Override
+                public void received(Envelope message, PeerChannel from) {
+                    // Weights do not matter here.
+                }
+
+                @Override
+                public void closed(PeerChannel from) {
+                    // Weights do not matter here.
+                }
+            };
+
+    /** Store. */
+    private StandInStore store;
+
+    /** Entry that reaches the store. */
+    private SiteNode near;
+
+    /** Entry that the store turns away. */
+    private SiteNode cut;
+
+    /** Agent that asks entries only. */
+    private SiteNode agent;
+
+    /** Evidence of the cut entry. */
+    private final SuspectRegistry cutEvidence = new SuspectRegistry(3, Duration.ofMinutes(1));
+
+    /** Evidence of the other entry. */
+    private final SuspectRegistry nearEvidence = new SuspectRegistry(3, Duration.ofMinutes(1));
+
+    /**
+     * Starts the store and the daemons.
+     *
+     * @throws IOException if a port cannot be had
+     */
+    @BeforeClass
+    public void start() throws IOException {
+        store = new StandInStore();
+        store.put("op", "config", "{\"version\":4,\"routes\":[],\"services\":[]}");
+        store.put("servers", "i-1", server("ready"));
+        int control = freePort();
+        near = node("front-1", control, control, store.address());
+        cut = node("front-2", freePort(), control, "127.0.0.1:1");
+        agent = node("side-1", freePort(), control, "127.0.0.1:1");
+        near.runAsEntry(nearEvidence, NO_WEIGHTS);
+        cut.runAsEntry(cutEvidence, NO_WEIGHTS);
+        agent.runAsAgent(NO_WEIGHTS);
+    }
+
+    /** Stops the store. */
+    @AfterClass
+    public void stop() {
+        store.close();
+    }
+
+    /** A desired state reaches the entry and the agent that the store turns away. */
+    @Test
+    public void desiredStateReachesMachinesThatTheStoreTurnsAway() {
+        await(() -> version(cut) == 4 && version(agent) == 4);
+        store.put("op", "config", "{\"version\":9,\"routes\":[],\"services\":[]}");
+        await(() -> version(cut) == 9 && version(agent) == 9);
+    }
+
+    /** So does the leaving of a server. */
+    @Test(dependsOnMethods = "desiredStateReachesMachinesThatTheStoreTurnsAway")
+    public void drainReachesMachinesThatTheStoreTurnsAway() {
+        assertEquals(cut.state().view().upstreams(DESK).size(), 1);
+        store.put("servers", "i-1", server("draining"));
+        await(() -> cut.state().view().upstreams(DESK).isEmpty());
+        await(() -> agent.state().view().upstreams(DESK).isEmpty());
+    }
+
+    /** Evidence against a request that crashes upstreams reaches the other entry, both ways. */
+    @Test(dependsOnMethods = "desiredStateReachesMachinesThatTheStoreTurnsAway")
+    public void evidenceReachesOtherEntries() {
+        cutEvidence.crashed("bad", "i-7/1", cut.clock().instant());
+        nearEvidence.crashed("worse", "i-8/1", near.clock().instant());
+        await(() -> !nearEvidence.processes("bad", near.clock().instant()).isEmpty());
+        await(() -> !cutEvidence.processes("worse", cut.clock().instant()).isEmpty());
+    }
+
+    /** The entries count each other, as they share budgets. */
+    @Test(dependsOnMethods = "desiredStateReachesMachinesThatTheStoreTurnsAway")
+    public void entriesCountEachOther() {
+        await(() -> near.entryCount() == 2 && cut.entryCount() == 2);
+    }
+
+    /**
+     * Returns the version of the desired state that a daemon has.
+     *
+     * @param node daemon
+     * @return number, 0 for none
+     */
+    private static long version(SiteNode node) {
+        return node.state().view().desired().map(DesiredState::version).orElse(0L);
+    }
+
+    /**
+     * Writes the entry of a server.
+     *
+     * @param state state
+     * @return text
+     */
+    private static String server(String state) {
+        return """
+               {"service":"desk","address":"127.0.0.1:2","zone":"luzon-a","slots":4,"state":"%s"}
+               """
+                .formatted(state);
+    }
+
+    /**
+     * Makes a daemon that does not run yet.
+     *
+     * @param name name of its machine
+     * @param control port at which others find it
+     * @param seed port of the seed
+     * @param storeAddress address of the store
+     * @return daemon
+     * @throws IOException if a port cannot be had
+     */
+    private static SiteNode node(String name, int control, int seed, String storeAddress)
+            throws IOException {
+        String settings =
+                """
+                {"nodeName":"%s","ip":"127.0.0.1","zone":"luzon-a","zones":{"luzon-a":"luzon"},
+                 "internalPorts":[%d,0],"seeds":["127.0.0.1:%d"],
+                 "listen":{"control":"127.0.0.1:%d"},"provider":{"address":"%s"}}
+                """
+                        .formatted(name, freePort(), seed, control, storeAddress);
+        return new SiteNode(SettingsCodec.decode(settings.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /**
+     * Waits until something holds.
+     *
+     * @param condition condition
+     */
+    private static void await(BooleanSupplier condition) {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, "did not happen within the limit");
+            Thread.onSpinWait();
+        }
+    }
+
+    /**
+     * Finds a free port.
+     *
+     * @return port
+     * @throws IOException if none can be had
+     */
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return s.getLocalPort();
+        }
+    }
+}
