--- a/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
+++ b/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
@@ -12,6 +12,9 @@
     /** Weight of the newest outcome in the share of failures. */
     private static final double FAILURE_WEIGHT = 0.12;
 
+    /** Failures in a row after which an upstream is left alone; one may be the request's own. */
+    private static final int FAILURES_BEFORE_PAUSE = 2;
+
     /** Shortest pause after failures in a row. */
     private static final Duration FAILURE_PAUSE = Duration.ofMillis(250);
 
@@ -179,10 +182,10 @@
     private void failed(Instant now) {
         failures++;
         failureShare += FAILURE_WEIGHT * (1 - failureShare);
-        if (failures < 2) {
+        if (failures < FAILURES_BEFORE_PAUSE) {
             return;
         }
-        long millis = FAILURE_PAUSE.toMillis() << Math.min(failures - 2, 6);
+        long millis = FAILURE_PAUSE.toMillis() << Math.min(failures - FAILURES_BEFORE_PAUSE, 6);
         Duration pause = Duration.ofMillis(Math.min(millis, MAX_FAILURE_PAUSE.toMillis()));
         pausedUntil = later(pausedUntil, now.plus(pause));
     }
--- a/src/main/java/org/papayawalk/daemon/edge/Fleet.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Fleet.java
@@ -25,6 +25,9 @@
  * to the traffic thread.
  */
 final class Fleet {
+    /** Time for which an upstream takes no request after another process had its address. */
+    private static final Duration MISDIRECTED_PAUSE = Duration.ofSeconds(1);
+
     /** Traffic thread. */
     private final EventLoop loop;
 
@@ -149,7 +152,7 @@
     void misdirected(UpstreamId id, Instant now) {
         Upstream u = upstreams.get(id);
         if (u != null) {
-            u.load().pause(now.plus(Duration.ofSeconds(1)));
+            u.load().pause(now.plus(MISDIRECTED_PAUSE));
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/site/StoreFeed.java
+++ b/src/main/java/org/papayawalk/daemon/site/StoreFeed.java
@@ -162,7 +162,7 @@
             TableBatch batch = StoreCodec.decode(result.get().body(), false);
             succeeded();
             receiver.read(batch, after);
-            Duration pause = batch.rows().isEmpty() ? Duration.ofMillis(1) : GATHER;
+            Duration pause = batch.rows().isEmpty() ? Duration.ZERO : GATHER;
             thread.later(pause, () -> next(started));
         } catch (IOException e) {
             unreadable(e, started);
--- a/src/main/java/org/papayawalk/daemon/site/ViewClient.java
+++ b/src/main/java/org/papayawalk/daemon/site/ViewClient.java
@@ -39,6 +39,9 @@
     /** Longest time for an answer besides the wait. */
     private static final Duration ANSWER_LIMIT = Duration.ofMillis(700);
 
+    /** Pause of an agent after an answer, in which further changes gather. */
+    private static final Duration AGENT_GATHER = Duration.ofMillis(20);
+
     /** Pause of an agent that found no entry. */
     private static final Duration AGENT_PAUSE = Duration.ofMillis(200);
 
@@ -162,7 +165,7 @@
                     if (!answered || better) {
                         chosen = null;
                     }
-                    thread.later(answered ? Duration.ofMillis(20) : AGENT_PAUSE, this::follow);
+                    thread.later(answered ? AGENT_GATHER : AGENT_PAUSE, this::follow);
                 });
     }
 
--- a/src/main/java/org/papayawalk/platform/SettingsCodec.java
+++ b/src/main/java/org/papayawalk/platform/SettingsCodec.java
@@ -22,6 +22,24 @@
     /** Variable that names the settings file. */
     public static final String FILE_VARIABLE = "PAPAYAWALK_NODE_FILE";
 
+    /** Time between SIGTERM and SIGKILL where none is given, in seconds. */
+    private static final long DEFAULT_GRACE_SECONDS = 8;
+
+    /** Time for a new version of weights where none is given, in milliseconds. */
+    private static final long DEFAULT_VERSION_MILLIS = 8000;
+
+    /** Repeats for each request where none are given. */
+    private static final double DEFAULT_RETRY_RATIO = 0.2;
+
+    /** Repeats besides where none are given. */
+    private static final double DEFAULT_RETRY_SLACK = 50;
+
+    /** Window of the repeats where none is given, in seconds. */
+    private static final long DEFAULT_RETRY_WINDOW_SECONDS = 10;
+
+    /** Speed of a link where none is given, in megabits a second. */
+    private static final double DEFAULT_LINK_MEGABITS = 1000;
+
     /** Bits of a megabit. */
     private static final double MEGABIT = 1e6;
 
@@ -87,7 +105,9 @@
                 required(required(root, "provider"), "address").asText(),
                 text(root, "app"),
                 text(root, "service").map(ServiceId::new),
-                root.path("limits").path("linkMbps").asDouble(1000) * MEGABIT / Byte.SIZE,
+                root.path("limits").path("linkMbps").asDouble(DEFAULT_LINK_MEGABITS)
+                        * MEGABIT
+                        / Byte.SIZE,
                 bounds(root.path("bounds")));
     }
 
@@ -99,11 +119,12 @@
      */
     private static SiteBounds bounds(JsonNode node) {
         return new SiteBounds(
-                Duration.ofSeconds(node.path("graceS").asLong(8)),
-                Duration.ofMillis(node.path("version_ms").asLong(8000)),
-                node.path("retryBudgetRatio").asDouble(0.2),
-                node.path("budgetSlack").asDouble(50),
-                Duration.ofSeconds(node.path("budgetWindowS").asLong(10)));
+                Duration.ofSeconds(node.path("graceS").asLong(DEFAULT_GRACE_SECONDS)),
+                Duration.ofMillis(node.path("version_ms").asLong(DEFAULT_VERSION_MILLIS)),
+                node.path("retryBudgetRatio").asDouble(DEFAULT_RETRY_RATIO),
+                node.path("budgetSlack").asDouble(DEFAULT_RETRY_SLACK),
+                Duration.ofSeconds(
+                        node.path("budgetWindowS").asLong(DEFAULT_RETRY_WINDOW_SECONDS)));
     }
 
     /**
