Prove that a stop lets a request under way finish

Cause: the graceful stop had no test. Change: GracefulStopTest stops an entry whose server holds an answer back: not ready at once, new connections still served, the held answer whole, the end within the grace.

--- a/src/test/java/org/papayawalk/daemon/edge/EdgeFixture.java
+++ b/src/test/java/org/papayawalk/daemon/edge/EdgeFixture.java
@@ -48,6 +48,12 @@
     /** Caller. */
     private final TestCaller caller;
 
+    /** Entry. */
+    private final EdgeRole role;
+
+    /** Port of the readiness. */
+    private final int readyPort;
+
     /**
      * Starts the store, the servers and the entry.
      *
@@ -61,7 +67,7 @@
         store.put("servers", "i-1", entry(first, "ready"));
         store.put("servers", "i-2", entry(second, "ready"));
         int port = freePort();
-        int readyPort = freePort();
+        readyPort = freePort();
         caller = new TestCaller(port);
         String settings =
                 """
@@ -73,8 +79,9 @@
                 """
                         .formatted(freePort(), 0, port, readyPort, store.address());
         byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
-        new EdgeRole(new SiteNode(SettingsCodec.decode(bytes))).start();
-        await(() -> TestCaller.get(readyPort, "/readiness").status() == 200);
+        role = new EdgeRole(new SiteNode(SettingsCodec.decode(bytes)));
+        role.start();
+        await(this::ready);
     }
 
     /**
@@ -113,6 +120,24 @@
         return caller;
     }
 
+    /**
+     * Returns the entry.
+     *
+     * @return role
+     */
+    EdgeRole role() {
+        return role;
+    }
+
+    /**
+     * Asks whether the entry is ready.
+     *
+     * @return true if it says so
+     */
+    boolean ready() {
+        return TestCaller.get(readyPort, "/readiness").status() == 200;
+    }
+
     /**
      * Writes a desired state.
      *
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/edge/GracefulStopTest.java
@@ -0,0 +1,70 @@
+package org.papayawalk.daemon.edge;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.papayawalk.daemon.site.StandInServer.Mode;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Stops an entry with a request under way. Proves that a planned stop interrupts nothing. */
+public final class GracefulStopTest {
+    /** Longest time of a stop, as the settings of the fixture grant it. */
+    private static final Duration GRACE = Duration.ofSeconds(8);
+
+    /** Stand-ins and entry. */
+    private EdgeFixture site;
+
+    /**
+     * Starts the site.
+     *
+     * @throws IOException if a port cannot be had
+     */
+    @BeforeClass
+    public void start() throws IOException {
+        site = new EdgeFixture();
+    }
+
+    /**
+     * Stops the stand-ins.
+     *
+     * @throws IOException if a server cannot be closed
+     */
+    @AfterClass
+    public void stop() throws IOException {
+        site.close();
+    }
+
+    /**
+     * The entry says at once that it is not ready, still serves new connections, gives the request
+     * under way its whole answer, and ends within the grace.
+     *
+     * @throws InterruptedException if the wait is interrupted
+     * @throws ExecutionException if the caller or the stop fails
+     * @throws TimeoutException if one of them takes too long
+     */
+    @Test
+    public void stopInterruptsNothing()
+            throws InterruptedException, ExecutionException, TimeoutException {
+        site.first().mode(Mode.HELD);
+        site.second().mode(Mode.HELD);
+        CompletableFuture<TestCaller.Answer> underWay =
+                CompletableFuture.supplyAsync(() -> site.caller().send("POST", "/pay/x", "key-1"));
+        EdgeFixture.await(() -> site.first().seen().size() + site.second().seen().size() == 1);
+        CompletableFuture<Void> stop = CompletableFuture.runAsync(site.role()::stop);
+        EdgeFixture.await(() -> !site.ready());
+        site.first().release();
+        site.second().release();
+        TestCaller.Answer answer = underWay.get(GRACE.toMillis(), TimeUnit.MILLISECONDS);
+        assertEquals(answer.status(), 200);
+        assertEquals(answer.body(), "answer to " + site.caller().lastId());
+        assertEquals(site.caller().send("GET", "/read/x", "key-1").status(), 200);
+        stop.get(GRACE.toMillis(), TimeUnit.MILLISECONDS);
+    }
+}
--- a/src/test/java/org/papayawalk/daemon/site/StandInServer.java
+++ b/src/test/java/org/papayawalk/daemon/site/StandInServer.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 
 /**
  * Stand-in for a server behind the system. What it does with a request follows from its own mode.
@@ -43,6 +44,8 @@
         LOST_ANSWER,
         /** Answers nothing until the connection is closed. */
         MUTE,
+        /** Answers whole once it is told to. */
+        HELD,
         /** Fails. */
         ERROR,
         /** Streams three events and part of a fourth, then closes the connection. */
@@ -69,6 +72,9 @@
     /** Connections closed by the other side while a request ran. */
     private final List<String> abandoned = new CopyOnWriteArrayList<>();
 
+    /** Open once held answers may go. */
+    private final CountDownLatch held = new CountDownLatch(1);
+
     /** What the server does. */
     private volatile Mode mode;
 
@@ -120,11 +126,30 @@
         mode = newMode;
     }
 
+    /** Lets held answers go. */
+    public void release() {
+        held.countDown();
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
     }
 
+    /**
+     * Waits until held answers may go.
+     *
+     * @throws IOException if the wait is interrupted
+     */
+    private void hold() throws IOException {
+        try {
+            held.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
     /**
      * Starts a thread.
      *
@@ -227,6 +252,10 @@
         String body = "answer to " + id;
         switch (mode) {
             case WHOLE -> write(out, whole(200, id, body, ""));
+            case HELD -> {
+                hold();
+                write(out, whole(200, id, body, ""));
+            }
             case STRAY_ANSWER ->
                     write(out, whole(200, "stray", "someone's", "") + whole(200, id, body, ""));
             case EXTRA_BYTES -> write(out, whole(200, id, body, "") + whole(200, id, "again", ""));
