Refuse requests that come long after the word to stop

The platform goes on sending new connections where few entries are ready. Ruled out: a longer wait, as the kill follows after the grace. Change: 2.8 s after the word to stop, further requests get 503 at once with when to come back, at another entry; what is under way still ends. GracefulStopTest failed first (200 in place of 503).

--- a/src/main/java/org/papayawalk/daemon/edge/Edge.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Edge.java
@@ -96,6 +96,9 @@
     /** Whether the daemon stops. */
     private volatile boolean stopping;
 
+    /** Whether further requests are refused. */
+    private volatile boolean closed;
+
     /**
      * Creates the shared part of an entry.
      *
@@ -324,6 +327,20 @@
         stopping = true;
     }
 
+    /** Refuses further requests, which could not be sure of their end before the process ends. */
+    void closeDoors() {
+        closed = true;
+    }
+
+    /**
+     * Tells whether further requests are refused.
+     *
+     * @return true some seconds after the daemon was told to stop
+     */
+    boolean closed() {
+        return closed;
+    }
+
     /**
      * Counts a crash against a request.
      *
--- a/src/main/java/org/papayawalk/daemon/edge/EdgeRole.java
+++ b/src/main/java/org/papayawalk/daemon/edge/EdgeRole.java
@@ -31,7 +31,7 @@
     /** Connections that may wait to be accepted. */
     private static final int BACKLOG = 1024;
 
-    /** Time after the request to stop during which idle connections stay open. */
+    /** Time after the request to stop during which further requests are served. */
     private static final Duration OPEN_AFTER_STOP = Duration.ofMillis(2800);
 
     /** Time before the kill at which the process ends by itself. */
@@ -123,6 +123,9 @@
         node.deregister();
         while (node.clock().instant().isBefore(last)) {
             boolean closing = node.clock().instant().isAfter(closeIdle);
+            if (closing) {
+                edge.closeDoors();
+            }
             if (closing && drained()) {
                 break;
             }
--- a/src/main/java/org/papayawalk/daemon/edge/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Exchange.java
@@ -33,6 +33,9 @@
     /** When a caller may come back before the desired state is known. */
     private static final Duration UNKNOWN_STATE_PAUSE = Duration.ofMillis(500);
 
+    /** When a caller may come back, to another entry, that came to one that stops. */
+    private static final Duration STOP_PAUSE = Duration.ofMillis(50);
+
     /** When a caller may come back whose request crashed upstreams. */
     private static final Duration SUSPECT_PAUSE = Duration.ofSeconds(5);
 
@@ -91,6 +94,10 @@
     void start() {
         Instant now = edge.clock().instant();
         edge.metrics().received();
+        if (edge.closed()) {
+            end.refused("entry stops", STOP_PAUSE);
+            return;
+        }
         if (!edge.fleet().view().complete()) {
             end.refused("no desired state known yet", UNKNOWN_STATE_PAUSE);
             return;
--- a/src/test/java/org/papayawalk/daemon/edge/GracefulStopTest.java
+++ b/src/test/java/org/papayawalk/daemon/edge/GracefulStopTest.java
@@ -1,6 +1,7 @@
 package org.papayawalk.daemon.edge;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -43,7 +44,8 @@
 
     /**
      * The entry says at once that it is not ready, still serves new connections, gives the request
-     * under way its whole answer, and ends within the grace.
+     * under way its whole answer, and ends within the grace. A request that comes too late to be
+     * sure of its end is refused at once.
      *
      * @throws InterruptedException if the wait is interrupted
      * @throws ExecutionException if the caller or the stop fails
@@ -66,5 +68,8 @@
         assertEquals(answer.body(), "answer to " + site.caller().lastId());
         assertEquals(site.caller().send("GET", "/read/x", "key-1").status(), 200);
         stop.get(GRACE.toMillis(), TimeUnit.MILLISECONDS);
+        TestCaller.Answer late = site.caller().send("GET", "/read/x", "key-1");
+        assertEquals(late.status(), 503);
+        assertTrue(late.head().toLowerCase().contains("retry-after"), late.head());
     }
 }
