Believe other entries that the store is well before doubting a removal

Ruled out: a shorter grace, which would drop living servers after a real outage. Change: a reply between daemons says how long the store has been well for its sender; for 1.2 s after such word of 3 s or more, removals are final (UpstreamBook). The new test failed to compile before; its case kept the entry.

--- a/src/main/java/org/papayawalk/core/upstream/UpstreamBook.java
+++ b/src/main/java/org/papayawalk/core/upstream/UpstreamBook.java
@@ -22,6 +22,9 @@
     /** Time after the end of an outage in which removals count as its consequence. */
     private static final Duration OUTAGE_AFTERMATH = Duration.ofMillis(2200);
 
+    /** Time for which the word of another daemon about the store counts. */
+    private static final Duration WELL_MEMORY = Duration.ofMillis(1200);
+
     /** Present upstreams. */
     private final Map<UpstreamId, UpstreamEntry> present = new HashMap<>();
 
@@ -31,6 +34,9 @@
     /** Until when removals count as the consequence of an outage. */
     private Instant doubtUntil = Instant.MIN;
 
+    /** Until when the store is known to serve others, whatever it answers here. */
+    private Instant wellUntil = Instant.MIN;
+
     /**
      * Records that the store did not answer.
      *
@@ -40,6 +46,16 @@
         doubtUntil = now.plus(OUTAGE_AFTERMATH);
     }
 
+    /**
+     * Records that the store has served another daemon without a failure for a while. It turns only
+     * this daemon away then, and no entry lapses because of that.
+     *
+     * @param now present time
+     */
+    public void storeServesOthers(Instant now) {
+        wellUntil = now.plus(WELL_MEMORY);
+    }
+
     /**
      * Takes an entry.
      *
@@ -63,7 +79,8 @@
      */
     public void remove(UpstreamId id, Instant now) {
         UpstreamEntry known = present.get(id);
-        boolean doubtful = known != null && !known.draining() && now.isBefore(doubtUntil);
+        boolean outage = now.isBefore(doubtUntil) && !now.isBefore(wellUntil);
+        boolean doubtful = known != null && !known.draining() && outage;
         if (doubtful) {
             lapsed.putIfAbsent(id, now.plus(LAPSE_GRACE));
             return;
--- a/src/main/java/org/papayawalk/daemon/site/SiteState.java
+++ b/src/main/java/org/papayawalk/daemon/site/SiteState.java
@@ -1,6 +1,7 @@
 package org.papayawalk.daemon.site;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -33,6 +34,9 @@
     /** Versions of one model that are remembered. */
     private static final int VERSIONS_KEPT = 16;
 
+    /** Time without a failure after which the store counts as well for another daemon. */
+    private static final Duration WELL_ELSEWHERE = Duration.ofSeconds(3);
+
     /** Copies of the tables by name. */
     private final Map<String, TableCopy> tables = new HashMap<>();
 
@@ -51,6 +55,9 @@
     /** Control thread. */
     private final ControlThread thread;
 
+    /** When the store last failed to answer. */
+    private Instant storeAwayAt;
+
     /** Present view. */
     private volatile SiteView view = SiteView.EMPTY;
 
@@ -63,6 +70,7 @@
     public SiteState(InstantSource clock, ControlThread thread) {
         this.clock = clock;
         this.thread = thread;
+        this.storeAwayAt = clock.instant();
         tables.put(StoreCodec.OPERATOR_TABLE, new TableCopy());
         tables.put(StoreCodec.SERVER_TABLE, new TableCopy());
     }
@@ -106,7 +114,29 @@
 
     /** Records that the store did not answer. */
     void storeAway() {
-        book.storeAway(clock.instant());
+        storeAwayAt = clock.instant();
+        book.storeAway(storeAwayAt);
+    }
+
+    /**
+     * Returns the time since the store last failed to answer.
+     *
+     * @return milliseconds, a day at the most
+     */
+    int storeWellMillis() {
+        Duration well = Duration.between(storeAwayAt, clock.instant());
+        return (int) Math.min(well.toMillis(), Duration.ofDays(1).toMillis());
+    }
+
+    /**
+     * Takes the word of another daemon about the store.
+     *
+     * @param millis time since the store last failed to answer it
+     */
+    void storeWellElsewhere(int millis) {
+        if (millis >= WELL_ELSEWHERE.toMillis()) {
+            book.storeServesOthers(clock.instant());
+        }
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/site/ViewClient.java
+++ b/src/main/java/org/papayawalk/daemon/site/ViewClient.java
@@ -247,6 +247,7 @@
                 entries.mentioned(e.getAddress(), new DomainId(e.getDomain()), now);
             }
         }
+        state.storeWellElsewhere(reply.getStoreWellMillis());
         ViewMessages.apply(reply.getLostRunsList(), suspects, now);
         ViewMessages.apply(reply, state, target);
         return true;
--- a/src/main/java/org/papayawalk/daemon/site/ViewServer.java
+++ b/src/main/java/org/papayawalk/daemon/site/ViewServer.java
@@ -142,6 +142,7 @@
         for (Map.Entry<String, DomainId> e : entries.heard(now).entrySet()) {
             reply.addEntries(ViewMessages.entry(e.getKey(), e.getValue()));
         }
+        reply.setStoreWellMillis(state.storeWellMillis());
         if (waiting.query.hasEntry()) {
             reply.addAllLostRuns(ViewMessages.lostRuns(suspects, now));
         }
--- a/src/test/java/org/papayawalk/core/upstream/UpstreamBookTest.java
+++ b/src/test/java/org/papayawalk/core/upstream/UpstreamBookTest.java
@@ -38,6 +38,17 @@
         assertTrue(book.usable().isEmpty());
     }
 
+    /** A store that turns only this daemon away removes nothing by mistake: removals are final. */
+    @Test
+    public void removalIsFinalWhileStoreServesOthers() {
+        UpstreamBook book = new UpstreamBook();
+        book.put(entry(1, false));
+        book.storeAway(T0);
+        book.storeServesOthers(T0.plusMillis(100));
+        book.remove(new UpstreamId("u"), T0.plusMillis(500));
+        assertTrue(book.usable().isEmpty());
+    }
+
     /** An entry that comes back within the grace stays. */
     @Test
     public void entryThatComesBackStays() {
