Give a peer that is behind a whole reading all rows, and pause between stale readings

Cause, found by reading the code for a specification: a daemon that read a table whole knows nothing of rows removed before. Asked by a peer that is behind that reading it gave changes without those removals, and the peer counted them as complete: a server that had left, or an older row, stayed in force there until its next whole reading. And a feed whose history was dropped while the store's reads were behind read the table whole again without a pause, call after call, each of them priced.

Ruled out: the store's own feed marks removals, so a copy kept by changes alone is complete; only whole readings open the gap.

Change: a copy remembers from which version on it knows every change; older askers get all rows, marked as whole. Removals are forgotten beyond 1,024, so the copy no longer grows without bound. A second drop in a row waits 250 ms. Absent rows are found by a set in place of a list.

Before: TableCopyTest.peerBehindAWholeReadingGetsAllRows and forgottenRemovalsMakeNewsWhole fail, StoreFeedTest.staleTableIsReadWithPauses sees 6 readings within 346 ms. After: all pass.

--- a/src/main/java/org/papayawalk/core/upstream/TableCopy.java
+++ b/src/main/java/org/papayawalk/core/upstream/TableCopy.java
@@ -1,22 +1,32 @@
 package org.papayawalk.core.upstream;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Copy of one table, kept current by changes from the store or from peers. A row never goes back to
- * an older version, and a reading that is older than the copy changes nothing. Not thread-safe:
- * confined to the control thread.
+ * an older version, and a reading that is older than the copy changes nothing. A copy that was read
+ * whole does not know which rows were removed before; it gives a peer that is behind that reading
+ * all rows in place of changes. Not thread-safe: confined to the control thread.
  */
 public final class TableCopy {
+    /** Removed rows that are remembered. */
+    private static final int MAX_REMOVED = 1024;
+
     /** Rows by key, removed ones included so that peers learn of them. */
     private final Map<String, TableRecord> rows = new HashMap<>();
 
     /** Newest version that the copy covers. */
     private long version;
 
+    /** Version after which every change is known here. */
+    private long historyFrom;
+
     /**
      * Takes a reading.
      *
@@ -39,19 +49,26 @@
         }
         if (batch.whole()) {
             removeAbsent(batch, changed);
+            historyFrom = batch.version() > version ? batch.version() : historyFrom;
         }
         version = batch.version();
+        forgetRemoved();
         return changed;
     }
 
     /**
-     * Returns the rows changed after a version.
+     * Returns what a peer lacks.
      *
-     * @param after version that the asker has
-     * @return rows, removed ones included
+     * @param after version that the peer has
+     * @return rows changed since then, removed ones included, or all rows that exist if changes
+     *     since then may have been missed here
      */
-    public List<TableRecord> changesAfter(long after) {
-        return rows.values().stream().filter(r -> r.version() > after).toList();
+    public TableBatch newsAfter(long after) {
+        if (after < historyFrom) {
+            return new TableBatch(existing(), version, true);
+        }
+        List<TableRecord> newer = rows.values().stream().filter(r -> r.version() > after).toList();
+        return new TableBatch(newer, version, false);
     }
 
     /**
@@ -79,7 +96,8 @@
      * @param changed list to add the removed rows to
      */
     private void removeAbsent(TableBatch batch, List<TableRecord> changed) {
-        List<String> present = batch.rows().stream().map(TableRecord::key).toList();
+        Set<String> present =
+                batch.rows().stream().map(TableRecord::key).collect(Collectors.toSet());
         for (TableRecord r : List.copyOf(rows.values())) {
             if (!r.removed() && !present.contains(r.key()) && r.version() <= batch.version()) {
                 TableRecord gone = new TableRecord(r.key(), new byte[0], batch.version(), true);
@@ -88,4 +106,20 @@
             }
         }
     }
+
+    /** Forgets the removals that are oldest, and with them the history up to there. */
+    private void forgetRemoved() {
+        List<TableRecord> removed =
+                rows.values().stream()
+                        .filter(TableRecord::removed)
+                        .sorted(Comparator.comparingLong(TableRecord::version))
+                        .toList();
+        if (removed.size() <= MAX_REMOVED) {
+            return;
+        }
+        for (TableRecord r : removed.subList(0, removed.size() / 2)) {
+            rows.remove(r.key());
+            historyFrom = Math.max(historyFrom, r.version());
+        }
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/site/StoreFeed.java
+++ b/src/main/java/org/papayawalk/daemon/site/StoreFeed.java
@@ -37,6 +37,9 @@
     /** Longest pause after failures in a row. */
     private static final Duration MAX_RETRY_PAUSE = Duration.ofMillis(1000);
 
+    /** Pause before a table is read again whose last reading was older than the history. */
+    private static final Duration STALE_PAUSE = Duration.ofMillis(250);
+
     /** Status of a feed whose history was dropped. */
     private static final int HISTORY_DROPPED = 410;
 
@@ -82,6 +85,9 @@
     /** Whether the store has dropped changes that are not known here. */
     private boolean historyLost;
 
+    /** Dropped histories in a row, without changes read in between. */
+    private int drops;
+
     /** Whether the feed runs. */
     private boolean running;
 
@@ -151,7 +157,8 @@
         if (result.isRight() && result.get().status() == HISTORY_DROPPED) {
             Event.named("store-history-dropped").with("table", table).with("after", after).info();
             historyLost = true;
-            next(started);
+            drops++;
+            thread.later(drops > 1 ? STALE_PAUSE : Duration.ZERO, () -> next(started));
             return;
         }
         if (!good(result)) {
@@ -161,6 +168,7 @@
         try {
             TableBatch batch = StoreCodec.decode(result.get().body(), false);
             succeeded();
+            drops = 0;
             receiver.read(batch, after);
             Duration pause = batch.rows().isEmpty() ? Duration.ZERO : GATHER;
             thread.later(pause, () -> next(started));
--- a/src/main/java/org/papayawalk/daemon/site/ViewMessages.java
+++ b/src/main/java/org/papayawalk/daemon/site/ViewMessages.java
@@ -54,14 +54,15 @@
             if (copy == null || copy.version() <= m.getVersion()) {
                 continue;
             }
-            List<TableRecord> rows = copy.changesAfter(m.getVersion());
-            any |= !rows.isEmpty() || m.getVersion() == 0;
+            TableBatch news = copy.newsAfter(m.getVersion());
+            any |= !news.rows().isEmpty() || news.whole() || m.getVersion() == 0;
             TableChanges.Builder changes =
                     TableChanges.newBuilder()
                             .setTable(m.getTable())
                             .setAfter(m.getVersion())
-                            .setVersion(copy.version());
-            rows.forEach(r -> changes.addRows(row(r)));
+                            .setVersion(news.version())
+                            .setWhole(news.whole());
+            news.rows().forEach(r -> changes.addRows(row(r)));
             reply.addChanges(changes);
         }
         return any;
@@ -87,7 +88,10 @@
                                                     r.getRemoved()))
                             .toList();
             state.read(
-                    c.getTable(), new TableBatch(rows, c.getVersion(), false), c.getAfter(), peer);
+                    c.getTable(),
+                    new TableBatch(rows, c.getVersion(), c.getWhole()),
+                    c.getAfter(),
+                    peer);
         }
     }
 
