--- a/src/main/java/org/papayawalk/core/call/CallFacts.java
+++ b/src/main/java/org/papayawalk/core/call/CallFacts.java
@@ -1,5 +1,6 @@
 package org.papayawalk.core.call;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -21,4 +22,19 @@
         Optional<String> model,
         int promptTokens,
         int answerTokens,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId) {
+
+    /**
+     * Returns how long the request may take.
+     *
+     * @param routeLimit time limit of its route
+     * @return the route's limit, or what the caller states if that is less
+     */
+    public Duration timeLimit(Duration routeLimit) {
+        if (timeLeftMillis.isEmpty()) {
+            return routeLimit;
+        }
+        Duration left = Duration.ofMillis(timeLeftMillis.getAsLong());
+        return left.compareTo(routeLimit) < 0 ? left : routeLimit;
+    }
+}
--- a/src/main/java/org/papayawalk/core/place/LeastLoaded.java
+++ b/src/main/java/org/papayawalk/core/place/LeastLoaded.java
@@ -1,22 +1,31 @@
 package org.papayawalk.core.place;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.id.UpstreamId;
 
 /**
- * Sends a request where the fewest requests and unread prompts for each slot are, near upstreams
- * first, and nowhere if all have more than their slots and a short queue. An engine's speed hardly
- * depends on how many requests it writes, but each prompt that it reads delays the first token of
- * the next. Answers the load of many entries before few engines: a queue longer than that would
- * only move the wait to where it cannot be left. Holds no state of its own; as safe as its random
- * generator.
+ * Sends a request to the less loaded of a few upstreams with room that are drawn at random, and
+ * nowhere if all have more than their slots and a short queue. The load is the requests and unread
+ * prompts for each slot; near upstreams count as less loaded. An engine's speed hardly depends on
+ * how many requests it writes, but each prompt that it reads delays the first token of the next.
+ * Answers the load of many entries before few engines: if each entry took the least loaded of all
+ * by its own late reports, all would take the same one at the same time, and a queue longer than
+ * that would only move the wait to where it cannot be left. For the same reason an entry sends an
+ * upstream only few requests before it hears of its load again; all entries share their number.
+ * Holds no state of its own; as safe as its random generator.
  */
 public final class LeastLoaded implements PlacementRule {
+    /** Upstreams with room that are compared; more of them send the entries to the same one. */
+    private static final int DRAWN = 4;
+
     /** Largest part of a slot by which equal upstreams are told apart at random. */
     private static final double JITTER = 0.6;
 
@@ -29,6 +38,12 @@
     /** Requests that may wait at an upstream, as a share of its slots. */
     private final double queueShare;
 
+    /** Requests that all entries may send before they hear of the load, as a share of slots. */
+    private final double unheardShare;
+
+    /** Number of entries that are known to run, at least 1. */
+    private final IntSupplier entries;
+
     /** Slots by which an upstream counts as more loaded because it is far. */
     private final ToDoubleFunction<Candidate> distanceSlots;
 
@@ -39,12 +54,21 @@
      * Creates a rule.
      *
      * @param queueShare requests that may wait at an upstream, as a share of its slots
+     * @param unheardShare requests that all entries may send to an upstream before they hear of its
+     *     load, as a share of its slots
+     * @param entries number of entries that are known to run, at least 1
      * @param distanceSlots slots by which an upstream counts as more loaded because it is far
      * @param random source of tie-breaks
      */
     public LeastLoaded(
-            double queueShare, ToDoubleFunction<Candidate> distanceSlots, RandomGenerator random) {
+            double queueShare,
+            double unheardShare,
+            IntSupplier entries,
+            ToDoubleFunction<Candidate> distanceSlots,
+            RandomGenerator random) {
         this.queueShare = queueShare;
+        this.unheardShare = unheardShare;
+        this.entries = entries;
         this.distanceSlots = distanceSlots;
         this.random = random;
     }
@@ -52,22 +76,18 @@
     @Override
     public Optional<Candidate> choose(
             Collection<Candidate> candidates, Set<UpstreamId> tried, Instant now) {
-        Candidate best = null;
-        double bestScore = Double.MAX_VALUE;
+        List<Candidate> able = new ArrayList<>();
         for (Candidate c : candidates) {
-            int slots = c.entry().slots();
-            int expected = c.load().expected(now);
-            boolean room = expected < slots + Math.max(1, Math.round(slots * queueShare));
-            if (!room || !c.load().open(now) || tried.contains(c.entry().id())) {
-                continue;
+            boolean free = room(c, now) && c.load().open(now);
+            if (free && !tried.contains(c.entry().id())) {
+                able.add(c);
             }
-            double load =
-                    expected
-                            + c.load().prompts() * PROMPT_SLOTS
-                            + distanceSlots.applyAsDouble(c)
-                            + c.load().failureShare() * FAILURE_SLOTS
-                            + random.nextDouble() * JITTER;
-            double score = load / slots;
+        }
+        Candidate best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (int i = 0; i < DRAWN && !able.isEmpty(); i++) {
+            Candidate c = able.remove(random.nextInt(able.size()));
+            double score = score(c, now);
             if (score < bestScore) {
                 best = c;
                 bestScore = score;
@@ -75,4 +95,36 @@
         }
         return Optional.ofNullable(best);
     }
+
+    /**
+     * Tells whether an upstream has room for one more request.
+     *
+     * @param candidate upstream
+     * @param now present time
+     * @return true if its slots and its short queue are not full
+     */
+    private boolean room(Candidate candidate, Instant now) {
+        int slots = candidate.entry().slots();
+        long queue = Math.max(1, Math.round(slots * queueShare));
+        long unheard = Math.max(1, Math.round(slots * unheardShare / entries.getAsInt()));
+        return candidate.load().unheard() < unheard
+                && candidate.load().expected(now) < slots + queue;
+    }
+
+    /**
+     * Returns how loaded an upstream is.
+     *
+     * @param candidate upstream
+     * @param now present time
+     * @return load for each slot
+     */
+    private double score(Candidate candidate, Instant now) {
+        double load =
+                candidate.load().expected(now)
+                        + candidate.load().prompts() * PROMPT_SLOTS
+                        + distanceSlots.applyAsDouble(candidate)
+                        + candidate.load().failureShare() * FAILURE_SLOTS
+                        + random.nextDouble() * JITTER;
+        return load / candidate.entry().slots();
+    }
 }
--- a/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
+++ b/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
@@ -28,7 +28,7 @@
     private static final Duration MAX_REFUSAL_PAUSE = Duration.ofMillis(600);
 
     /** Time after which a report of load no longer counts. */
-    private static final Duration REPORT_MEMORY = Duration.ofSeconds(2);
+    private static final Duration REPORT_MEMORY = Duration.ofSeconds(5);
 
     /** Requests of this entry that have not ended. */
     private int own;
@@ -39,6 +39,9 @@
     /** Requests beyond the own ones, by the last report. */
     private int others;
 
+    /** Requests sent since the last report. */
+    private int unheard;
+
     /** When the last report came. */
     private Instant reportedAt = Instant.MIN;
 
@@ -61,6 +64,7 @@
      */
     public void sent(double prompt) {
         own++;
+        unheard++;
         prompts += prompt;
     }
 
@@ -81,6 +85,7 @@
      */
     public void ended(SendResult result, Instant now) {
         own--;
+        unheard = Math.min(unheard, own);
         switch (result) {
             case ANSWERED -> {
                 failures = 0;
@@ -102,6 +107,7 @@
      */
     public void reported(ReportedLoad load, Instant now) {
         others = Math.max(0, load.total() - own);
+        unheard = 0;
         reportedAt = now;
     }
 
@@ -135,6 +141,15 @@
         return own + (fresh ? others : 0);
     }
 
+    /**
+     * Returns the requests under way that were sent since the last report.
+     *
+     * @return number of requests
+     */
+    public int unheard() {
+        return unheard;
+    }
+
     /**
      * Returns the prompts of this entry that are still being read.
      *
--- a/src/main/java/org/papayawalk/core/place/WaitRule.java
+++ b/src/main/java/org/papayawalk/core/place/WaitRule.java
@@ -1,45 +1,58 @@
 package org.papayawalk.core.place;
 
 import java.time.Duration;
-import org.papayawalk.core.desired.RouteRule;
+import java.util.Optional;
 
 /**
  * Decides how long a request waits for room and when a refused caller comes back. Answers a demand
- * beyond what the engines can serve: a request that has waited for this part of its target would be
- * late anyway, and its place is worth more to one that is still in time. Holds no state; safe from
- * any thread.
+ * beyond what the upstreams can serve: a request that has waited for this part of its target would
+ * be late anyway, and its place is worth more to one that is still in time. While no upstream can
+ * answer at all, a request is refused at once and its caller comes back when the first are expected
+ * to answer. Immutable.
+ *
+ * @param targetShare part of the target that a request waits for room
+ * @param leastReturn shortest time after which a refused caller comes back
+ * @param returnSpread spread of the returns, so that callers do not return together
+ * @param restartTime time in which the first upstream answers again once none could
  */
-public final class WaitRule {
-    /** Part of the target that a request waits for room. */
-    private static final double TARGET_SHARE = 0.45;
+public record WaitRule(
+        double targetShare, Duration leastReturn, Duration returnSpread, Duration restartTime) {
+    /** Rule of the product. */
+    public static final WaitRule DEFAULT =
+            new WaitRule(
+                    0.45, Duration.ofMillis(400), Duration.ofMillis(900), Duration.ofMillis(4000));
 
-    /** Shortest time after which a refused caller comes back. */
-    private static final Duration MIN_RETURN = Duration.ofMillis(400);
-
-    /** Spread of the times at which refused callers come back. */
-    private static final Duration RETURN_SPREAD = Duration.ofMillis(900);
-
-    /** Prevents instances. */
-    private WaitRule() {}
+    /** Time that a caller needs besides its target when it comes back. */
+    private static final Duration RETURN_MARGIN = Duration.ofMillis(200);
 
     /**
      * Returns how long a request waits for room.
      *
-     * @param route route of the request
+     * @param target time within which its answer earns its full benefit
+     * @param noneAbleFor time for which no upstream could answer, empty if one can
      * @return time since the request was read
      */
-    public static Duration limit(RouteRule route) {
-        return Duration.ofMillis((long) (route.target().toMillis() * TARGET_SHARE));
+    public Duration limit(Duration target, Optional<Duration> noneAbleFor) {
+        return noneAbleFor.isPresent()
+                ? Duration.ZERO
+                : Duration.ofMillis((long) (target.toMillis() * targetShare));
     }
 
     /**
      * Returns when a refused caller may come back.
      *
-     * @param draw random number from 0 up to but not including 1, so that callers do not return
-     *     together
+     * @param target time within which its answer earns its full benefit
+     * @param timeLeft time for which the caller goes on waiting
+     * @param noneAbleFor time for which no upstream could answer, empty if one can
+     * @param draw random number from 0 up to but not including 1
      * @return time from now
      */
-    public static Duration retryAfter(double draw) {
-        return MIN_RETURN.plusMillis((long) (RETURN_SPREAD.toMillis() * draw));
+    public Duration retryAfter(
+            Duration target, Duration timeLeft, Optional<Duration> noneAbleFor, double draw) {
+        long restart = noneAbleFor.map(d -> restartTime.minus(d).toMillis()).orElse(0L);
+        long least = leastReturn.toMillis();
+        long wanted = Math.max(least, restart) + (long) (returnSpread.toMillis() * draw);
+        long latest = timeLeft.minus(target).minus(RETURN_MARGIN).toMillis();
+        return Duration.ofMillis(Math.max(least, Math.min(wanted, latest)));
     }
 }
--- a/src/main/java/org/papayawalk/daemon/edge/Edge.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Edge.java
@@ -15,8 +15,6 @@
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.desired.EngineSpec;
 import org.papayawalk.core.id.ServiceId;
-import org.papayawalk.core.place.Candidate;
-import org.papayawalk.core.place.LeastLoaded;
 import org.papayawalk.core.place.PlacementRule;
 import org.papayawalk.core.place.RepeatBudget;
 import org.papayawalk.core.place.VersionRule;
@@ -31,18 +29,6 @@
  * #suspects()}, which is thread-safe.
  */
 final class Edge {
-    /** Requests that may wait at an engine, as a share of its slots. */
-    private static final double ENGINE_QUEUE_SHARE = 0.15;
-
-    /** Requests that may wait at a plain service, as a share of its slots. */
-    private static final double PLAIN_QUEUE_SHARE = 2.0;
-
-    /** Slots by which an upstream of another failure domain counts as more loaded. */
-    private static final double OTHER_DOMAIN_SLOTS = 1.0;
-
-    /** Slots by which an upstream of another region counts as more loaded. */
-    private static final double OTHER_REGION_SLOTS = 2.0;
-
     /** Crashes after which a request is refused. */
     private static final int SUSPECT_CRASHES = 3;
 
@@ -85,13 +71,8 @@
     /** Open connections of callers. */
     private final Set<CallerHandler> callers = new HashSet<>();
 
-    /** Rule for engines. */
-    private final PlacementRule enginePlacement =
-            new LeastLoaded(ENGINE_QUEUE_SHARE, this::distance, random);
-
-    /** Rule for plain services. */
-    private final PlacementRule plainPlacement =
-            new LeastLoaded(PLAIN_QUEUE_SHARE, this::distance, random);
+    /** Rules by which upstreams are chosen. */
+    private final Placements placements;
 
     /** Whether the daemon stops. */
     private volatile boolean stopping;
@@ -119,6 +100,7 @@
         this.clock = clock;
         this.entryCount = entryCount;
         this.metrics = metrics;
+        this.placements = new Placements(settings, entryCount, random);
         this.fleet = new Fleet(loop, clock, new VersionRule(settings.bounds().versionLimit()));
     }
 
@@ -215,7 +197,7 @@
      */
     PlacementRule placement(ServiceId service) {
         boolean engines = fleet.view().desired().flatMap(d -> d.engine(service)).isPresent();
-        return engines ? enginePlacement : plainPlacement;
+        return engines ? placements.engines() : placements.plain();
     }
 
     /**
@@ -359,20 +341,6 @@
         }
     }
 
-    /**
-     * Returns how much more loaded an upstream counts because it is far.
-     *
-     * @param candidate upstream
-     * @return slots
-     */
-    private double distance(Candidate candidate) {
-        if (candidate.entry().domain().equals(settings.domain())) {
-            return 0;
-        }
-        boolean near = settings.region(candidate.entry().domain()).equals(settings.region());
-        return near ? OTHER_DOMAIN_SLOTS : OTHER_REGION_SLOTS;
-    }
-
     /**
      * Returns the time since a request was read.
      *
--- a/src/main/java/org/papayawalk/daemon/edge/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Exchange.java
@@ -124,7 +124,7 @@
             end.refused("request crashed upstreams", SUSPECT_PAUSE);
             return;
         }
-        deadline = request.readAt().plus(timeLimit());
+        deadline = request.readAt().plus(facts.timeLimit(call.route().timeout()));
         edge.budget(call.service()).requested(now);
         end.admitted(call, deadline, now);
         edge.line(call.service()).place(this, now);
@@ -173,6 +173,25 @@
         return request.readAt();
     }
 
+    /**
+     * Returns when the caller has to have its answer.
+     *
+     * @return time
+     */
+    Instant deadline() {
+        return deadline;
+    }
+
+    /**
+     * Tells whether an upstream could answer the request, if it had room.
+     *
+     * @param now present time
+     * @return false if none holds what the request needs
+     */
+    boolean someoneAble(Instant now) {
+        return !edge.fleet().candidates(call.service(), facts.model(), now).isEmpty();
+    }
+
     /**
      * Tells whether the request is over.
      *
@@ -263,27 +282,13 @@
                         choice.entry().id(),
                         Math.max(1, Duration.between(now, deadline).toMillis()),
                         call.caller().map(Caller::team),
-                        pinnedVersion(choice, now),
+                        edge.fleet().pinnedVersion(choice.entry(), facts.model(), now),
                         facts.model().isPresent()
                                 ? OptionalInt.of(Math.min(LAST_PRIORITY, call.priority()))
                                 : OptionalInt.empty(),
                         stream.lastEvent()));
     }
 
-    /**
-     * Returns the version of weights that an upstream must hold to answer. Once old versions may
-     * not answer any more, the upstream is held to the version that it is known to hold.
-     *
-     * @param choice upstream
-     * @param now present time
-     * @return number of the version, empty if any may answer
-     */
-    private OptionalInt pinnedVersion(Candidate choice, Instant now) {
-        OptionalInt lowest = edge.fleet().lowestVersion(facts.model(), now);
-        Integer held = facts.model().map(choice.entry().models()::get).orElse(null);
-        return lowest.isEmpty() || held == null ? OptionalInt.empty() : OptionalInt.of(held);
-    }
-
     /** Ends the request because its stream is complete. */
     void streamEnded() {
         sending = null;
@@ -329,11 +334,13 @@
         boolean allowed = !ran || call.route().repeatable();
         boolean time = now.plus(LEAST_TIME).isBefore(deadline);
         if (!allowed || !time || !mayTryElsewhere() || suspected(now)) {
-            giveUp(why, edge.line(call.service()).retryAfter());
+            giveUp(why, edge.line(call.service()).retryAfter(this, now));
             return;
         }
         if (arrived && !edge.budget(call.service()).take(edge.entryCount(), now)) {
-            giveUp(why + "; no budget for a repeat", edge.line(call.service()).retryAfter());
+            giveUp(
+                    why + "; no budget for a repeat",
+                    edge.line(call.service()).retryAfter(this, now));
             return;
         }
         edge.line(call.service()).place(this, now);
@@ -358,20 +365,6 @@
         }
     }
 
-    /**
-     * Returns how long the request may take.
-     *
-     * @return the route's time limit, or what the caller states if that is less
-     */
-    private Duration timeLimit() {
-        Duration limit = call.route().timeout();
-        if (facts.timeLeftMillis().isEmpty()) {
-            return limit;
-        }
-        Duration left = Duration.ofMillis(facts.timeLeftMillis().getAsLong());
-        return left.compareTo(limit) < 0 ? left : limit;
-    }
-
     /**
      * Tells whether the request crashed upstreams before.
      *
--- a/src/main/java/org/papayawalk/daemon/edge/ExchangeEnd.java
+++ b/src/main/java/org/papayawalk/daemon/edge/ExchangeEnd.java
@@ -24,6 +24,9 @@
     /** Status in the log of a request whose caller left. */
     private static final int CALLER_LEFT = 499;
 
+    /** When a caller may come back whose time was over. */
+    private static final Duration DEADLINE_PAUSE = Duration.ofSeconds(1);
+
     /** What all exchanges share. */
     private final Edge edge;
 
@@ -193,7 +196,7 @@
         } else if (sentTo.any()) {
             own(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline", Duration.ZERO);
         } else {
-            refused("deadline", edge.line(call.service()).retryAfter());
+            refused("deadline", DEADLINE_PAUSE);
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/edge/Fleet.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Fleet.java
@@ -133,6 +133,21 @@
                 .orElse(OptionalInt.empty());
     }
 
+    /**
+     * Returns the version of weights that an upstream must hold to answer. Once old versions may
+     * not answer any more, the upstream is held to the version that it is known to hold.
+     *
+     * @param entry upstream
+     * @param model model of the request, empty if it is for none
+     * @param now present time
+     * @return number of the version, empty if any may answer
+     */
+    OptionalInt pinnedVersion(UpstreamEntry entry, Optional<String> model, Instant now) {
+        Integer held = model.map(entry.models()::get).orElse(null);
+        boolean any = held == null || lowestVersion(model, now).isEmpty();
+        return any ? OptionalInt.empty() : OptionalInt.of(held);
+    }
+
     /**
      * Returns an upstream.
      *
--- a/src/main/java/org/papayawalk/daemon/edge/WaitLine.java
+++ b/src/main/java/org/papayawalk/daemon/edge/WaitLine.java
@@ -4,16 +4,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.papayawalk.core.desired.RouteRule;
+import org.papayawalk.core.place.WaitQueue;
 import org.papayawalk.core.place.WaitRule;
 
 /**
- * Requests of one service that wait until an upstream has room, the most urgent first and the
- * oldest first among equals. Confined to the traffic thread.
+ * Sends the requests of one service, lets them wait for room, and refuses those that wait in vain.
+ * Confined to the traffic thread.
  */
 final class WaitLine {
     /** Pause between looks for room that nothing announced. */
@@ -22,11 +22,14 @@
     /** Time that a stream waits for an upstream to continue it. */
     private static final Duration RESUME_LIMIT = Duration.ofMillis(700);
 
-    /** Requests that may wait at once. */
-    private static final int MAX_WAITING = 512;
+    /** Decides how long requests wait and when refused callers come back. */
+    private static final WaitRule RULE = WaitRule.DEFAULT;
 
-    /** Requests looked at behind one that finds no room. */
-    private static final int MAX_PASSED_OVER = 4;
+    /** Reason of a refusal while all upstreams are full. */
+    private static final String NO_ROOM = "no upstream has room";
+
+    /** Reason of a refusal while no upstream could answer. */
+    private static final String NONE_ABLE = "no upstream can answer";
 
     /** Traffic thread. */
     private final EventLoop loop;
@@ -38,7 +41,10 @@
     private final RandomGenerator random;
 
     /** Requests that wait. */
-    private final List<Waiting> waiting = new ArrayList<>();
+    private final WaitQueue<Exchange> queue = new WaitQueue<>();
+
+    /** Since when no upstream can answer; null if one can. */
+    private Instant noneAbleSince;
 
     /** Whether a look for room is scheduled for at once. */
     private boolean lookNow;
@@ -46,14 +52,6 @@
     /** Whether a look for room is scheduled for later. */
     private boolean lookLater;
 
-    /**
-     * Request that waits. Immutable.
-     *
-     * @param exchange request
-     * @param until when it stops waiting
-     */
-    private record Waiting(Exchange exchange, Instant until) {}
-
     /**
      * Creates a line.
      *
@@ -74,26 +72,26 @@
      * @param now present time
      */
     void place(Exchange exchange, Instant now) {
-        boolean first = waiting.stream().noneMatch(w -> !before(exchange, w.exchange()));
-        if (first && exchange.trySend(now)) {
+        WaitQueue.Rank rank = rank(exchange, now);
+        if (queue.first(rank) && send(exchange, now)) {
             return;
         }
+        noteAble(exchange.someoneAble(now), now);
+        Duration target = exchange.call().route().target();
         Instant until =
                 exchange.stream().begun()
                         ? now.plus(RESUME_LIMIT)
-                        : exchange.readAt().plus(WaitRule.limit(exchange.call().route()));
-        if (!until.isAfter(now) || waiting.size() >= MAX_WAITING) {
-            exchange.giveUp("no upstream has room", retryAfter());
+                        : exchange.readAt().plus(RULE.limit(target, noneAbleFor(now)));
+        if (!queue.add(exchange, rank, until, now)) {
+            refuse(exchange, now);
             return;
         }
-        waiting.add(new Waiting(exchange, until));
-        waiting.sort(Comparator.comparingInt(w -> w.exchange().call().priority()));
         later();
     }
 
     /** Learns that an upstream may have room. */
     void roomMade() {
-        if (!waiting.isEmpty() && !lookNow) {
+        if (!queue.isEmpty() && !lookNow) {
             lookNow = true;
             loop.execute(
                     () -> {
@@ -104,47 +102,96 @@
     }
 
     /**
-     * Returns when a refused caller may come back.
+     * Returns when the refused caller of a request may come back.
      *
+     * @param exchange request
+     * @param now present time
      * @return time from now
      */
-    Duration retryAfter() {
-        return WaitRule.retryAfter(random.nextDouble());
+    Duration retryAfter(Exchange exchange, Instant now) {
+        return RULE.retryAfter(
+                exchange.call().route().target(),
+                Duration.between(now, exchange.deadline()),
+                noneAbleFor(now),
+                random.nextDouble());
     }
 
     /**
-     * Tells whether a request goes before another.
+     * Ranks a request. A caller that was refused before comes back with less time than its route
+     * gives; its target has passed.
      *
-     * @param a request
-     * @param b request that waits
-     * @return true if it is more urgent
+     * @param exchange request
+     * @param now present time
+     * @return place among those that wait
      */
-    private static boolean before(Exchange a, Exchange b) {
-        return a.call().priority() < b.call().priority();
+    private static WaitQueue.Rank rank(Exchange exchange, Instant now) {
+        RouteRule route = exchange.call().route();
+        Duration left = Duration.between(now, exchange.deadline());
+        boolean late = left.compareTo(route.timeout().minus(route.target())) < 0;
+        return new WaitQueue.Rank(exchange.call().priority(), late && !exchange.stream().begun());
     }
 
     /** Looks for room for those that wait, and refuses those that have waited long enough. */
     private void look() {
         Instant now = clock.instant();
-        int passedOver = 0;
-        for (Waiting w : List.copyOf(waiting)) {
-            if (w.exchange().isOver()) {
-                waiting.remove(w);
-            } else if (passedOver <= MAX_PASSED_OVER && w.exchange().trySend(now)) {
-                waiting.remove(w);
-            } else if (!w.until().isAfter(now)) {
-                waiting.remove(w);
-                w.exchange().giveUp("no upstream has room", retryAfter());
-            } else {
-                passedOver++;
-            }
+        for (Exchange e : queue.look(Exchange::isOver, x -> send(x, now), now)) {
+            refuse(e, now);
         }
         later();
     }
 
+    /**
+     * Sends a request if an upstream has room.
+     *
+     * @param exchange request
+     * @param now present time
+     * @return true if it was sent
+     */
+    private boolean send(Exchange exchange, Instant now) {
+        boolean sent = exchange.trySend(now);
+        if (sent) {
+            noteAble(true, now);
+        }
+        return sent;
+    }
+
+    /**
+     * Refuses a request.
+     *
+     * @param exchange request
+     * @param now present time
+     */
+    private void refuse(Exchange exchange, Instant now) {
+        exchange.giveUp(noneAbleSince == null ? NO_ROOM : NONE_ABLE, retryAfter(exchange, now));
+    }
+
+    /**
+     * Records whether an upstream could answer, if it had room.
+     *
+     * @param able whether one could
+     * @param now present time
+     */
+    private void noteAble(boolean able, Instant now) {
+        if (able) {
+            noneAbleSince = null;
+        } else if (noneAbleSince == null) {
+            noneAbleSince = now;
+        }
+    }
+
+    /**
+     * Returns for how long no upstream could answer.
+     *
+     * @param now present time
+     * @return time, empty if one can
+     */
+    private Optional<Duration> noneAbleFor(Instant now) {
+        return Optional.ofNullable(noneAbleSince).map(t -> Duration.between(t, now));
+    }
+
     /** Schedules the next look. */
     private void later() {
-        if (waiting.isEmpty() || lookLater) {
+        if (queue.isEmpty() || lookLater) {
             return;
         }
         lookLater = true;
--- a/src/main/java/org/papayawalk/lab/LabMain.java
+++ b/src/main/java/org/papayawalk/lab/LabMain.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import org.papayawalk.lab.burst.BurstCommand;
 import org.papayawalk.lab.config.ConfigCommand;
+import org.papayawalk.lab.load.LoadCommand;
 import org.papayawalk.lab.requests.RequestsCommand;
 import org.papayawalk.log.Event;
 
@@ -101,6 +102,7 @@
                 new VerifyCommand(),
                 new BurstCommand(),
                 new RequestsCommand(),
-                new ConfigCommand());
+                new ConfigCommand(),
+                new LoadCommand());
     }
 }
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/load/AnyUpstream.java
@@ -0,0 +1,37 @@
+package org.papayawalk.lab.load;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.core.place.Candidate;
+import org.papayawalk.core.place.PlacementRule;
+
+/** Takes any upstream, whatever its load: the baseline. As safe as its random generator. */
+final class AnyUpstream implements PlacementRule {
+    /** Source of chance. */
+    private final RandomGenerator random;
+
+    /**
+     * Creates a rule.
+     *
+     * @param random source of chance
+     */
+    AnyUpstream(RandomGenerator random) {
+        this.random = random;
+    }
+
+    @Override
+    public Optional<Candidate> choose(
+            Collection<Candidate> candidates, Set<UpstreamId> tried, Instant now) {
+        List<Candidate> open = new ArrayList<>(candidates);
+        open.removeIf(c -> tried.contains(c.entry().id()));
+        return open.isEmpty()
+                ? Optional.empty()
+                : Optional.of(open.get(random.nextInt(open.size())));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/load/EntryModel.java
@@ -0,0 +1,268 @@
+package org.papayawalk.lab.load;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.core.place.Candidate;
+import org.papayawalk.core.place.PlacementRule;
+import org.papayawalk.core.place.SendResult;
+import org.papayawalk.core.place.UpstreamLoad;
+import org.papayawalk.core.place.WaitQueue;
+import org.papayawalk.core.place.WaitRule;
+import org.papayawalk.core.upstream.UpstreamEntry;
+
+/**
+ * Entry on virtual time. It knows of the engines what its own requests and their answers tell, and
+ * decides with the classes of the product. Not thread-safe.
+ */
+final class EntryModel {
+    /** Time of a message between entry and engine. */
+    private static final Duration WAY = Duration.ofMillis(1);
+
+    /** Pause between looks for room that nothing announced. */
+    private static final Duration LOOK = Duration.ofMillis(20);
+
+    /** Engines that one attempt is sent to at the most. */
+    private static final int MAX_ENGINES = 2;
+
+    /** Clock. */
+    private final VirtualTime time;
+
+    /** Engines by place in the list of candidates. */
+    private final List<EngineModel> engines;
+
+    /** Engines as the product sees them. */
+    private final List<Candidate> candidates = new ArrayList<>();
+
+    /** Chooses engines. */
+    private final PlacementRule placement;
+
+    /** Decides how long requests wait and when refused callers come back. */
+    private final WaitRule wait;
+
+    /** Source of chance. */
+    private final RandomGenerator random;
+
+    /** Takes refused requests back to their callers. */
+    private final Refusal refusal;
+
+    /** Requests that wait. */
+    private final WaitQueue<LoadCall> queue = new WaitQueue<>();
+
+    /** Whether a look is set. */
+    private boolean lookSet;
+
+    /** Takes a refused request back to its caller. */
+    interface Refusal {
+        /**
+         * Takes a request back.
+         *
+         * @param call request
+         * @param retryAfter when the caller may come back
+         */
+        void refused(LoadCall call, Duration retryAfter);
+    }
+
+    /**
+     * Creates an entry.
+     *
+     * @param time clock
+     * @param engines engines
+     * @param slots requests that an engine works on at once
+     * @param policy way of placing and refusing
+     * @param entries number of entries
+     * @param random source of chance
+     * @param refusal takes refused requests back to their callers
+     */
+    EntryModel(
+            VirtualTime time,
+            List<EngineModel> engines,
+            int slots,
+            LoadPolicy policy,
+            int entries,
+            RandomGenerator random,
+            Refusal refusal) {
+        this.time = time;
+        this.engines = engines;
+        this.placement = policy.placement().make(entries, random);
+        this.wait = policy.waiting();
+        this.random = random;
+        this.refusal = refusal;
+        for (int i = 0; i < engines.size(); i++) {
+            candidates.add(new Candidate(entry(i, slots), new UpstreamLoad()));
+        }
+    }
+
+    /**
+     * Takes a request.
+     *
+     * @param call request
+     */
+    void receive(LoadCall call) {
+        call.begin();
+        place(call, time.now());
+    }
+
+    /**
+     * Sends a request, lets it wait or refuses it.
+     *
+     * @param call request
+     * @param readAt when the entry got it
+     */
+    private void place(LoadCall call, Instant readAt) {
+        Instant now = time.now();
+        boolean late = call.lateAt(now);
+        WaitQueue.Rank rank = new WaitQueue.Rank(call.kind().priority(), late);
+        if (queue.first(rank) && send(call)) {
+            return;
+        }
+        Instant until = readAt.plus(wait.limit(call.kind().target(), Optional.empty()));
+        if (queue.add(call, rank, until, now)) {
+            setLook();
+        } else {
+            refuse(call);
+        }
+    }
+
+    /** Sets the next look for room. */
+    private void setLook() {
+        if (!lookSet && !queue.isEmpty()) {
+            lookSet = true;
+            time.after(
+                    LOOK,
+                    () -> {
+                        lookSet = false;
+                        look();
+                    });
+        }
+    }
+
+    /** Looks for room for those that wait. */
+    private void look() {
+        queue.look(c -> false, this::send, time.now()).forEach(this::refuse);
+        setLook();
+    }
+
+    /**
+     * Refuses a request.
+     *
+     * @param call request
+     */
+    private void refuse(LoadCall call) {
+        Instant now = time.now();
+        Duration left = Duration.between(now, call.deadline());
+        Duration after =
+                wait.retryAfter(call.kind().target(), left, Optional.empty(), random.nextDouble());
+        refusal.refused(call, after);
+    }
+
+    /**
+     * Sends a request if an engine has room.
+     *
+     * @param call request
+     * @return true if it was sent
+     */
+    private boolean send(LoadCall call) {
+        Instant now = time.now();
+        Optional<Candidate> choice = placement.choose(candidates, call.tried(), now);
+        if (choice.isEmpty()) {
+            return false;
+        }
+        Candidate c = choice.get();
+        call.tried().add(c.entry().id());
+        double prompt = call.promptTokens() / call.kind().prompt().mean();
+        c.load().sent(prompt);
+        EngineModel engine = engines.get(candidates.indexOf(c));
+        time.after(WAY, () -> arrive(call, c, engine, prompt));
+        return true;
+    }
+
+    /**
+     * Lets a request arrive at an engine.
+     *
+     * @param call request
+     * @param choice engine as this entry sees it
+     * @param engine engine
+     * @param prompt length of the prompt, in prompts of usual length
+     */
+    private void arrive(LoadCall call, Candidate choice, EngineModel engine, double prompt) {
+        Consumer<Runnable> back = r -> time.after(WAY, r);
+        Runnable first = () -> back.accept(() -> first(call, choice, engine, prompt));
+        Runnable done = () -> back.accept(() -> done(call, choice));
+        if (!engine.submit(new EngineJob(call.promptTokens(), call.events(), first, done))) {
+            back.accept(() -> rejected(call, choice, engine, prompt));
+        }
+    }
+
+    /**
+     * Learns of the first event.
+     *
+     * @param call request
+     * @param choice engine as this entry sees it
+     * @param engine engine
+     * @param prompt length of the prompt, in prompts of usual length
+     */
+    private void first(LoadCall call, Candidate choice, EngineModel engine, double prompt) {
+        call.first(time.now());
+        choice.load().promptRead(prompt);
+        choice.load().reported(engine.load(), time.now());
+    }
+
+    /**
+     * Learns of the end of an answer.
+     *
+     * @param call request
+     * @param choice engine as this entry sees it
+     */
+    private void done(LoadCall call, Candidate choice) {
+        call.done();
+        choice.load().ended(SendResult.ANSWERED, time.now());
+        look();
+    }
+
+    /**
+     * Learns that an engine had no room.
+     *
+     * @param call request
+     * @param choice engine as this entry sees it
+     * @param engine engine
+     * @param prompt length of the prompt, in prompts of usual length
+     */
+    private void rejected(LoadCall call, Candidate choice, EngineModel engine, double prompt) {
+        choice.load().promptRead(prompt);
+        choice.load().ended(SendResult.REFUSED, time.now());
+        choice.load().reported(engine.load(), time.now());
+        if (call.tried().size() < MAX_ENGINES) {
+            place(call, time.now());
+        } else {
+            refuse(call);
+        }
+    }
+
+    /**
+     * Describes an engine.
+     *
+     * @param number place in the list
+     * @param slots requests that it works on at once
+     * @return entry
+     */
+    private static UpstreamEntry entry(int number, int slots) {
+        return new UpstreamEntry(
+                new UpstreamId("engine-" + number),
+                1,
+                new ServiceId("model"),
+                "127.0.0.1:1",
+                new DomainId("domain"),
+                slots,
+                false,
+                Map.of());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/papayawalk/lab/load/TwoChoices.java
@@ -0,0 +1,42 @@
+package org.papayawalk.lab.load;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.core.place.Candidate;
+import org.papayawalk.core.place.PlacementRule;
+
+/** Takes the less loaded of two upstreams drawn at random. As safe as its random generator. */
+final class TwoChoices implements PlacementRule {
+    /** Source of chance. */
+    private final RandomGenerator random;
+
+    /**
+     * Creates a rule.
+     *
+     * @param random source of chance
+     */
+    TwoChoices(RandomGenerator random) {
+        this.random = random;
+    }
+
+    @Override
+    public Optional<Candidate> choose(
+            Collection<Candidate> candidates, Set<UpstreamId> tried, Instant now) {
+        List<Candidate> open = new ArrayList<>(candidates);
+        open.removeIf(c -> tried.contains(c.entry().id()) || !c.load().open(now));
+        if (open.isEmpty()) {
+            return Optional.empty();
+        }
+        Candidate a = open.get(random.nextInt(open.size()));
+        Candidate b = open.get(random.nextInt(open.size()));
+        Candidate less = a.load().expected(now) <= b.load().expected(now) ? a : b;
+        boolean room = less.load().expected(now) <= less.entry().slots();
+        return room ? Optional.of(less) : Optional.empty();
+    }
+}
--- a/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
+++ b/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
@@ -106,7 +106,7 @@
      * @return rule
      */
     private static PlacementRule rule() {
-        return new LeastLoaded(0.15, c -> 0, new SplittableRandom(7));
+        return new LeastLoaded(0.15, 1000, () -> 1, c -> 0, new SplittableRandom(7));
     }
 
     /**
