Stage nothing while an engine decides on an order

Cause, found by reading the code for a specification: a version named while the check of the staged one, or the order to load it, was under way was staged over it at once. The engine loads what is staged at the moment at which it takes the order, so it could load chunks of two versions. The expected sequence does not help: staging does not change it.

Ruled out: checking again after the order, as requests may be answered from the mixed weights by then.

Change: staging stops before the check, waits for chunks on their way, and goes on once the order is answered; without an answer 0.8 s later.

--- a/src/main/java/org/papayawalk/daemon/side/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/side/LocalEngine.java
@@ -5,6 +5,9 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.ReadWriteLock;
+import java.util.concurrent.locks.ReentrantReadWriteLock;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.id.Digest;
@@ -32,6 +35,12 @@
     /** Address of the engine. */
     private final String address;
 
+    /** Kept for reading while a chunk is staged, so that staging can be stopped for certain. */
+    private final ReadWriteLock staging = new ReentrantReadWriteLock();
+
+    /** Orders for which staging is stopped. */
+    private final AtomicInteger stops = new AtomicInteger();
+
     /** Whether staging is held back, because what is staged is to be loaded first. */
     private volatile boolean holdsStaging;
 
@@ -53,7 +62,29 @@
 
     @Override
     public boolean write(Digest digest, Manifest manifest, int index, byte[] data) {
-        return !holdsStaging && repair(manifest, index, data);
+        if (!staging.readLock().tryLock()) {
+            return false;
+        }
+        try {
+            return !holdsStaging && stops.get() == 0 && repair(manifest, index, data);
+        } finally {
+            staging.readLock().unlock();
+        }
+    }
+
+    /**
+     * Stops staging and waits until no chunk is on its way, because the engine loads what is staged
+     * at the moment at which it takes an order.
+     */
+    void stopStaging() {
+        stops.incrementAndGet();
+        staging.writeLock().lock();
+        staging.writeLock().unlock();
+    }
+
+    /** Lets staging go on, if no other order needs it stopped. */
+    void resumeStaging() {
+        stops.decrementAndGet();
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
+++ b/src/main/java/org/papayawalk/daemon/side/VersionDriver.java
@@ -21,9 +21,9 @@
 
 /**
  * Brings the engine to the version wanted: lets the swarm fetch and stage it, checks what is
- * staged, and orders the engine to load it. Only the agent beside an engine orders it, and an order
- * names the state that it was decided on. Confined to the control thread; calls run on a worker,
- * one at a time.
+ * staged, and orders the engine to load it. Only the agent beside an engine orders it, an order
+ * names the state that it was decided on, and nothing is staged while one is decided or under way.
+ * Confined to the control thread; calls run on a worker, one at a time.
  */
 final class VersionDriver {
     /** Pause between looks while the engine is not at the version wanted. */
@@ -41,6 +41,9 @@
     /** Time that fetching, staging and switching to a new version takes. */
     private static final Duration FETCH_AND_SWITCH = Duration.ofMillis(4800);
 
+    /** Time in which an order without an answer may still be taken. */
+    private static final Duration ORDER_SETTLES = Duration.ofMillis(800);
+
     /** Engine. */
     private final LocalEngine engine;
 
@@ -278,15 +281,20 @@
             return;
         }
         ordering = true;
+        Runnable resume = engine::resumeStaging;
         work.execute(
                 () -> {
-                    boolean taken = false;
+                    Either<Fault, Boolean> taken = Either.right(false);
+                    engine.stopStaging();
                     try {
-                        taken = check.whole(target) && load(target.version(), report);
+                        if (check.whole(target)) {
+                            taken = load(target.version(), report);
+                        }
                     } finally {
                         ordering = false;
+                        thread.later(taken.fold(f -> ORDER_SETTLES, t -> Duration.ZERO), resume);
                     }
-                    if (!taken) {
+                    if (!taken.getOrElse(false)) {
                         engine.holdStaging(false);
                     }
                 });
@@ -297,16 +305,16 @@
      *
      * @param version version
      * @param report state of the engine that the order is decided on
-     * @return true if the engine took the order
+     * @return whether the engine took the order, or fault if that is not known
      */
-    private boolean load(WeightVersion version, EngineReport report) {
+    private Either<Fault, Boolean> load(WeightVersion version, EngineReport report) {
         Either<Fault, Boolean> taken = engine.load(version, report.orders());
         Event.named("load-ordered")
                 .with("version", version)
                 .with("orders_seen", report.orders())
                 .with("outcome", taken.fold(Fault::toString, t -> "taken=" + t))
                 .info();
-        return taken.getOrElse(false);
+        return taken;
     }
 
     /**
--- a/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
+++ b/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -92,6 +93,43 @@
         }
     }
 
+    /**
+     * Until an upstream tells of its load again, all entries together send it half its slots at the
+     * most, each its part.
+     */
+    @Test
+    public void fewRequestsAreSentBeforeTheLoadIsHeard() {
+        PlacementRule rule = new LeastLoaded(0.15, 0.5, () -> 4, c -> 0, new SplittableRandom(7));
+        Candidate engine = candidate("engine");
+        int sent = 0;
+        while (sent < SLOTS && rule.choose(List.of(engine), Set.of(), T0).isPresent()) {
+            engine.load().sent(1);
+            sent++;
+        }
+        assertEquals(sent, SLOTS / 2 / 4);
+        engine.load().reported(new ReportedLoad(sent, 0, SLOTS), T0);
+        assertTrue(rule.choose(List.of(engine), Set.of(), T0).isPresent());
+    }
+
+    /** Entries with the same late reports do not all send to the same upstream. */
+    @Test
+    public void entriesWithTheSameReportsSpread() {
+        List<Candidate> engines = new ArrayList<>();
+        for (int i = 0; i < SLOTS; i++) {
+            Candidate c = candidate("engine-" + i);
+            c.load().reported(new ReportedLoad(i == 0 ? 2 : 4, 0, SLOTS), T0);
+            engines.add(c);
+        }
+        int toTheSame = 0;
+        for (int entry = 0; entry < 100; entry++) {
+            PlacementRule rule =
+                    new LeastLoaded(0.15, 0.5, () -> 7, c -> 0, new SplittableRandom(entry));
+            Candidate chosen = rule.choose(engines, Set.of(), T0).orElseThrow();
+            toTheSame += chosen == engines.get(0) ? 1 : 0;
+        }
+        assertTrue(toTheSame < 50, toTheSame + " of 100 entries chose the same");
+    }
+
     /** A request is not sent twice to the same upstream. */
     @Test
     public void triedUpstreamIsNotChosenAgain() {
--- a/src/test/java/org/papayawalk/daemon/side/SideRoleTest.java
+++ b/src/test/java/org/papayawalk/daemon/side/SideRoleTest.java
@@ -24,6 +24,9 @@
     /** Longest wait for something that must happen, in milliseconds. */
     private static final long LIMIT_MILLIS = 20_000;
 
+    /** Time that something which must not happen is given to happen, in milliseconds. */
+    private static final long CHANCE_MILLIS = 400;
+
     /** Desired state, with a place for the origin. */
     private static final String DESIRED =
             """
@@ -113,6 +116,37 @@
         assertEquals(engine.spoiltLoads(), 0);
     }
 
+    /**
+     * While the engine decides on an order, nothing of a newer version is staged over what it is
+     * about to load.
+     */
+    @Test(dependsOnMethods = "newestOfSeveralVersionsIsServed")
+    public void newerVersionIsNotStagedOverAnOrder() {
+        engine.holdOrders();
+        store.put("op", "version/m", "{\"model\":\"m\",\"version\":6}");
+        await(() -> engine.ordersWaiting() == 1);
+        int before = engine.stagedWrites();
+        int sent = engine.chunksSent();
+        store.put("op", "version/m", "{\"model\":\"m\",\"version\":7}");
+        await(() -> engine.chunksSent() > sent);
+        happens(() -> engine.stagedWrites() > before);
+        engine.releaseOrders();
+        await(() -> engine.serving() == 7);
+        assertEquals(engine.spoiltLoads(), 0);
+    }
+
+    /**
+     * Waits until something holds, or for a short time if it does not.
+     *
+     * @param condition condition
+     */
+    private static void happens(BooleanSupplier condition) {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CHANCE_MILLIS);
+        while (!condition.getAsBoolean() && System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+    }
+
     /**
      * Waits until something holds.
      *
--- a/src/test/java/org/papayawalk/daemon/side/StandInEngine.java
+++ b/src/test/java/org/papayawalk/daemon/side/StandInEngine.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.papayawalk.core.id.Digest;
@@ -51,6 +52,15 @@
     /** Chunks that the origin has sent. */
     private int sent;
 
+    /** Chunks that were staged. */
+    private int stagedWrites;
+
+    /** Orders that wait at the gate. */
+    private int ordersWaiting;
+
+    /** Open while orders are taken as they come. */
+    private volatile CountDownLatch gate = new CountDownLatch(0);
+
     /**
      * Starts the engine.
      *
@@ -106,6 +116,34 @@
         return spoilt;
     }
 
+    /** Lets orders wait from now on before they are taken. */
+    void holdOrders() {
+        gate = new CountDownLatch(1);
+    }
+
+    /** Takes the orders that wait, and those that come. */
+    void releaseOrders() {
+        gate.countDown();
+    }
+
+    /**
+     * Returns the orders that came while orders were held.
+     *
+     * @return number of orders
+     */
+    synchronized int ordersWaiting() {
+        return ordersWaiting;
+    }
+
+    /**
+     * Returns the chunks that were staged.
+     *
+     * @return number of writes
+     */
+    synchronized int stagedWrites() {
+        return stagedWrites;
+    }
+
     /**
      * Returns the chunks that the origin has sent.
      *
@@ -129,7 +167,11 @@
      */
     private void answer(HttpExchange exchange) throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
-        byte[] answer = handle(exchange.getRequestURI().toString(), body);
+        String target = exchange.getRequestURI().toString();
+        if (target.equals("/order")) {
+            waitAtGate();
+        }
+        byte[] answer = handle(target, body);
         exchange.sendResponseHeaders(
                 answer == null ? 404 : 200, answer == null ? -1 : answer.length);
         if (answer != null) {
@@ -138,6 +180,23 @@
         exchange.close();
     }
 
+    /**
+     * Lets an order wait.
+     *
+     * @throws IOException if the wait is interrupted
+     */
+    private void waitAtGate() throws IOException {
+        synchronized (this) {
+            ordersWaiting += gate.getCount() > 0 ? 1 : 0;
+        }
+        try {
+            gate.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
     /**
      * Handles a call.
      *
@@ -164,6 +223,7 @@
             return wrongChunks-- > 0 ? new byte[CHUNK_BYTES] : chunk(version, index);
         }
         if (target.startsWith("/stage-put/")) {
+            stagedWrites++;
             staged.put(index, rottenChunks-- > 0 ? new byte[CHUNK_BYTES] : body);
             return new byte[0];
         }
