--- a/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
+++ b/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
@@ -111,6 +111,11 @@
         reportedAt = now;
     }
 
+    /** Takes the beginning of an answer that tells no load. */
+    public void answerBegan() {
+        unheard = 0;
+    }
+
     /**
      * Keeps the upstream from taking requests for a while.
      *
--- a/src/main/java/org/papayawalk/daemon/edge/Sending.java
+++ b/src/main/java/org/papayawalk/daemon/edge/Sending.java
@@ -132,7 +132,9 @@
         Instant now = edge.clock().instant();
         progressAt = now;
         head = response;
-        reply.load().ifPresent(l -> choice.load().reported(l, now));
+        reply.load()
+                .ifPresentOrElse(
+                        l -> choice.load().reported(l, now), () -> choice.load().answerBegan());
         int status = response.status().code();
         notRun = reply.notRun() || status == MISDIRECTED;
         if (status == MISDIRECTED) {
--- a/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
+++ b/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
@@ -111,6 +111,17 @@
         assertTrue(rule.choose(List.of(engine), Set.of(), T0).isPresent());
     }
 
+    /** An upstream whose answers tell no load takes the next request once it answers. */
+    @Test
+    public void upstreamThatTellsNoLoadIsHeardByItsAnswers() {
+        PlacementRule rule = new LeastLoaded(0.15, 0.5, () -> 8, c -> 0, new SplittableRandom(7));
+        Candidate engine = candidate("engine");
+        engine.load().sent(1);
+        assertTrue(rule.choose(List.of(engine), Set.of(), T0).isEmpty());
+        engine.load().answerBegan();
+        assertTrue(rule.choose(List.of(engine), Set.of(), T0).isPresent());
+    }
+
     /** Entries with the same late reports do not all send to the same upstream. */
     @Test
     public void entriesWithTheSameReportsSpread() {
