Specify adoption of tables and staging before orders, with bad variants

Variants that stage while an order is under way, or give up while the order can still be taken, are rejected.

--- a/src/test/java/org/papayawalk/spec/SpecTest.java
+++ b/src/test/java/org/papayawalk/spec/SpecTest.java
@@ -29,6 +29,13 @@
             {"AtMostOnce", "AtMostOnce-good", ""},
             {"AtMostOnce", "AtMostOnce-forwardsWithoutStart", "Invariant NotRunIsTrue"},
             {"AtMostOnce", "AtMostOnce-saysNotRunWithoutRelease", "Invariant NotRunIsTrue"},
+            {"Adoption", "Adoption-good", ""},
+            {"Adoption", "Adoption-takesGaps", "Invariant CopyIsTrue"},
+            {"Adoption", "Adoption-takesOldReadings", "Invariant CopyIsTrue"},
+            {"Adoption", "Adoption-givesChangesAlways", "Invariant CopyIsTrue"},
+            {"Staging", "Staging-good", ""},
+            {"Staging", "Staging-stagesMeanwhile", "Invariant LoadedIsWhole"},
+            {"Staging", "Staging-givesUpEarly", "Invariant LoadedIsWhole"},
         };
     }
 
