--- a/src/main/java/org/papayawalk/daemon/edge/EdgeRole.java
+++ b/src/main/java/org/papayawalk/daemon/edge/EdgeRole.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
@@ -146,12 +145,8 @@
                         .desired()
                         .map(DesiredState::limits)
                         .orElse(CallerLimits.DEFAULT);
-        HttpDecoderConfig config =
-                new HttpDecoderConfig()
-                        .setMaxInitialLineLength(limits.headerBytes())
-                        .setMaxHeaderSize(limits.headerBytes());
         channel.pipeline()
-                .addLast(new CallerDecoder(config))
+                .addLast(new CallerDecoder(CallerDecoder.config(limits.headerBytes())))
                 .addLast(new HttpResponseEncoder())
                 .addLast(new CallerHandler(edge, limits));
     }
