Let no late write of an earlier start make a leaving upstream ready

Writes of servers can be done seconds later.

Ruled out: ignoring every earlier start, because the time of day of a server may jump back between two starts.

Change: starts that announced their leaving are remembered until their entry is removed; while one leaves, earlier starts are ignored.

--- a/src/main/java/org/papayawalk/core/upstream/UpstreamBook.java
+++ b/src/main/java/org/papayawalk/core/upstream/UpstreamBook.java
@@ -4,16 +4,19 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.papayawalk.core.id.UpstreamId;
 
 /**
  * Decides which upstreams count as present. An entry that is removed while the store is well is
  * gone at once. Entries lapse during an outage of the store although their upstreams live; what
  * lapsed around an outage stays usable for a grace and is gone after it. A draining upstream never
- * becomes ready again in the same incarnation. Not thread-safe: confined to the control thread.
+ * becomes ready again in the same incarnation, nor by a late write of an earlier one. Not
+ * thread-safe: confined to the control thread.
  */
 public final class UpstreamBook {
     /** Time that an entry which lapsed around an outage of the store is kept. */
@@ -28,6 +31,9 @@
     /** Present upstreams. */
     private final Map<UpstreamId, UpstreamEntry> present = new HashMap<>();
 
+    /** Starts and addresses of processes that announced their leaving, until they are removed. */
+    private final Map<UpstreamId, Set<String>> left = new HashMap<>();
+
     /** When entries that lapsed around an outage are given up. */
     private final Map<UpstreamId, Instant> lapsed = new HashMap<>();
 
@@ -63,10 +69,16 @@
      */
     public void put(UpstreamEntry entry) {
         UpstreamEntry known = present.get(entry.id());
-        boolean left = known != null && known.draining() && known.sameProcess(entry);
-        if (left && !entry.draining()) {
+        boolean leaving = known != null && known.draining();
+        boolean late = leaving && entry.incarnation() < known.incarnation();
+        Set<String> leftBefore = left.computeIfAbsent(entry.id(), id -> new HashSet<>());
+        String process = entry.incarnation() + "/" + entry.address();
+        if (late || (!entry.draining() && leftBefore.contains(process))) {
             return;
         }
+        if (entry.draining()) {
+            leftBefore.add(process);
+        }
         lapsed.remove(entry.id());
         present.put(entry.id(), entry);
     }
@@ -85,8 +97,7 @@
             lapsed.putIfAbsent(id, now.plus(LAPSE_GRACE));
             return;
         }
-        lapsed.remove(id);
-        present.remove(id);
+        forget(id);
     }
 
     /**
@@ -101,11 +112,7 @@
                         .filter(e -> !e.getValue().isAfter(now))
                         .map(Map.Entry::getKey)
                         .toList();
-        expired.forEach(
-                id -> {
-                    lapsed.remove(id);
-                    present.remove(id);
-                });
+        expired.forEach(this::forget);
         return expired;
     }
 
@@ -132,4 +139,15 @@
         }
         return usable;
     }
+
+    /**
+     * Forgets an upstream.
+     *
+     * @param id name of the upstream
+     */
+    private void forget(UpstreamId id) {
+        lapsed.remove(id);
+        present.remove(id);
+        left.remove(id);
+    }
 }
--- a/src/test/java/org/papayawalk/core/upstream/UpstreamBookTest.java
+++ b/src/test/java/org/papayawalk/core/upstream/UpstreamBookTest.java
@@ -70,6 +70,15 @@
         assertTrue(book.usable().isEmpty());
     }
 
+    /** A late write of an earlier start does not make a draining upstream ready. */
+    @Test
+    public void lateWriteOfEarlierStartChangesNothing() {
+        UpstreamBook book = new UpstreamBook();
+        book.put(entry(2, true));
+        book.put(entry(1, false));
+        assertTrue(book.usable().isEmpty());
+    }
+
     /** A new start under the same name is another process and may take work. */
     @Test
     public void newStartUnderSameNameIsUsable() {
