--- a/src/main/java/org/papayawalk/cli/ApplyCommand.java
+++ b/src/main/java/org/papayawalk/cli/ApplyCommand.java
@@ -24,16 +24,10 @@
 import org.papayawalk.settings.SettingChecks;
 
 /** Checks a sheet, shows its difference and has it accepted, or only does the first two. */
-final class ApplyCommand implements Command {
-    /** Name on the command line. */
-    private final String name;
-
+final class ApplyCommand extends NamedCommand<ApplyCommand.Options> {
     /** Whether the sheet is only compared. */
     private final boolean diffOnly;
 
-    /** Options. */
-    private final Options options = new Options();
-
     /**
      * Creates the command.
      *
@@ -41,31 +35,21 @@
      * @param diffOnly whether the sheet is only compared
      */
     ApplyCommand(String name, boolean diffOnly) {
-        this.name = name;
+        super(name, new Options());
         this.diffOnly = diffOnly;
     }
 
-    @Override
-    public String name() {
-        return name;
-    }
-
-    @Override
-    public CommonOptions options() {
-        return options;
-    }
-
     @Override
     public ExitCode run(CommandContext context) {
         Either<List<SheetFault>, List<FleetSpec>> rows = readSheet();
         if (rows.isLeft()) {
-            rows.getLeft().forEach(f -> context.note(options.sheet() + ": " + f));
-            if (options.json) {
+            rows.getLeft().forEach(f -> context.note(options().sheet() + ": " + f));
+            if (options().json) {
                 context.json(Map.of("result", "faulty-sheet", "faults", rows.getLeft()));
             }
             return ExitCode.USAGE;
         }
-        ConfigClient client = new ConfigClient(context.table(options));
+        ConfigClient client = new ConfigClient(context.table(options()));
         Either<Fault, ConfigClient.Accepted> base = client.read();
         if (base.isLeft()) {
             context.note("cannot read the accepted configuration: " + base.getLeft());
@@ -89,17 +73,17 @@
             ConfigClient.Accepted base,
             List<FleetSpec> rows) {
         long version = base.configuration().version().number();
-        if (options.base >= 0 && options.base != version) {
-            context.note("version %d is accepted, not %d".formatted(version, options.base));
+        if (options().base >= 0 && options().base != version) {
+            context.note("version %d is accepted, not %d".formatted(version, options().base));
             showWinner(context, client, version);
             return report(context, ApplyResult.CONFLICT, version, List.of());
         }
         List<RowChange> changes = RowChange.between(base.configuration().rows(), rows);
-        if (!options.json) {
+        if (!options().json) {
             changes.forEach(c -> context.print(c.kind() + " " + c.fleet() + ": " + c.detail()));
         }
-        if (diffOnly || options.dryRun || changes.isEmpty()) {
-            if (options.json) {
+        if (diffOnly || options().dryRun || changes.isEmpty()) {
+            if (options().json) {
                 context.json(Map.of("base", version, "changes", changes));
             } else if (changes.isEmpty()) {
                 context.print("no difference to version " + version);
@@ -107,7 +91,8 @@
             return ExitCode.OK;
         }
         Configuration next = base.configuration().next(UUID.randomUUID().toString(), rows);
-        ApplyResult result = client.write(base, next, options.operator, context.clock().instant());
+        ApplyResult result =
+                client.write(base, next, options().operator, context.clock().instant());
         if (result == ApplyResult.CONFLICT) {
             showWinner(context, client, next.version().number());
         }
@@ -144,7 +129,7 @@
     private ExitCode report(
             CommandContext context, ApplyResult result, long version, List<RowChange> changes) {
         String word = result.name().toLowerCase(Locale.ROOT);
-        if (options.json) {
+        if (options().json) {
             context.json(Map.of("result", word, "version", version, "changes", changes));
         } else {
             context.print(word + " version=" + version + " changes=" + changes.size());
@@ -163,7 +148,7 @@
      */
     private Either<List<SheetFault>, List<FleetSpec>> readSheet() {
         try {
-            String text = Files.readString(Path.of(options.sheet()), StandardCharsets.UTF_8);
+            String text = Files.readString(Path.of(options().sheet()), StandardCharsets.UTF_8);
             return new SheetParser().parse(text);
         } catch (IOException e) {
             String reason = "cannot read the file as UTF-8 text: " + e.getMessage();
@@ -173,7 +158,7 @@
 
     /** Options of the command. Filled once. */
     @Parameters(commandDescription = "Check a sheet, show its difference and have it accepted")
-    private static final class Options extends CommonOptions {
+    static final class Options extends CommonOptions {
         /** Sheet. */
         @Parameter(description = "SHEET.csv")
         List<String> sheets = new ArrayList<>();
--- a/src/main/java/org/papayawalk/cli/StatusCommand.java
+++ b/src/main/java/org/papayawalk/cli/StatusCommand.java
@@ -15,19 +15,13 @@
 import org.papayawalk.settings.SettingChecks;
 
 /** Shows how far every host is, or waits until every host has reached the accepted sheet. */
-final class StatusCommand implements Command {
+final class StatusCommand extends NamedCommand<StatusCommand.Options> {
     /** Time between looks while waiting, in milliseconds. */
     private static final long LOOK_MILLIS = 250;
 
-    /** Name on the command line. */
-    private final String name;
-
     /** Whether to wait. */
     private final boolean waits;
 
-    /** Options. */
-    private final Options options = new Options();
-
     /**
      * Creates the command.
      *
@@ -35,23 +29,13 @@
      * @param waits whether to wait until every host has reached the accepted sheet
      */
     StatusCommand(String name, boolean waits) {
-        this.name = name;
+        super(name, new Options());
         this.waits = waits;
     }
 
-    @Override
-    public String name() {
-        return name;
-    }
-
-    @Override
-    public CommonOptions options() {
-        return options;
-    }
-
     @Override
     public ExitCode run(CommandContext context) throws InterruptedException {
-        Instant until = context.clock().instant().plusSeconds(options.timeoutSeconds);
+        Instant until = context.clock().instant().plusSeconds(options().timeoutSeconds);
         View view = look(context);
         while (waits && !view.reached() && context.clock().instant().isBefore(until)) {
             context.note(view.progressLine());
@@ -76,8 +60,8 @@
      */
     private View look(CommandContext context) {
         Either<Fault, ConfigClient.Accepted> accepted =
-                new ConfigClient(context.table(options)).read();
-        Either<Fault, List<HostRecord>> hosts = context.hostList(options).read();
+                new ConfigClient(context.table(options())).read();
+        Either<Fault, List<HostRecord>> hosts = context.hostList(options()).read();
         if (hosts.isLeft()) {
             return new View(0, List.of(), "cannot read the host list: " + hosts.getLeft());
         }
@@ -98,7 +82,7 @@
      * @param view what was seen
      */
     private void show(CommandContext context, View view) {
-        if (options.json) {
+        if (options().json) {
             context.json(
                     Map.of(
                             "acceptedVersion", view.version(),
@@ -164,7 +148,7 @@
 
     /** Options of the command. Filled once. */
     @Parameters(commandDescription = "Show every host, or wait until all have reached the sheet")
-    private static final class Options extends CommonOptions {
+    static final class Options extends CommonOptions {
         /** Longest wait. */
         @Parameter(names = "--timeout-seconds", description = "rollout: longest wait")
         int timeoutSeconds = 600;
--- a/src/main/java/org/papayawalk/lab/burst/ParentPlanner.java
+++ b/src/main/java/org/papayawalk/lab/burst/ParentPlanner.java
@@ -5,37 +5,18 @@
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.List;
-import java.util.Set;
-import java.util.TreeSet;
 import org.papayawalk.core.id.HostId;
-import org.papayawalk.core.weight.ChunkPlanner;
 import org.papayawalk.core.weight.ChunkSource;
 import org.papayawalk.core.weight.FetchOrder;
-import org.papayawalk.core.weight.FetchResult;
 import org.papayawalk.core.weight.SwarmPeer;
 
 /**
  * Takes all chunks in order from one parent: the origin, or a host by its place. Not thread-safe.
  */
-final class ParentPlanner implements ChunkPlanner {
-    /** Name of this host. */
-    private final HostId self;
-
+final class ParentPlanner extends BaselinePlanner {
     /** Children of each host; 0 if all take from the origin. */
     private final int fanOut;
 
-    /** Number of chunks. */
-    private final int chunkCount;
-
-    /** Requests under way at most. */
-    private final int maxRequests;
-
-    /** Chunks received. */
-    private final ReceivedChunks have;
-
-    /** Chunks asked for. */
-    private final Set<Integer> open = new TreeSet<>();
-
     /** Chunks that the parent offers. */
     private BitSet parentHas = new BitSet();
 
@@ -54,17 +35,14 @@
      * @param maxRequests requests under way at most
      */
     ParentPlanner(HostId self, int fanOut, int chunkCount, int maxRequests) {
-        this.self = self;
+        super(self, chunkCount, maxRequests);
         this.fanOut = fanOut;
-        this.chunkCount = chunkCount;
-        this.have = new ReceivedChunks(chunkCount);
-        this.maxRequests = maxRequests;
     }
 
     @Override
     public void swarm(Collection<SwarmPeer> hosts) {
         List<HostId> order = hosts.stream().map(SwarmPeer::host).sorted().toList();
-        int place = order.indexOf(self);
+        int place = order.indexOf(self());
         if (fanOut == 0 || place < 0) {
             return;
         }
@@ -94,37 +72,11 @@
     @Override
     public List<FetchOrder> next(Instant now) {
         List<FetchOrder> orders = new ArrayList<>();
-        for (int i = 0; i < chunkCount && open.size() < maxRequests; i++) {
-            if (!have.has(i) && (parent.isOrigin() || parentHas.get(i)) && open.add(i)) {
-                orders.add(new FetchOrder(i, parent));
+        for (int i = 0; i < chunkCount() && mayAsk(); i++) {
+            if (lacks(i) && (parent.isOrigin() || parentHas.get(i))) {
+                orders.add(ask(i, parent));
             }
         }
         return orders;
     }
-
-    @Override
-    public void ended(FetchOrder order, FetchResult result, Instant now) {
-        open.remove(order.index());
-        have.ended(order, result);
-    }
-
-    @Override
-    public void keep(int index) {
-        have.keep(index);
-    }
-
-    @Override
-    public boolean expects(int index) {
-        return open.contains(index);
-    }
-
-    @Override
-    public int haveCount() {
-        return have.count();
-    }
-
-    @Override
-    public boolean complete() {
-        return have.complete();
-    }
 }
