--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/edge/PoisonRequestTest.java
@@ -0,0 +1,99 @@
+package org.papayawalk.daemon.edge;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.papayawalk.daemon.site.StandInServer;
+import org.papayawalk.daemon.site.StandInServer.Mode;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Sends an entry a request under which servers die, again and again. */
+public final class PoisonRequestTest {
+    /** Servers besides the two of the fixture. */
+    private static final int MORE_SERVERS = 4;
+
+    /** Times that the request is sent. */
+    private static final int SENDINGS = 12;
+
+    /** Servers that one request may take down, over all its attempts. */
+    private static final int MOST_DEAD = 4;
+
+    /** All servers. */
+    private final List<StandInServer> servers = new ArrayList<>();
+
+    /** Stand-ins and entry. */
+    private EdgeFixture site;
+
+    /**
+     * Starts the site.
+     *
+     * @throws IOException if a port cannot be had
+     */
+    @BeforeClass
+    public void start() throws IOException {
+        site = new EdgeFixture();
+        servers.add(site.first());
+        servers.add(site.second());
+        for (int i = 0; i < MORE_SERVERS; i++) {
+            StandInServer server = new StandInServer(Mode.DIES_OF_POISON);
+            servers.add(server);
+            site.store().put("servers", "i-more-" + i, EdgeFixture.entry(server, "ready"));
+        }
+        servers.forEach(s -> s.mode(Mode.DIES_OF_POISON));
+        EdgeFixture.await(
+                () -> {
+                    send("/read/hello");
+                    return servers.stream().noneMatch(s -> s.seen().isEmpty());
+                });
+    }
+
+    /**
+     * Stops the stand-ins.
+     *
+     * @throws IOException if a server cannot be closed
+     */
+    @AfterClass
+    public void stop() throws IOException {
+        for (StandInServer s : servers) {
+            s.close();
+        }
+        site.close();
+    }
+
+    /** The request takes few servers down, and the others serve other requests. */
+    @Test
+    public void poisonTakesFewServersDown() {
+        for (int i = 0; i < SENDINGS; i++) {
+            send("/read/" + StandInServer.POISON);
+        }
+        long dead = servers.stream().filter(PoisonRequestTest::metPoison).count();
+        assertTrue(dead <= MOST_DEAD, dead + " of " + servers.size() + " servers died");
+        EdgeFixture.await(() -> send("/read/hello") == 200);
+        assertEquals(send("/read/" + StandInServer.POISON), 503);
+    }
+
+    /**
+     * Tells whether a server got the request.
+     *
+     * @param server server
+     * @return true if it did
+     */
+    private static boolean metPoison(StandInServer server) {
+        return server.seen().stream().anyMatch(s -> s.line().contains(StandInServer.POISON));
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param target path
+     * @return status
+     */
+    private int send(String target) {
+        return site.caller().send("GET", target, "key-1").status();
+    }
+}
--- a/src/test/java/org/papayawalk/daemon/site/StandInServer.java
+++ b/src/test/java/org/papayawalk/daemon/site/StandInServer.java
@@ -24,6 +24,9 @@
     /** Events of a whole stream. */
     public static final int EVENTS = 6;
 
+    /** Part of the path of a request under which some servers die. */
+    public static final String POISON = "poison";
+
     /** What the server does with requests. */
     public enum Mode {
         /** Answers whole. */
@@ -48,6 +51,8 @@
         HELD,
         /** Fails. */
         ERROR,
+        /** Dies under a request whose path says so, answers others whole. */
+        DIES_OF_POISON,
         /** Streams three events and part of a fourth, then closes the connection. */
         CUT_STREAM,
         /** Streams. */
@@ -252,6 +257,13 @@
         String body = "answer to " + id;
         switch (mode) {
             case WHOLE -> write(out, whole(200, id, body, ""));
+            case DIES_OF_POISON -> {
+                if (request.line().contains(POISON)) {
+                    listener.close();
+                    return false;
+                }
+                write(out, whole(200, id, body, ""));
+            }
             case HELD -> {
                 hold();
                 write(out, whole(200, id, body, ""));
