--- a/src/main/java/org/papayawalk/lab/load/EntryModel.java
+++ b/src/main/java/org/papayawalk/lab/load/EntryModel.java
@@ -42,6 +42,9 @@
     /** Engines as the product sees them. */
     private final List<Candidate> candidates = new ArrayList<>();
 
+    /** Engines that this entry uses. */
+    private final List<Candidate> near;
+
     /** Chooses engines. */
     private final PlacementRule placement;
 
@@ -78,6 +81,7 @@
      * @param engines engines
      * @param slots requests that an engine works on at once
      * @param policy way of placing and refusing
+     * @param place place of this entry among the entries
      * @param entries number of entries
      * @param random source of chance
      * @param refusal takes refused requests back to their callers
@@ -87,6 +91,7 @@
             List<EngineModel> engines,
             int slots,
             LoadPolicy policy,
+            int place,
             int entries,
             RandomGenerator random,
             Refusal refusal) {
@@ -99,6 +104,7 @@
         for (int i = 0; i < engines.size(); i++) {
             candidates.add(new Candidate(entry(i, slots), new UpstreamLoad()));
         }
+        near = EngineSubset.of(candidates, place, entries, policy.sharers());
     }
 
     /**
@@ -165,14 +171,14 @@
     }
 
     /**
-     * Sends a request if an engine has room.
+     * Sends a request if one of the entry's engines has room.
      *
      * @param call request
      * @return true if it was sent
      */
     private boolean send(LoadCall call) {
         Instant now = time.now();
-        Optional<Candidate> choice = placement.choose(candidates, call.tried(), now);
+        Optional<Candidate> choice = placement.choose(near, call.tried(), now);
         if (choice.isEmpty()) {
             return false;
         }
--- a/src/main/java/org/papayawalk/lab/load/LoadCommand.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadCommand.java
@@ -44,6 +44,10 @@
     @Parameter(names = "--impatient", description = "Share of callers that come back at once")
     private double impatient = 0.15;
 
+    /** Unevenness. */
+    @Parameter(names = "--uneven", description = "1: all entries get the same; 1.5: some get more")
+    private double unevenness = 1;
+
     /** Policies. */
     @Parameter(names = "--policy", description = "Policies to compare, or all")
     private List<String> policies = new ArrayList<>(List.of("product"));
@@ -99,7 +103,8 @@
                 burst,
                 length,
                 outages,
-                impatient);
+                impatient,
+                unevenness);
     }
 
     /**
--- a/src/main/java/org/papayawalk/lab/load/LoadPlan.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadPlan.java
@@ -15,6 +15,7 @@
  * @param length time for which requests come
  * @param outages times at which engines close for new requests
  * @param impatientShare share of the callers that come back at once
+ * @param unevenness power by which some entries get more than others, 1 for none
  */
 record LoadPlan(
         int entries,
@@ -25,7 +26,8 @@
         double burst,
         Duration length,
         List<Outage> outages,
-        double impatientShare) {
+        double impatientShare,
+        double unevenness) {
 
     /**
      * Time during which some engines take no requests. Immutable.
--- a/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
@@ -12,8 +12,9 @@
  * @param name name for the command line and the report
  * @param placement makes the rule of one entry
  * @param waiting decides how long requests wait and when refused callers come back
+ * @param sharers entries that share an engine, about; 0 for all
  */
-record LoadPolicy(String name, Placement placement, WaitRule waiting) {
+record LoadPolicy(String name, Placement placement, WaitRule waiting, int sharers) {
 
     /** Makes the rule by which an entry places requests. */
     interface Placement {
@@ -39,24 +40,44 @@
     /** Ways that are known. */
     static final List<LoadPolicy> ALL =
             List.of(
-                    new LoadPolicy("product", leastLoaded(QUEUE, UNHEARD), WaitRule.DEFAULT),
-                    new LoadPolicy("unheard", leastLoaded(QUEUE, UNBOUNDED), WaitRule.DEFAULT),
-                    new LoadPolicy("returns-late", leastLoaded(QUEUE, UNHEARD), LoadRules.late()),
-                    new LoadPolicy("no-wait", leastLoaded(QUEUE, UNHEARD), LoadRules.noWait()),
-                    new LoadPolicy("long-wait", leastLoaded(QUEUE, UNHEARD), LoadRules.longWait()),
-                    new LoadPolicy("half-queue", leastLoaded(0.5, UNHEARD), WaitRule.DEFAULT),
-                    new LoadPolicy("full-queue", leastLoaded(2, UNHEARD), WaitRule.DEFAULT),
-                    new LoadPolicy("two-choices", (n, r) -> new TwoChoices(r), WaitRule.DEFAULT),
-                    new LoadPolicy("any", (n, r) -> new AnyUpstream(r), WaitRule.DEFAULT));
+                    of("product", QUEUE, UNHEARD, WaitRule.DEFAULT),
+                    of("unheard", QUEUE, UNBOUNDED, WaitRule.DEFAULT),
+                    of("returns-late", QUEUE, UNHEARD, LoadRules.late()),
+                    of("no-wait", QUEUE, UNHEARD, LoadRules.noWait()),
+                    of("long-wait", QUEUE, UNHEARD, LoadRules.longWait()),
+                    of("half-queue", 0.5, UNHEARD, WaitRule.DEFAULT),
+                    of("full-queue", 2, UNHEARD, WaitRule.DEFAULT),
+                    of("product", QUEUE, UNHEARD, WaitRule.DEFAULT).shared("shared-4", 4),
+                    of("product", QUEUE, UNHEARD, WaitRule.DEFAULT).shared("shared-8", 8),
+                    of("product", QUEUE, UNHEARD, WaitRule.DEFAULT).shared("shared-12", 12),
+                    new LoadPolicy("two-choices", (n, r) -> new TwoChoices(r), WaitRule.DEFAULT, 0),
+                    new LoadPolicy("any", (n, r) -> new AnyUpstream(r), WaitRule.DEFAULT, 0));
 
     /**
-     * Makes the product's placement with other bounds.
+     * Makes a way with the product's placement, with other bounds.
      *
+     * @param name name
      * @param queueShare requests that may wait at an engine, as a share of its slots
      * @param unheardShare requests that all entries may send before they hear of the load
-     * @return placement
+     * @param waiting decides how long requests wait and when refused callers come back
+     * @return way
      */
-    private static Placement leastLoaded(double queueShare, double unheardShare) {
-        return (n, r) -> new LeastLoaded(queueShare, unheardShare, () -> n, c -> 0, r);
+    private static LoadPolicy of(
+            String name, double queueShare, double unheardShare, WaitRule waiting) {
+        Placement placement =
+                (n, r) -> new LeastLoaded(queueShare, unheardShare, () -> n, c -> 0, r);
+        return new LoadPolicy(name, placement, waiting, 0);
+    }
+
+    /**
+     * Makes the same way with engines that are divided among the entries.
+     *
+     * @param newName name
+     * @param entries entries that share an engine, about
+     * @return way
+     */
+    private LoadPolicy shared(String newName, int entries) {
+        Placement placement = (n, r) -> placement().make(Math.min(n, entries), r);
+        return new LoadPolicy(newName, placement, waiting, entries);
     }
 }
--- a/src/main/java/org/papayawalk/lab/load/LoadRun.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadRun.java
@@ -68,6 +68,7 @@
                             engines,
                             plan.engineTimes().slots(),
                             policy,
+                            i,
                             plan.entries(),
                             root.split(),
                             this::refused));
@@ -143,10 +144,11 @@
     /**
      * Returns the entry that a request goes to.
      *
-     * @return any entry
+     * @return any entry, some of them more often than others if the plan says so
      */
     private EntryModel entry() {
-        return entries.get(ways.nextInt(entries.size()));
+        double draw = Math.pow(ways.nextDouble(), plan.unevenness());
+        return entries.get((int) (entries.size() * draw));
     }
 
     /**
--- a/src/test/java/org/papayawalk/lab/load/LoadRunTest.java
+++ b/src/test/java/org/papayawalk/lab/load/LoadRunTest.java
@@ -89,7 +89,8 @@
                         burst,
                         Duration.ofSeconds(24),
                         List.of(),
-                        0.15);
+                        0.15,
+                        1);
         return new LoadRun(plan, policy, SEED).run();
     }
 
