--- a/src/main/java/org/papayawalk/lab/load/EngineModel.java
+++ b/src/main/java/org/papayawalk/lab/load/EngineModel.java
@@ -9,7 +9,7 @@
 
 /**
  * Model engine on virtual time. It works in passes: each pass reads a part of the prompts of new
- * requests and gives each writing request one event. Not thread-safe.
+ * requests and gives each request whose prompt is read one event. Not thread-safe.
  */
 final class EngineModel {
     /** Tokens of a thousand, the unit of the time for context. */
@@ -104,7 +104,8 @@
                         + times.sequenceMillis() * writers.size()
                         + times.contextMillis() * context;
         double length = steps * step + read(steps * times.chunkTokens());
-        time.after(millis(length), () -> passEnds(writers, steps));
+        List<EngineJob> writing = running.stream().filter(EngineJob::writes).toList();
+        time.after(millis(length), () -> passEnds(writing, steps));
     }
 
     /**
