Take waits, free ports and options of experiments together

Ruled out: one place for the faults of the experiments, because their help names each of them. Change: ExperimentOptions (seed, form of the result), Await and FreePort; no limit and no check of a test changed.

--- a/src/main/java/org/papayawalk/lab/burst/BurstCommand.java
+++ b/src/main/java/org/papayawalk/lab/burst/BurstCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -9,6 +10,7 @@
 import java.util.Locale;
 import org.papayawalk.adapter.Json;
 import org.papayawalk.core.weight.DistributionPolicy;
+import org.papayawalk.lab.ExperimentOptions;
 import org.papayawalk.lab.FaultNames;
 import org.papayawalk.lab.LabCommand;
 
@@ -38,9 +40,8 @@
     @Parameter(names = "--policy", description = "time or bytes")
     private String policy = "time";
 
-    /** Seed. */
-    @Parameter(names = "--seed", description = "Seed of chance")
-    private long seed = 1;
+    /** Seed and form of the result. */
+    @ParametersDelegate private final ExperimentOptions common = new ExperimentOptions();
 
     /** Size. */
     @Parameter(names = "--size-bytes", description = "Length of the weights")
@@ -72,10 +73,6 @@
     @Parameter(names = "--limit-seconds", description = "Longest wait for all hosts")
     private int limitSeconds = 120;
 
-    /** JSON. */
-    @Parameter(names = "--json", description = "Print one JSON object, which is always done")
-    private boolean json = true;
-
     @Override
     public String name() {
         return "burst";
@@ -90,7 +87,7 @@
                         regions,
                         Strategy.valueOf(strategy.toUpperCase(Locale.ROOT)),
                         DistributionPolicy.valueOf(policy.toUpperCase(Locale.ROOT)),
-                        seed,
+                        common.seed(),
                         sizeBytes,
                         chunkBytes,
                         windowSeconds,
--- a/src/main/java/org/papayawalk/lab/config/ConfigCommand.java
+++ b/src/main/java/org/papayawalk/lab/config/ConfigCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -25,6 +26,7 @@
 import org.papayawalk.core.weight.DownloadFactory;
 import org.papayawalk.core.weight.DownloadSettings;
 import org.papayawalk.daemon.agent.WeightSettings;
+import org.papayawalk.lab.ExperimentOptions;
 import org.papayawalk.lab.FaultNames;
 import org.papayawalk.lab.LabCommand;
 import org.papayawalk.lab.cluster.ControlCost;
@@ -65,18 +67,13 @@
     @Parameter(names = "--changes", description = "Changes, every third raced by another operator")
     private int changes = 20;
 
-    /** Seed. */
-    @Parameter(names = "--seed", description = "Seed of chance")
-    private long seed = 1;
+    /** Seed and form of the result. */
+    @ParametersDelegate private final ExperimentOptions common = new ExperimentOptions();
 
     /** Faults. */
     @Parameter(names = "--faults", description = "lose-answer, or all")
     private List<String> faults = new ArrayList<>();
 
-    /** JSON. */
-    @Parameter(names = "--json", description = "Print one JSON object, which is always done")
-    private boolean json = true;
-
     /** Agents. */
     private final List<LabAgent> agents = new ArrayList<>();
 
@@ -157,7 +154,7 @@
         for (int i = 0; i < daemons; i++) {
             records.add(record(i, i < entryCount));
         }
-        LabPlatform platform = new LabPlatform(records, 1 << 20, seed);
+        LabPlatform platform = new LabPlatform(records, 1 << 20, common.seed());
         WeightSettings weights =
                 new WeightSettings(
                         new DownloadFactory(
--- a/src/main/java/org/papayawalk/lab/requests/RequestsCommand.java
+++ b/src/main/java/org/papayawalk/lab/requests/RequestsCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import com.sun.management.OperatingSystemMXBean;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
@@ -14,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.papayawalk.adapter.Json;
+import org.papayawalk.lab.ExperimentOptions;
 import org.papayawalk.lab.FaultNames;
 import org.papayawalk.lab.LabCommand;
 import org.papayawalk.lab.standin.EngineSettings;
@@ -46,9 +48,8 @@
     /** Times that the caller of an order comes back. */
     private static final int ORDER_ATTEMPTS = 8;
 
-    /** Seed. */
-    @Parameter(names = "--seed", description = "Seed of chance")
-    private long seed = 1;
+    /** Seed and form of the result. */
+    @ParametersDelegate private final ExperimentOptions common = new ExperimentOptions();
 
     /** Length. */
     @Parameter(names = "--seconds", description = "Length of the measurement")
@@ -74,10 +75,6 @@
     @Parameter(names = "--max-in-flight", description = "Requests that one upstream runs at once")
     private int maxInFlight = 32;
 
-    /** JSON. */
-    @Parameter(names = "--json", description = "Print one JSON object, which is always done")
-    private boolean json = true;
-
     /** Counts of the calls through the entries. */
     private final Tally tally = new Tally();
 
@@ -107,14 +104,16 @@
     @Override
     public int run() throws IOException, InterruptedException {
         EngineSettings engine = new EngineSettings(40, 10, 4 * maxInFlight, false);
-        try (RequestsCluster cluster = new RequestsCluster(models, 2, engine, maxInFlight, seed)) {
+        try (RequestsCluster cluster =
+                new RequestsCluster(models, 2, engine, maxInFlight, common.seed())) {
             System.err.println("requests: all hosts serve");
             load(DIRECT_SECONDS, rate / models, (n, due) -> directCall(cluster, n, due));
             OperatingSystemMXBean system =
                     (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
             long cpuBefore = system.getProcessCpuTime();
             long start = System.nanoTime();
-            Chaos chaos = new Chaos(cluster, FaultNames.select(faults, FAULTS), caller, seed);
+            Chaos chaos =
+                    new Chaos(cluster, FaultNames.select(faults, FAULTS), caller, common.seed());
             Thread chaosThread = new Thread(chaos, "chaos");
             chaosThread.start();
             load(seconds, rate, (n, due) -> call(cluster, n, due));
--- a/src/test/java/org/papayawalk/daemon/edge/EdgeFixture.java
+++ b/src/test/java/org/papayawalk/daemon/edge/EdgeFixture.java
@@ -1,18 +1,15 @@
 package org.papayawalk.daemon.edge;
 
-import static org.testng.Assert.assertTrue;
-
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.papayawalk.daemon.site.SiteNode;
 import org.papayawalk.daemon.site.StandInServer;
 import org.papayawalk.daemon.site.StandInServer.Mode;
 import org.papayawalk.daemon.site.StandInStore;
 import org.papayawalk.platform.SettingsCodec;
+import org.papayawalk.support.Await;
+import org.papayawalk.support.FreePort;
 
 /** Entry on loopback before a store and two servers. Confined to one thread. */
 final class EdgeFixture implements AutoCloseable {
@@ -66,8 +63,8 @@
         store.put("op", "config", desired(1, "key-1"));
         store.put("servers", "i-1", entry(first, "ready"));
         store.put("servers", "i-2", entry(second, "ready"));
-        int port = freePort();
-        readyPort = freePort();
+        int port = FreePort.find();
+        readyPort = FreePort.find();
         caller = new TestCaller(port);
         String settings =
                 """
@@ -77,7 +74,7 @@
                  "provider":{"address":"%s"},"bounds":{"graceS":8,"budgetSlack":500},
                  "limits":{"linkMbps":1000}}
                 """
-                        .formatted(freePort(), 0, port, readyPort, store.address());
+                        .formatted(FreePort.find(), 0, port, readyPort, store.address());
         byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
         role = new EdgeRole(new SiteNode(SettingsCodec.decode(bytes)));
         role.start();
@@ -162,11 +159,7 @@
      * @param condition condition
      */
     static void await(BooleanSupplier condition) {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < until, "did not happen within the limit");
-            Thread.onSpinWait();
-        }
+        Await.within(LIMIT_MILLIS, condition);
     }
 
     /**
@@ -182,16 +175,4 @@
                """
                 .formatted(server.address(), state);
     }
-
-    /**
-     * Finds a free port.
-     *
-     * @return port
-     * @throws IOException if none can be had
-     */
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
-        }
-    }
 }
--- a/src/test/java/org/papayawalk/daemon/side/SideRoleTest.java
+++ b/src/test/java/org/papayawalk/daemon/side/SideRoleTest.java
@@ -1,17 +1,16 @@
 package org.papayawalk.daemon.side;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.papayawalk.daemon.site.SiteNode;
 import org.papayawalk.daemon.site.StandInStore;
 import org.papayawalk.platform.SettingsCodec;
+import org.papayawalk.support.Await;
+import org.papayawalk.support.FreePort;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -66,7 +65,7 @@
                  "bootstrap":true,"provider":{"address":"%s"},"bounds":{"version_ms":8000},
                  "limits":{"linkMbps":1000},"app":"%s","service":"helper"}
                 """
-                        .formatted(freePort(), 0, store.address(), engine.address());
+                        .formatted(FreePort.find(), 0, store.address(), engine.address());
         byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
         new SideRole(new SiteNode(SettingsCodec.decode(bytes))).start();
     }
@@ -81,7 +80,7 @@
     /** An engine that serves nothing gets the first version, each chunk from the origin once. */
     @Test
     public void emptyEngineIsFilled() {
-        await(() -> engine.serving() == 1);
+        Await.within(LIMIT_MILLIS, () -> engine.serving() == 1);
         assertEquals(engine.spoiltLoads(), 0);
         assertEquals(engine.chunksSent(), StandInEngine.CHUNKS);
     }
@@ -93,7 +92,7 @@
     public void spoiltChunksAreNeverLoaded() {
         engine.spoil(3, 2);
         store.put("op", "version/m", "{\"model\":\"m\",\"version\":2}");
-        await(() -> engine.serving() == 2);
+        Await.within(LIMIT_MILLIS, () -> engine.serving() == 2);
         assertEquals(engine.spoiltLoads(), 0);
     }
 
@@ -102,7 +101,7 @@
     public void restartedEngineIsFilledAgain() {
         int before = engine.chunksSent();
         engine.restart();
-        await(() -> engine.serving() == 2);
+        Await.within(LIMIT_MILLIS, () -> engine.serving() == 2);
         assertEquals(engine.spoiltLoads(), 0);
         assertEquals(engine.chunksSent(), before);
     }
@@ -112,7 +111,7 @@
     public void newestOfSeveralVersionsIsServed() {
         store.put("op", "version/m", "{\"model\":\"m\",\"version\":3}");
         store.put("op", "version/m", "{\"model\":\"m\",\"version\":5}");
-        await(() -> engine.serving() == 5);
+        Await.within(LIMIT_MILLIS, () -> engine.serving() == 5);
         assertEquals(engine.spoiltLoads(), 0);
     }
 
@@ -124,14 +123,14 @@
     public void newerVersionIsNotStagedOverAnOrder() {
         engine.holdOrders();
         store.put("op", "version/m", "{\"model\":\"m\",\"version\":6}");
-        await(() -> engine.ordersWaiting() == 1);
+        Await.within(LIMIT_MILLIS, () -> engine.ordersWaiting() == 1);
         int before = engine.stagedWrites();
         int sent = engine.chunksSent();
         store.put("op", "version/m", "{\"model\":\"m\",\"version\":7}");
-        await(() -> engine.chunksSent() > sent);
+        Await.within(LIMIT_MILLIS, () -> engine.chunksSent() > sent);
         happens(() -> engine.stagedWrites() > before);
         engine.releaseOrders();
-        await(() -> engine.serving() == 7);
+        Await.within(LIMIT_MILLIS, () -> engine.serving() == 7);
         assertEquals(engine.spoiltLoads(), 0);
     }
 
@@ -146,29 +145,4 @@
             Thread.onSpinWait();
         }
     }
-
-    /**
-     * Waits until something holds.
-     *
-     * @param condition condition
-     */
-    private static void await(BooleanSupplier condition) {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < until, "did not happen within the limit");
-            Thread.onSpinWait();
-        }
-    }
-
-    /**
-     * Finds a free port.
-     *
-     * @return port
-     * @throws IOException if none can be had
-     */
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
-        }
-    }
 }
--- a/src/test/java/org/papayawalk/daemon/site/SilentEntryTest.java
+++ b/src/test/java/org/papayawalk/daemon/site/SilentEntryTest.java
@@ -1,17 +1,15 @@
 package org.papayawalk.daemon.site;
 
-import static org.testng.Assert.assertTrue;
-
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.platform.SettingsCodec;
+import org.papayawalk.support.Await;
+import org.papayawalk.support.FreePort;
 import org.papayawalk.wire.MessageHandler;
 import org.papayawalk.wire.PeerChannel;
 import org.papayawalk.wire.proto.Envelope;
@@ -50,17 +48,17 @@
                 ServerSocket silent = listen();
                 ServerSocket mute = listen()) {
             store.put("op", "config", "{\"version\":4,\"routes\":[],\"services\":[]}");
-            int control = freePort();
+            int control = FreePort.find();
             SiteNode entry = node("front-1", control, "", store.address());
             entry.runAsEntry(new SuspectRegistry(3, Duration.ofMinutes(1)), NO_WEIGHTS);
             String seeds =
                     "\"127.0.0.1:%d\",\"127.0.0.1:%d\",\"127.0.0.1:%d\""
                             .formatted(silent.getLocalPort(), mute.getLocalPort(), control);
-            SiteNode agent = node("side-1", freePort(), seeds, "127.0.0.1:1");
+            SiteNode agent = node("side-1", FreePort.find(), seeds, "127.0.0.1:1");
             agent.runAsAgent(NO_WEIGHTS);
-            await(() -> version(agent) == 4);
+            Await.within(LIMIT_MILLIS, () -> version(agent) == 4);
             store.put("op", "config", "{\"version\":9,\"routes\":[],\"services\":[]}");
-            await(() -> version(agent) == 9);
+            Await.within(LIMIT_MILLIS, () -> version(agent) == 9);
         }
     }
 
@@ -102,32 +100,7 @@
                  "internalPorts":[%d,0],"seeds":[%s],
                  "listen":{"control":"127.0.0.1:%d"},"provider":{"address":"%s"}}
                 """
-                        .formatted(name, freePort(), seeds, control, storeAddress);
+                        .formatted(name, FreePort.find(), seeds, control, storeAddress);
         return new SiteNode(SettingsCodec.decode(settings.getBytes(StandardCharsets.UTF_8)));
     }
-
-    /**
-     * Waits until something holds.
-     *
-     * @param condition condition
-     */
-    private static void await(BooleanSupplier condition) {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < until, "did not happen within the limit");
-            Thread.onSpinWait();
-        }
-    }
-
-    /**
-     * Finds a free port.
-     *
-     * @return port
-     * @throws IOException if none can be had
-     */
-    private static int freePort() throws IOException {
-        try (ServerSocket s = listen()) {
-            return s.getLocalPort();
-        }
-    }
 }
--- a/src/test/java/org/papayawalk/daemon/site/SiteNodeTest.java
+++ b/src/test/java/org/papayawalk/daemon/site/SiteNodeTest.java
@@ -1,19 +1,16 @@
 package org.papayawalk.daemon.site;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.platform.SettingsCodec;
+import org.papayawalk.support.Await;
+import org.papayawalk.support.FreePort;
 import org.papayawalk.wire.MessageHandler;
 import org.papayawalk.wire.PeerChannel;
 import org.papayawalk.wire.proto.Envelope;
@@ -74,10 +71,10 @@
         store = new StandInStore();
         store.put("op", "config", "{\"version\":4,\"routes\":[],\"services\":[]}");
         store.put("servers", "i-1", server("ready"));
-        int control = freePort();
+        int control = FreePort.find();
         near = node("front-1", control, control, store.address());
-        cut = node("front-2", freePort(), control, "127.0.0.1:1");
-        agent = node("side-1", freePort(), control, "127.0.0.1:1");
+        cut = node("front-2", FreePort.find(), control, "127.0.0.1:1");
+        agent = node("side-1", FreePort.find(), control, "127.0.0.1:1");
         near.runAsEntry(nearEvidence, NO_WEIGHTS);
         cut.runAsEntry(cutEvidence, NO_WEIGHTS);
         agent.runAsAgent(NO_WEIGHTS);
@@ -92,9 +89,9 @@
     /** A desired state reaches the entry and the agent that the store turns away. */
     @Test
     public void desiredStateReachesMachinesThatTheStoreTurnsAway() {
-        await(() -> version(cut) == 4 && version(agent) == 4);
+        Await.within(LIMIT_MILLIS, () -> version(cut) == 4 && version(agent) == 4);
         store.put("op", "config", "{\"version\":9,\"routes\":[],\"services\":[]}");
-        await(() -> version(cut) == 9 && version(agent) == 9);
+        Await.within(LIMIT_MILLIS, () -> version(cut) == 9 && version(agent) == 9);
     }
 
     /** So does the leaving of a server. */
@@ -102,8 +99,8 @@
     public void drainReachesMachinesThatTheStoreTurnsAway() {
         assertEquals(cut.state().view().upstreams(DESK).size(), 1);
         store.put("servers", "i-1", server("draining"));
-        await(() -> cut.state().view().upstreams(DESK).isEmpty());
-        await(() -> agent.state().view().upstreams(DESK).isEmpty());
+        Await.within(LIMIT_MILLIS, () -> cut.state().view().upstreams(DESK).isEmpty());
+        Await.within(LIMIT_MILLIS, () -> agent.state().view().upstreams(DESK).isEmpty());
     }
 
     /** Evidence against a request that crashes upstreams reaches the other entry, both ways. */
@@ -111,14 +108,18 @@
     public void evidenceReachesOtherEntries() {
         cutEvidence.crashed("bad", "i-7/1", cut.clock().instant());
         nearEvidence.crashed("worse", "i-8/1", near.clock().instant());
-        await(() -> !nearEvidence.processes("bad", near.clock().instant()).isEmpty());
-        await(() -> !cutEvidence.processes("worse", cut.clock().instant()).isEmpty());
+        Await.within(
+                LIMIT_MILLIS,
+                () -> !nearEvidence.processes("bad", near.clock().instant()).isEmpty());
+        Await.within(
+                LIMIT_MILLIS,
+                () -> !cutEvidence.processes("worse", cut.clock().instant()).isEmpty());
     }
 
     /** The entries count each other, as they share budgets. */
     @Test(dependsOnMethods = "desiredStateReachesMachinesThatTheStoreTurnsAway")
     public void entriesCountEachOther() {
-        await(() -> near.entryCount() == 2 && cut.entryCount() == 2);
+        Await.within(LIMIT_MILLIS, () -> near.entryCount() == 2 && cut.entryCount() == 2);
     }
 
     /**
@@ -162,32 +163,7 @@
                  "internalPorts":[%d,0],"seeds":["127.0.0.1:%d"],
                  "listen":{"control":"127.0.0.1:%d"},"provider":{"address":"%s"}}
                 """
-                        .formatted(name, freePort(), seed, control, storeAddress);
+                        .formatted(name, FreePort.find(), seed, control, storeAddress);
         return new SiteNode(SettingsCodec.decode(settings.getBytes(StandardCharsets.UTF_8)));
     }
-
-    /**
-     * Waits until something holds.
-     *
-     * @param condition condition
-     */
-    private static void await(BooleanSupplier condition) {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < until, "did not happen within the limit");
-            Thread.onSpinWait();
-        }
-    }
-
-    /**
-     * Finds a free port.
-     *
-     * @return port
-     * @throws IOException if none can be had
-     */
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
-        }
-    }
 }
--- a/src/test/java/org/papayawalk/daemon/site/StoreFeedTest.java
+++ b/src/test/java/org/papayawalk/daemon/site/StoreFeedTest.java
@@ -4,14 +4,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.papayawalk.core.upstream.TableBatch;
 import org.papayawalk.core.upstream.TableCopy;
 import org.papayawalk.daemon.node.ControlThread;
 import org.papayawalk.http.HttpClient;
+import org.papayawalk.support.Await;
 import org.papayawalk.wire.WireRuntime;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -72,7 +71,7 @@
         HttpClient http = new HttpClient(runtime.group());
         StoreFeed feed = new StoreFeed(http, store.address(), TABLE, thread, receiver);
         thread.run(feed::start);
-        await(() -> rows() == 1);
+        Await.within(LIMIT_MILLIS, () -> rows() == 1);
     }
 
     /** Stops the store and the feed. */
@@ -90,16 +89,16 @@
     public void staleTableIsReadWithPauses() {
         store.staleReads(true);
         store.put(TABLE, "b", "2");
-        await(() -> rows() == 2);
+        Await.within(LIMIT_MILLIS, () -> rows() == 2);
         int before = store.readings();
         long begun = System.nanoTime();
         store.putAndDropHistory(TABLE, "c", "3");
-        await(() -> store.readings() >= before + READINGS);
+        Await.within(LIMIT_MILLIS, () -> store.readings() >= before + READINGS);
         long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
         assertTrue(millis >= LEAST_MILLIS, READINGS + " readings within " + millis + " ms");
         assertEquals(rows(), 2);
         store.staleReads(false);
-        await(() -> rows() == 3);
+        Await.within(LIMIT_MILLIS, () -> rows() == 3);
     }
 
     /**
@@ -112,17 +111,4 @@
         thread.run(() -> size.complete(copy.existing().size()));
         return size.join();
     }
-
-    /**
-     * Waits until something holds.
-     *
-     * @param condition condition
-     */
-    private static void await(BooleanSupplier condition) {
-        long until = System.nanoTime() + Duration.ofMillis(LIMIT_MILLIS).toNanos();
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < until, "did not happen within the limit");
-            Thread.onSpinWait();
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/org/papayawalk/support/package-info.java
@@ -0,0 +1,2 @@
+/** Small helpers that several tests use. */
+package org.papayawalk.support;
