Switch at once when the old version had ended before the agent started

The engine took no requests until its agent was started again. Ruled out: the order and the staged chunks; no load was ordered at all. Change: the difference is taken before the margin is taken off. Measured: SwitchTimeTest.hostThatStartedLateSwitchesAtOnce fails before with DateTimeException, passes after; SideRoleTest passes.

--- a/src/main/java/org/papayawalk/core/rollout/SwitchTime.java
+++ b/src/main/java/org/papayawalk/core/rollout/SwitchTime.java
@@ -29,7 +29,7 @@
         if (oldEndsAt.isEmpty()) {
             return stagedAt;
         }
-        Duration left = Duration.between(stagedAt, oldEndsAt.get().minus(LAST_SWITCH));
+        Duration left = Duration.between(stagedAt, oldEndsAt.get()).minus(LAST_SWITCH);
         return left.isNegative() ? stagedAt : stagedAt.plusMillis((long) (left.toMillis() * share));
     }
 }
--- a/src/test/java/org/papayawalk/core/rollout/SwitchTimeTest.java
+++ b/src/test/java/org/papayawalk/core/rollout/SwitchTimeTest.java
@@ -45,4 +45,12 @@
         assertEquals(SwitchTime.of(T0, Optional.empty(), 1), T0);
         assertEquals(SwitchTime.of(T0, Optional.of(T0.minusSeconds(1)), 1), T0);
     }
+
+    /**
+     * So does one that started after the new version was named, when the old one had long ended.
+     */
+    @Test
+    public void hostThatStartedLateSwitchesAtOnce() {
+        assertEquals(SwitchTime.of(T0, Optional.of(Instant.MIN), 0.5), T0);
+    }
 }
