Follow the store into a new era after a restore from an older copy

Cause: a restored store gives out its versions again and lacks what was written since the copy. Replicas, peers' marks and the feed's position compared bare version numbers, so a daemon waited for versions above the ones it knew, and a stale ready row of a removed process counted again. Entries never wrote their rows a second time. Seen in reading also without a restore: the tracker forgot which process drains once its row was removed.

Ruled out: ordering by the operator's numbers only, as rows of upstreams have none.

Registrations missing after a restore have the grace period of an outage; a removed or replaced process that a restore brings back is held back for 5 s. Drains are remembered after the row is gone (the last 4,096 processes). Each entry writes its row once an era, spread over 1 s. The desired state and named versions never go back.

Left: a daemon that starts right after a restore believes the restored desired state until the operator has written again.

--- a/src/main/java/org/papayawalk/core/upstream/TableRecord.java
+++ b/src/main/java/org/papayawalk/core/upstream/TableRecord.java
@@ -6,7 +6,8 @@
  *
  * @param key key of the row
  * @param value value of the row, empty for a tombstone
- * @param version table version at which the row was written or removed
+ * @param version number of the table version, within the era of the update or replica that holds
+ *     the row, at which it was written or removed
  * @param removed whether this is a tombstone
  */
 public record TableRecord(String key, byte[] value, long version, boolean removed) {}
--- a/src/main/java/org/papayawalk/core/upstream/TableReplica.java
+++ b/src/main/java/org/papayawalk/core/upstream/TableReplica.java
@@ -1,6 +1,7 @@
 package org.papayawalk.core.upstream;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -12,8 +13,9 @@
  * Replica of one table, updated from the store or from peers. The replica and each row only move to
  * newer versions; a read that is older than the replica has no effect. A replica that was filled
  * from a snapshot has no tombstones of rows that were removed earlier; a peer that is behind that
- * snapshot therefore gets a snapshot in place of changes. Not thread-safe: confined to the control
- * thread.
+ * snapshot therefore gets a snapshot in place of changes. Versions of different eras of the store
+ * are not compared: the replica enters a later era only by a snapshot of that era, which replaces
+ * all rows, and ignores reads of earlier eras. Not thread-safe: confined to the control thread.
  */
 public final class TableReplica {
     /** Number of tombstones above which the older half is evicted. */
@@ -22,10 +24,10 @@
     /** Rows by key. Includes tombstones, so that peers receive removals. */
     private final Map<String, TableRecord> rows = new HashMap<>();
 
-    /** Newest table version that the replica covers, 0 before the first read. */
-    private long version;
+    /** Newest table version that the replica covers. */
+    private TableVersion version = TableVersion.UNREAD;
 
-    /** Table version since which all changes are retained. */
+    /** Version number in the present era since which all changes are retained. */
     private long historyStart;
 
     /**
@@ -33,13 +35,17 @@
      * would leave a gap after the replica's version.
      *
      * @param update rows read
-     * @param after version after which the update has every change; ignored for a snapshot
+     * @param after version after which the update has every change, in the era of the update;
+     *     ignored for a snapshot
      * @return rows that were written or removed by this update
      */
     public List<TableRecord> apply(TableUpdate update, long after) {
+        if (update.version().era().isAfter(version.era())) {
+            return update.snapshot() ? enterEra(update) : List.of();
+        }
         List<TableRecord> changed = new ArrayList<>();
-        boolean gap = !update.snapshot() && after > version;
-        if (update.version() < version || gap) {
+        boolean gap = !update.snapshot() && after > version.number();
+        if (update.version().compareTo(version) < 0 || gap) {
             return changed;
         }
         for (TableRecord r : update.rows()) {
@@ -51,7 +57,8 @@
         }
         if (update.snapshot()) {
             removeMissing(update, changed);
-            historyStart = update.version() > version ? update.version() : historyStart;
+            boolean newer = update.version().compareTo(version) > 0;
+            historyStart = newer ? update.version().number() : historyStart;
         }
         version = update.version();
         evictOldTombstones();
@@ -65,11 +72,12 @@
      * @return rows changed since then, tombstones included; a snapshot if changes since then may be
      *     missing here
      */
-    public TableUpdate updateSince(long after) {
-        if (after < historyStart) {
+    public TableUpdate updateSince(TableVersion after) {
+        if (!after.era().equals(version.era()) || after.number() < historyStart) {
             return new TableUpdate(liveRows(), version, true);
         }
-        List<TableRecord> newer = rows.values().stream().filter(r -> r.version() > after).toList();
+        List<TableRecord> newer =
+                rows.values().stream().filter(r -> r.version() > after.number()).toList();
         return new TableUpdate(newer, version, false);
     }
 
@@ -85,20 +93,49 @@
     /**
      * Returns the newest table version that the replica covers.
      *
-     * @return version, 0 before the first read
+     * @return version, {@link TableVersion#UNREAD} before the first read
      */
-    public long version() {
+    public TableVersion version() {
         return version;
     }
 
+    // Replaces all rows by the first snapshot of a later era. A row with the same value as before
+    // is
+    // not a change; tombstones of the earlier era are dropped.
+    private List<TableRecord> enterEra(TableUpdate snapshot) {
+        Map<String, TableRecord> before = new HashMap<>(rows);
+        List<TableRecord> changed = new ArrayList<>();
+        long number = snapshot.version().number();
+        rows.clear();
+        for (TableRecord r : snapshot.rows()) {
+            rows.put(r.key(), r);
+            TableRecord known = before.remove(r.key());
+            boolean same =
+                    known != null && !known.removed() && Arrays.equals(known.value(), r.value());
+            if (!same) {
+                changed.add(r);
+            }
+        }
+        for (TableRecord lost : before.values()) {
+            if (!lost.removed()) {
+                TableRecord tombstone = new TableRecord(lost.key(), new byte[0], number, true);
+                rows.put(lost.key(), tombstone);
+                changed.add(tombstone);
+            }
+        }
+        version = snapshot.version();
+        historyStart = number;
+        return changed;
+    }
+
     // Replaces the rows that a snapshot lacks by tombstones and adds these to the changed rows.
     private void removeMissing(TableUpdate snapshot, List<TableRecord> changed) {
         Set<String> present =
                 snapshot.rows().stream().map(TableRecord::key).collect(Collectors.toSet());
+        long number = snapshot.version().number();
         for (TableRecord r : List.copyOf(rows.values())) {
-            if (!r.removed() && !present.contains(r.key()) && r.version() <= snapshot.version()) {
-                TableRecord tombstone =
-                        new TableRecord(r.key(), new byte[0], snapshot.version(), true);
+            if (!r.removed() && !present.contains(r.key()) && r.version() <= number) {
+                TableRecord tombstone = new TableRecord(r.key(), new byte[0], number, true);
                 rows.put(r.key(), tombstone);
                 changed.add(tombstone);
             }
--- a/src/main/java/org/papayawalk/core/upstream/TableUpdate.java
+++ b/src/main/java/org/papayawalk/core/upstream/TableUpdate.java
@@ -10,7 +10,7 @@
  * @param version newest table version that the read covers
  * @param snapshot whether the rows are complete, so that absent rows do not exist
  */
-public record TableUpdate(List<TableRecord> rows, long version, boolean snapshot) {
+public record TableUpdate(List<TableRecord> rows, TableVersion version, boolean snapshot) {
 
     /** Copies the rows. */
     public TableUpdate {
--- a/src/main/java/org/papayawalk/core/upstream/UpstreamTracker.java
+++ b/src/main/java/org/papayawalk/core/upstream/UpstreamTracker.java
@@ -3,8 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,13 +17,25 @@
  * store is healthy takes effect at once. During an outage of the store, leases expire although
  * their upstreams still run; an upstream whose registration expires around an outage therefore
  * stays usable for a grace period. A draining upstream never becomes ready again in the same
- * incarnation, nor by a late write of an earlier incarnation. Not thread-safe: confined to the
- * control thread.
+ * incarnation, nor by a late write of an earlier incarnation, also after its registration was
+ * removed. A store that is restored from an older copy may lack registrations, which their
+ * upstreams write again, and may have some that were removed; a process whose registration was
+ * removed before takes work again only if its lease has been renewed since the restore. Not
+ * thread-safe: confined to the control thread.
  */
 public final class UpstreamTracker {
     /** Time for which a registration that expired around an outage of the store is kept. */
     public static final Duration EXPIRY_GRACE = Duration.ofMillis(2200);
 
+    /**
+     * Time after which a registration that a restore brought back belongs to a running process:
+     * otherwise its lease of three heartbeats has expired.
+     */
+    public static final Duration RESTORED_ROW_DOUBT = Duration.ofMillis(5000);
+
+    /** Bound on the remembered processes of each kind; the oldest are forgotten first. */
+    private static final int MAX_REMEMBERED_PROCESSES = 4096;
+
     /** Time after an outage of the store during which removals are attributed to it. */
     private static final Duration POST_OUTAGE_WINDOW = Duration.ofMillis(2200);
 
@@ -32,8 +45,17 @@
     /** Registrations in force, draining ones and those in their grace period included. */
     private final Map<UpstreamId, UpstreamRegistration> registered = new HashMap<>();
 
-    /** Processes that announced their drain, as incarnation and address, until their removal. */
-    private final Map<UpstreamId, Set<String>> drainingProcesses = new HashMap<>();
+    /** Processes that announced their drain. */
+    private final Set<UpstreamProcess> drained = boundedSet();
+
+    /** Processes whose registration was removed, and not put again since. */
+    private final Set<UpstreamProcess> removed = boundedSet();
+
+    /** Registrations that a restore brought back, until the doubt about them ends. */
+    private final Map<UpstreamId, UpstreamRegistration> doubted = new HashMap<>();
+
+    /** End of the doubt about registrations that a restore brought back. */
+    private Instant doubtEnd = Instant.MIN;
 
     /** End of the grace period of registrations that expired around an outage. */
     private final Map<UpstreamId, Instant> graceEnds = new HashMap<>();
@@ -41,6 +63,9 @@
     /** End of the time during which removals are attributed to an outage. */
     private Instant outageWindowEnd = Instant.MIN;
 
+    /** End of the time during which removals are attributed to a restore. */
+    private Instant restoreWindowEnd = Instant.MIN;
+
     /** Until when the store counts as healthy, also if it does not answer this daemon. */
     private Instant storeHealthyUntil = Instant.MIN;
 
@@ -63,27 +88,58 @@
         storeHealthyUntil = now.plus(STORE_HEALTH_VALIDITY);
     }
 
+    /**
+     * Records that the store was restored from an older copy. Registrations may be missing until
+     * their upstreams write them again, whatever other daemons say of the store.
+     *
+     * @param now present time
+     */
+    public void storeRestored(Instant now) {
+        storeUnavailable(now);
+        restoreWindowEnd = outageWindowEnd;
+        doubtEnd = now.plus(RESTORED_ROW_DOUBT);
+    }
+
     /**
      * Records a registration. Ignores a late write of an earlier incarnation of a draining upstream
-     * and a ready state of a process that announced its drain.
+     * and a ready state of a process that announced its drain. Holds back the registration of a
+     * process that was removed or replaced, if a restore may have brought it back.
      *
      * @param registration registration as read from the store
+     * @param now present time
      */
-    public void put(UpstreamRegistration registration) {
+    public void put(UpstreamRegistration registration, Instant now) {
+        UpstreamProcess process = UpstreamProcess.of(registration);
         UpstreamRegistration known = registered.get(registration.id());
         boolean draining = known != null && known.draining();
         boolean late = draining && registration.incarnation() < known.incarnation();
-        Set<String> drained =
-                drainingProcesses.computeIfAbsent(registration.id(), id -> new HashSet<>());
-        String process = registration.incarnation() + "/" + registration.address();
+        if (registration.draining()) {
+            drained.add(process);
+        }
         if (late || (!registration.draining() && drained.contains(process))) {
             return;
         }
-        if (registration.draining()) {
-            drained.add(process);
+        boolean superseded = known != null && registration.incarnation() < known.incarnation();
+        if (now.isBefore(doubtEnd) && (superseded || removed.contains(process))) {
+            doubted.put(registration.id(), registration);
+            return;
         }
-        graceEnds.remove(registration.id());
-        registered.put(registration.id(), registration);
+        admit(registration);
+    }
+
+    /**
+     * Admits the registrations that a restore brought back, once the doubt about them has ended.
+     *
+     * @param now present time
+     * @return names of the admitted upstreams
+     */
+    public List<UpstreamId> admitDoubted(Instant now) {
+        if (now.isBefore(doubtEnd)) {
+            return List.of();
+        }
+        List<UpstreamRegistration> admitted = List.copyOf(doubted.values());
+        admitted.forEach(this::admit);
+        return admitted.stream().map(UpstreamRegistration::id).toList();
     }
 
     /**
@@ -95,7 +151,8 @@
      */
     public void remove(UpstreamId id, Instant now) {
         UpstreamRegistration known = registered.get(id);
-        boolean outage = now.isBefore(outageWindowEnd) && !now.isBefore(storeHealthyUntil);
+        boolean lapses = now.isBefore(outageWindowEnd) && !now.isBefore(storeHealthyUntil);
+        boolean outage = lapses || now.isBefore(restoreWindowEnd);
         boolean inGrace = known != null && !known.draining() && outage;
         if (inGrace) {
             graceEnds.putIfAbsent(id, now.plus(EXPIRY_GRACE));
@@ -144,9 +201,52 @@
         return usable;
     }
 
+    private void admit(UpstreamRegistration registration) {
+        doubted.remove(registration.id());
+        graceEnds.remove(registration.id());
+        removed.remove(UpstreamProcess.of(registration));
+        registered.put(registration.id(), registration);
+    }
+
     private void discard(UpstreamId id) {
         graceEnds.remove(id);
-        registered.remove(id);
-        drainingProcesses.remove(id);
+        doubted.remove(id);
+        UpstreamRegistration known = registered.remove(id);
+        if (known != null) {
+            removed.add(UpstreamProcess.of(known));
+            forgetUnidentified(known);
+        }
+    }
+
+    // Without a start time, a process cannot be told from a later one at the same address.
+    private void forgetUnidentified(UpstreamRegistration registration) {
+        if (registration.incarnation() == 0) {
+            drained.remove(UpstreamProcess.of(registration));
+        }
+    }
+
+    private static Set<UpstreamProcess> boundedSet() {
+        return Collections.newSetFromMap(
+                new LinkedHashMap<>() {
+                    @Override
+                    protected boolean removeEldestEntry(Map.Entry<UpstreamProcess, Boolean> e) {
+                        return size() > MAX_REMEMBERED_PROCESSES;
+                    }
+                });
+    }
+
+    /**
+     * Process of an upstream. Immutable.
+     *
+     * @param id name under which it registered
+     * @param incarnation start of the process
+     * @param address IP address and port
+     */
+    private record UpstreamProcess(UpstreamId id, long incarnation, String address) {
+
+        static UpstreamProcess of(UpstreamRegistration registration) {
+            return new UpstreamProcess(
+                    registration.id(), registration.incarnation(), registration.address());
+        }
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/EntryRegistry.java
+++ b/src/main/java/org/papayawalk/daemon/managed/EntryRegistry.java
@@ -7,9 +7,12 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
+import org.papayawalk.core.upstream.EraRenewal;
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.http.AsyncHttpClient;
@@ -31,6 +34,9 @@
 
     private static final Duration POLL_INTERVAL = Duration.ofSeconds(20);
 
+    // Time over which the entries spread the writes of their rows after a restore of the store.
+    private static final Duration RENEWAL_SPREAD = Duration.ofMillis(1000);
+
     private final ManagedSettings settings;
 
     private final AsyncHttpClient http;
@@ -41,6 +47,11 @@
 
     private final InstantSource clock;
 
+    private final EraRenewal renewal = new EraRenewal(RENEWAL_SPREAD);
+
+    // Whether the row was removed for good.
+    private volatile boolean deregistered;
+
     /**
      * Creates a registry that has neither registered nor read anything.
      *
@@ -65,15 +76,37 @@
 
     /** Writes the row of this entry and retries until the store accepts it. */
     void register() {
+        if (deregistered) {
+            return;
+        }
         byte[] value =
                 (settings.peerAddress() + " " + settings.domain()).getBytes(StandardCharsets.UTF_8);
         write(StoreCodec.putBody(TABLE, settings.host().value(), value))
-                .thenAccept(
-                        r -> {
-                            if (r.isLeft() || !r.get().isSuccess()) {
-                                thread.schedule(RETRY_PAUSE, this::register);
-                            }
-                        });
+                .thenAccept(r -> thread.execute(() -> handleRegistration(r)));
+    }
+
+    /**
+     * Writes the row again if the store was restored since, from a copy that may lack it.
+     *
+     * @param era era that an answer of the store states
+     */
+    void eraSeen(StoreEra era) {
+        renewal.eraSeen(era, ThreadLocalRandom.current().nextDouble())
+                .ifPresent(delay -> thread.schedule(delay, this::register));
+    }
+
+    private void handleRegistration(Either<Fault, AsyncHttpResponse> result) {
+        if (result.isLeft() || !result.get().isSuccess()) {
+            thread.schedule(RETRY_PAUSE, this::register);
+            return;
+        }
+        StoreEra era = era(result.get());
+        renewal.acknowledged(era);
+        Event.named("entry-registered").with("era", era).info();
+    }
+
+    private static StoreEra era(AsyncHttpResponse answer) {
+        return StoreCodec.decodeEra(answer.header(StoreCodec.ERA_HEADER));
     }
 
     /**
@@ -82,6 +115,7 @@
      * @return completes with the answer of the store, or with a fault on an error or a timeout
      */
     CompletableFuture<Either<Fault, AsyncHttpResponse>> deregister() {
+        deregistered = true;
         return write(StoreCodec.removeBody(TABLE, settings.host().value()));
     }
 
@@ -98,7 +132,8 @@
             return;
         }
         try {
-            for (TableRecord r : StoreCodec.decode(result.get().body(), true).rows()) {
+            AsyncHttpResponse answer = result.get();
+            for (TableRecord r : StoreCodec.decode(answer.body(), era(answer), true).rows()) {
                 // A row holds the address and the failure domain, separated by a blank.
                 String[] words = new String(r.value(), StandardCharsets.UTF_8).split(" ");
                 if (words.length == 2) {
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -13,9 +13,11 @@
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.TableUpdate;
+import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.http.AsyncHttpClient;
 import org.papayawalk.log.Event;
@@ -262,7 +264,7 @@
     private TableWatcher.Receiver receiver(String table) {
         return new TableWatcher.Receiver() {
             @Override
-            public long version() {
+            public TableVersion version() {
                 return state.table(table).version();
             }
 
@@ -271,6 +273,11 @@
                 state.applyUpdate(table, update, after, "store");
             }
 
+            @Override
+            public void eraSeen(StoreEra era) {
+                registry.eraSeen(era);
+            }
+
             @Override
             public void storeFailed() {
                 state.recordStoreFailure();
--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -17,6 +17,7 @@
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableReplica;
 import org.papayawalk.core.upstream.TableUpdate;
+import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.core.upstream.UpstreamRegistration;
 import org.papayawalk.core.upstream.UpstreamTracker;
 import org.papayawalk.daemon.ControlThread;
@@ -26,9 +27,10 @@
 import org.papayawalk.platform.UpstreamRegistrationCodec;
 
 /**
- * Replicas of the platform's tables and the {@link PlatformSnapshot} derived from them. The version
- * of the desired state in force never decreases. Confined to the control thread, except {@link
- * #snapshot()}, which may be called from any thread.
+ * Replicas of the platform's tables and the {@link PlatformSnapshot} derived from them. The
+ * versions of the desired state in force and of the requested weights never decrease, also if the
+ * store is restored from an older copy. Confined to the control thread, except {@link #snapshot()},
+ * which may be called from any thread.
  */
 public final class PlatformState {
     private static final int MAX_VERSIONS_PER_MODEL = 16;
@@ -148,8 +150,12 @@
         if (replica == null) {
             return;
         }
-        boolean initial = replica.version() == 0;
+        TableVersion before = replica.version();
+        boolean initial = before.isUnread();
         List<TableRecord> changed = replica.apply(update, after);
+        if (!initial && replica.version().era().isAfter(before.era())) {
+            recordRestore(table, before, replica.version());
+        }
         if (changed.isEmpty() && !initial) {
             return;
         }
@@ -163,6 +169,29 @@
         publishSnapshot();
     }
 
+    // The store was restored from an older copy: it may lack rows that will be written again, and
+    // have rows that were removed.
+    private void recordRestore(String table, TableVersion before, TableVersion restored) {
+        if (table.equals(StoreCodec.SERVER_TABLE)) {
+            upstreams.storeRestored(clock.instant());
+            thread.schedule(UpstreamTracker.RESTORED_ROW_DOUBT, this::admitDoubtedUpstreams);
+        }
+        Event.named("store-restored")
+                .with("table", table)
+                .with("before", before)
+                .with("version", restored)
+                .warn();
+    }
+
+    // Admits the upstreams whose rows a restore brought back and that still exist.
+    private void admitDoubtedUpstreams() {
+        List<UpstreamId> admitted = upstreams.admitDoubted(clock.instant());
+        if (!admitted.isEmpty()) {
+            Event.named("upstreams-admitted").with("upstreams", admitted).info();
+            publishSnapshot();
+        }
+    }
+
     private void applyServerRow(TableRecord row) {
         UpstreamId id = new UpstreamId(row.key());
         if (row.removed()) {
@@ -184,7 +213,7 @@
             Event.named("upstream-unreadable").with("upstream", id).warn();
             return;
         }
-        upstreams.put(registration.get());
+        upstreams.put(registration.get(), clock.instant());
         Event.named("upstream-entry")
                 .with("upstream", id)
                 .with("address", registration.get().address())
@@ -266,7 +295,7 @@
     }
 
     private void publishSnapshot() {
-        boolean serversRead = tables.get(StoreCodec.SERVER_TABLE).version() > 0;
+        boolean serversRead = !tables.get(StoreCodec.SERVER_TABLE).version().isUnread();
         Map<ServiceId, List<UpstreamRegistration>> byService = new HashMap<>();
         for (UpstreamRegistration r : upstreams.usable()) {
             byService.computeIfAbsent(r.service(), s -> new ArrayList<>()).add(r);
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.Set;
 import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableReplica;
 import org.papayawalk.core.upstream.TableUpdate;
+import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.wire.proto.EntryAddress;
 import org.papayawalk.wire.proto.LostRun;
 import org.papayawalk.wire.proto.TableChanges;
@@ -35,10 +37,12 @@
      */
     static void addMarks(ViewQuery.Builder query, PlatformState state) {
         for (String table : state.tableNames()) {
+            TableVersion version = state.table(table).version();
             query.addMarks(
                     TableMark.newBuilder()
                             .setTable(table)
-                            .setVersion(state.table(table).version()));
+                            .setEra(version.era().number())
+                            .setVersion(version.number()));
         }
     }
 
@@ -54,16 +58,18 @@
         boolean any = false;
         for (TableMark m : query.getMarksList()) {
             TableReplica replica = state.table(m.getTable());
-            if (replica == null || replica.version() <= m.getVersion()) {
+            TableVersion mark = new TableVersion(new StoreEra(m.getEra()), m.getVersion());
+            if (replica == null || replica.version().compareTo(mark) <= 0) {
                 continue;
             }
-            TableUpdate update = replica.updateSince(m.getVersion());
-            any |= !update.rows().isEmpty() || update.snapshot() || m.getVersion() == 0;
+            TableUpdate update = replica.updateSince(mark);
+            any |= !update.rows().isEmpty() || update.snapshot() || mark.isUnread();
             TableChanges.Builder changes =
                     TableChanges.newBuilder()
                             .setTable(m.getTable())
                             .setAfter(m.getVersion())
-                            .setVersion(update.version())
+                            .setEra(update.version().era().number())
+                            .setVersion(update.version().number())
                             .setWhole(update.snapshot());
             update.rows().forEach(r -> changes.addRows(row(r)));
             reply.addChanges(changes);
@@ -90,11 +96,9 @@
                                                     r.getVersion(),
                                                     r.getRemoved()))
                             .toList();
+            TableVersion version = new TableVersion(new StoreEra(c.getEra()), c.getVersion());
             state.applyUpdate(
-                    c.getTable(),
-                    new TableUpdate(rows, c.getVersion(), c.getWhole()),
-                    c.getAfter(),
-                    peer);
+                    c.getTable(), new TableUpdate(rows, version, c.getWhole()), c.getAfter(), peer);
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -5,11 +5,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
+import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableUpdate;
+import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.http.AsyncHttpClient;
 import org.papayawalk.http.AsyncHttpRequest;
@@ -19,8 +22,8 @@
 
 /**
  * Watches one table of the store: reads it in full, then polls for changes. Reads it in full again
- * if the store has dropped the history since the last known version. Confined to the control
- * thread.
+ * if the store has dropped the history since the last known version, or if an answer states a later
+ * era than that of the last known version. Confined to the control thread.
  */
 final class TableWatcher {
     private static final Duration LONG_POLL_WAIT = Duration.ofSeconds(4);
@@ -38,6 +41,9 @@
     // Pause before a full read is repeated that was older than the history of the store.
     private static final Duration STALE_READ_PAUSE = Duration.ofMillis(250);
 
+    // Bound of the random pause before the full read in a new era, which all daemons need.
+    private static final Duration MAX_ERA_PAUSE = Duration.ofMillis(100);
+
     private static final int STATUS_HISTORY_DROPPED = 410;
 
     /** Receives the rows of the table. Called on the control thread. */
@@ -45,18 +51,26 @@
         /**
          * Returns the version up to which the table is known.
          *
-         * @return 0 if the table has not been read
+         * @return {@link TableVersion#UNREAD} if the table has not been read
          */
-        long version();
+        TableVersion version();
 
         /**
          * Applies rows.
          *
          * @param update the complete table, or changes
-         * @param after version after which the update has every change; 0 for the complete table
+         * @param after version after which the update has every change, in the era of the update; 0
+         *     for the complete table
          */
         void apply(TableUpdate update, long after);
 
+        /**
+         * Called with the era that each answer of the store states.
+         *
+         * @param era era of the store
+         */
+        void eraSeen(StoreEra era);
+
         /**
          * Called after each call that the store did not answer, refused, or answered with malformed
          * data.
@@ -76,7 +90,7 @@
 
     private int consecutiveFailures;
 
-    // Whether the store has dropped changes that this daemon has not received.
+    // Whether the store has dropped changes that this daemon has not received, or was restored.
     private boolean needsFullRead;
 
     // Dropped histories in a row, without changes received in between.
@@ -128,11 +142,11 @@
         if (!running || callGeneration != generation) {
             return;
         }
-        if (receiver.version() == 0 || needsFullRead) {
-            readPage("", new ArrayList<>(), 0, callGeneration);
+        if (receiver.version().isUnread() || needsFullRead) {
+            readPage("", new ArrayList<>(), Optional.empty(), callGeneration);
             return;
         }
-        long after = receiver.version();
+        long after = receiver.version().number();
         String target = StoreCodec.changesTarget(table, after, LONG_POLL_WAIT);
         http.send(AsyncHttpRequest.get(storeAddress, target, LONG_POLL_WAIT.plus(RESPONSE_TIMEOUT)))
                 .thenAccept(r -> thread.execute(() -> handleChanges(r, after, callGeneration)));
@@ -140,6 +154,7 @@
 
     private void handleChanges(
             Either<Fault, AsyncHttpResponse> result, long after, int callGeneration) {
+        reportEra(result);
         if (result.isRight() && result.get().status() == STATUS_HISTORY_DROPPED) {
             Event.named("store-history-dropped").with("table", table).with("after", after).info();
             needsFullRead = true;
@@ -153,8 +168,12 @@
             retryAfterFailure(result, callGeneration);
             return;
         }
+        if (era(result.get()).isAfter(receiver.version().era())) {
+            readFullyInNewEra(callGeneration);
+            return;
+        }
         try {
-            TableUpdate update = StoreCodec.decode(result.get().body(), false);
+            TableUpdate update = StoreCodec.decode(result.get().body(), era(result.get()), false);
             recordSuccess();
             consecutiveDrops = 0;
             receiver.apply(update, after);
@@ -165,33 +184,52 @@
         }
     }
 
-    private void readPage(String from, List<TableRecord> rows, long version, int callGeneration) {
+    // Changes of a later era cannot follow the known version, which the store may have given out
+    // again.
+    private void readFullyInNewEra(int callGeneration) {
+        recordSuccess();
+        needsFullRead = true;
+        long pause = ThreadLocalRandom.current().nextLong(MAX_ERA_PAUSE.toMillis());
+        thread.schedule(Duration.ofMillis(pause), () -> sendNextRequest(callGeneration));
+    }
+
+    private void readPage(
+            String from,
+            List<TableRecord> rows,
+            Optional<TableVersion> firstPage,
+            int callGeneration) {
         http.send(
                         AsyncHttpRequest.get(
                                 storeAddress, StoreCodec.readTarget(table, from), RESPONSE_TIMEOUT))
                 .thenAccept(
-                        r -> thread.execute(() -> handlePage(r, rows, version, callGeneration)));
+                        r -> thread.execute(() -> handlePage(r, rows, firstPage, callGeneration)));
     }
 
     // The version of the first page counts for the complete table: changes that are made between
-    // the pages arrive with the long poll that follows.
+    // the pages arrive with the long poll that follows. Pages of different eras do not form a
+    // table.
     private void handlePage(
             Either<Fault, AsyncHttpResponse> result,
             List<TableRecord> rows,
-            long version,
+            Optional<TableVersion> firstPage,
             int callGeneration) {
+        reportEra(result);
         if (!isSuccess(result)) {
             retryAfterFailure(result, callGeneration);
             return;
         }
         try {
-            TableUpdate update = StoreCodec.decode(result.get().body(), true);
+            TableUpdate update = StoreCodec.decode(result.get().body(), era(result.get()), true);
+            TableVersion covered = firstPage.orElse(update.version());
+            if (!covered.era().equals(update.version().era())) {
+                readFullyInNewEra(callGeneration);
+                return;
+            }
             rows.addAll(update.rows());
-            long covered = version == 0 ? update.version() : version;
             if (StoreCodec.hasMore(result.get().body()) && !update.rows().isEmpty()) {
                 // The next page starts at the smallest key after the last one of this page.
                 String last = update.rows().get(update.rows().size() - 1).key();
-                readPage(last + '\u0000', rows, covered, callGeneration);
+                readPage(last + '\u0000', rows, Optional.of(covered), callGeneration);
                 return;
             }
             recordSuccess();
@@ -203,6 +241,14 @@
         }
     }
 
+    private void reportEra(Either<Fault, AsyncHttpResponse> result) {
+        result.forEach(a -> receiver.eraSeen(era(a)));
+    }
+
+    private static StoreEra era(AsyncHttpResponse answer) {
+        return StoreCodec.decodeEra(answer.header(StoreCodec.ERA_HEADER));
+    }
+
     private static boolean isSuccess(Either<Fault, AsyncHttpResponse> result) {
         return result.isRight() && result.get().isSuccess();
     }
--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -180,7 +180,8 @@
             } else {
                 context.close();
             }
-            pending.complete(new AsyncHttpResponse(response.status().code(), body));
+            pending.complete(
+                    new AsyncHttpResponse(response.status().code(), response.headers(), body));
         }
 
         /**
--- a/src/main/java/org/papayawalk/platform/StoreCodec.java
+++ b/src/main/java/org/papayawalk/platform/StoreCodec.java
@@ -10,8 +10,12 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableUpdate;
+import org.papayawalk.core.upstream.TableVersion;
 
 /**
  * Requests and responses of the platform's table store. On the wire, {@code part} is the partition
@@ -27,9 +31,15 @@
     /** Key of the desired state in the operator's table. */
     public static final String DESIRED_STATE_KEY = "config";
 
+    /** Header of every answer with the era of the store; it rises with each restore. */
+    public static final String ERA_HEADER = "Store-Era";
+
     /** Prefix of the keys that set the version of a model's weights; the model follows. */
     private static final String VERSION_KEY_PREFIX = "version/";
 
+    /** Digits that fit a long. */
+    private static final Pattern ERA_FORMAT = Pattern.compile("[0-9]{1,18}");
+
     /** Maximum number of rows in one response. */
     private static final int PAGE_ROWS = 500;
 
@@ -105,11 +115,13 @@
      * Decodes a response with rows. Only rows of the partition with the empty name are used.
      *
      * @param data response body
+     * @param era era that the response states
      * @param snapshot whether the response holds all rows of the table
      * @return rows with the table version that they reach
      * @throws IOException if the body is not a valid response
      */
-    public static TableUpdate decode(byte[] data, boolean snapshot) throws IOException {
+    public static TableUpdate decode(byte[] data, StoreEra era, boolean snapshot)
+            throws IOException {
         JsonNode root = JsonTree.parseObject(data);
         if (!root.path("ver").isIntegralNumber()) {
             throw new IOException("store response has no integer field \"ver\" (table version)");
@@ -120,7 +132,21 @@
                 rows.add(decodeRow(r));
             }
         }
-        return new TableUpdate(rows, root.path("ver").asLong(), snapshot);
+        TableVersion version = new TableVersion(era, root.path("ver").asLong());
+        return new TableUpdate(rows, version, snapshot);
+    }
+
+    /**
+     * Decodes the era of the store from the header of an answer.
+     *
+     * @param header value of {@link #ERA_HEADER}, empty if the answer has none
+     * @return era, {@link StoreEra#INITIAL} if the header is absent or not a number
+     */
+    public static StoreEra decodeEra(Optional<String> header) {
+        return header.map(String::trim)
+                .filter(h -> ERA_FORMAT.matcher(h).matches())
+                .map(h -> new StoreEra(Long.parseLong(h)))
+                .orElse(StoreEra.INITIAL);
     }
 
     /**
