Mend three small faults in how an entry judges attempts

Cause, seen in reading: Netty reports a connect timeout by a subclass of ConnectException, so a frozen upstream counted as crashed by the request; a queued request that upstreams had refused got 504 at its deadline although it had certainly not run; a 5xx did not end a row of connection failures, so an upstream that answers was paused.

Change: only a refused connection proves that no process listens; the history of attempts knows whether the last one has ended; a 5xx ends the row.

--- a/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
+++ b/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
@@ -91,7 +91,11 @@
                 failureRate *= 1 - FAILURE_RATE_SMOOTHING;
             }
             case REFUSED -> recordRefusal(now);
-            case SERVER_ERROR -> failureRate += FAILURE_RATE_SMOOTHING / 2 * (1 - failureRate);
+            case SERVER_ERROR -> {
+                // A response, whatever its status, ends a row of connection failures.
+                consecutiveFailures = 0;
+                failureRate += FAILURE_RATE_SMOOTHING / 2 * (1 - failureRate);
+            }
             case UNREACHABLE, BROKEN -> recordFailure(now);
             default -> {}
         }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/AttemptHistory.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/AttemptHistory.java
@@ -13,25 +13,31 @@
 
     private boolean mayHaveRun;
 
+    /** Whether the last attempt has not ended. */
+    private boolean inFlight;
+
     /**
-     * Records that an attempt starts. It counts as having reached the upstream until {@link
-     * #lastNotReached()}.
+     * Records that an attempt starts. It counts as having reached its upstream until {@link
+     * #lastEnded} states otherwise.
      *
      * @param upstream upstream of the attempt
      */
     void add(UpstreamId upstream) {
         upstreams.add(upstream);
         reachedCount++;
+        inFlight = true;
     }
 
-    /** Records that the last attempt did not reach its upstream. */
-    void lastNotReached() {
-        reachedCount--;
-    }
-
-    /** Records that an upstream may have run the request. */
-    void recordPossibleRun() {
-        mayHaveRun = true;
+    /**
+     * Records that the last attempt ended without a response for the caller.
+     *
+     * @param ranPossibly whether its upstream may have run the request
+     * @param reached whether the request reached its upstream
+     */
+    void lastEnded(boolean ranPossibly, boolean reached) {
+        inFlight = false;
+        mayHaveRun |= ranPossibly;
+        reachedCount -= reached ? 0 : 1;
     }
 
     /**
@@ -62,11 +68,12 @@
     }
 
     /**
-     * Returns whether the request is or was at an upstream, including one that refused it.
+     * Returns whether an upstream may have run the request or may run it yet.
      *
-     * @return false if the request has certainly not run
+     * @return false if every attempt was refused or did not reach its upstream, so that the request
+     *     has certainly not run
      */
-    boolean mayHaveReachedUpstream() {
-        return mayHaveRun || reachedCount > 0;
+    boolean mayRun() {
+        return mayHaveRun || inFlight;
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import java.net.ConnectException;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -21,6 +20,7 @@
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.UpstreamRegistration;
+import org.papayawalk.http.ConnectFailures;
 import org.papayawalk.http.Connector;
 import org.papayawalk.log.Event;
 
@@ -245,8 +245,8 @@
 
     /**
      * Checks whether an upstream crashed while it ran a request, and counts the crash against the
-     * request. The upstream counts as crashed if a new connection to it fails with a {@link
-     * ConnectException}.
+     * request. The upstream counts as crashed if it resets a new connection. One that does not
+     * respond may be cut off or frozen, which is no fault of the request.
      *
      * @param fingerprint fingerprint of the request
      * @param upstream upstream whose connection was lost
@@ -258,7 +258,7 @@
                 CRASH_CHECK_TIMEOUT_MILLIS,
                 Channel::close,
                 cause -> {
-                    if (cause instanceof ConnectException) {
+                    if (ConnectFailures.provesNoListener(cause)) {
                         recordCrash(fingerprint, upstream);
                     }
                 });
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -333,12 +333,7 @@
         Instant now = entry.clock().instant();
         attempt = null;
         completion.recordReason(reason);
-        if (mayHaveRun) {
-            attempts.recordPossibleRun();
-        }
-        if (!reached) {
-            attempts.lastNotReached();
-        }
+        attempts.lastEnded(mayHaveRun, reached);
         boolean allowed = !mayHaveRun || authorized.route().retryable();
         boolean inTime = now.plus(MIN_TIME_LEFT).isBefore(deadline);
         if (!allowed || !inTime || !hasAttemptsLeft() || isPoison(now)) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
@@ -24,7 +24,7 @@
     /** Status in logs and metrics of a request whose caller disconnected. */
     private static final int CLIENT_CLOSED_REQUEST = 499;
 
-    /** Retry delay for callers whose request was not sent before its deadline. */
+    /** Retry delay for callers whose request no upstream took before its deadline. */
     private static final Duration DEADLINE_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final EntryContext entry;
@@ -184,7 +184,7 @@
         }
         if (stream.started()) {
             abortStream("deadline", AttemptResult.CANCELLED);
-        } else if (attempts.mayHaveReachedUpstream()) {
+        } else if (attempts.mayRun()) {
             respondLocally(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline", Duration.ZERO);
         } else {
             refuse("deadline", DEADLINE_RETRY_AFTER);
