Finish and keep the version of weights before the newest one

Relays turned to version 3 at once and evicted version 2, so the agents that held a part of it could not finish: no engine ever took version 2, all took version 3 at 30.3 s.

Ruled out: the agents' own rule, which did finish what was a third held, but had no source any more.

Change: a relay finishes a version of which a third is held, by the same rule as an agent (FinishFirstRule, one policy value), and every host serves the version before the wanted one for 8 s. A completed download is logged with the chunks from the origin and from peers.

The origin still sends version 3 more than once.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -12,6 +12,7 @@
 import org.papayawalk.core.place.RequestedVersion;
 import org.papayawalk.core.rollout.SwitchSchedule;
 import org.papayawalk.core.upstream.EngineReport;
+import org.papayawalk.core.weight.FinishFirstRule;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.daemon.managed.weight.ManagedSwarm;
 import org.papayawalk.daemon.managed.weight.WeightVersion;
@@ -33,12 +34,7 @@
     // Pause between reports of the engine while it serves the target version.
     private static final Duration SETTLED_POLL_INTERVAL = Duration.ofMillis(700);
 
-    // A version of which at least this fraction (one third) of the chunks is held is fetched
-    // completely before a newer one.
-    private static final int FINISH_DIVISOR = 3;
-
-    // Maximum delay of the fetch of a newer version for that reason, from its request.
-    private static final Duration MAX_FINISH_DELAY = Duration.ofMillis(2200);
+    private static final FinishFirstRule FINISH_FIRST_RULE = FinishFirstRule.DEFAULT;
 
     // Time that it takes to fetch and stage a new version and to switch to it.
     private static final Duration FETCH_AND_SWITCH_TIME = Duration.ofMillis(4800);
@@ -178,13 +174,16 @@
         boolean alreadyStaged = staged.map(StagedVersion::version).equals(fetching);
         boolean incomplete = progress.digest().equals(currentVersion.digest()) && !alreadyStaged;
         boolean useful = lastServed.filter(n -> n >= currentVersion.number()).isEmpty();
-        boolean enoughHeld =
-                progress.heldChunks() * FINISH_DIVISOR >= Math.max(1, progress.totalChunks());
         List<RequestedVersion> versions = target.requestedVersions();
         Instant requestedAt =
                 versions.isEmpty() ? Instant.MIN : versions.get(versions.size() - 1).receivedAt();
-        boolean inTime = requestedAt.plus(MAX_FINISH_DELAY).isAfter(clock.instant());
-        return incomplete && useful && enoughHeld && inTime;
+        return incomplete
+                && useful
+                && FINISH_FIRST_RULE.finishes(
+                        progress.heldChunks(),
+                        progress.totalChunks(),
+                        requestedAt,
+                        clock.instant());
     }
 
     // If another version is staged already, and the version that the engine serves expires
--- a/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
@@ -10,18 +10,21 @@
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.RequestedVersion;
+import org.papayawalk.core.weight.FinishFirstRule;
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.daemon.managed.ManagedNode;
 import org.papayawalk.daemon.managed.PlatformSnapshot;
+import org.papayawalk.daemon.swarm.DownloadProgress;
 import org.papayawalk.daemon.swarm.StagingArea;
 import org.papayawalk.wire.MessageHandler;
 
 /**
  * Fetches the newest requested version of the weights, or version 1 if none was requested, and
  * serves it to the agents of the region. A version that is new, see {@link
- * ManagedSwarm#isNewVersion}, is fetched at once. Any other version is already held by the agents,
- * and is fetched from them after a delay. Confined to the control thread, except {@link
- * #handler()}, which is thread-safe.
+ * ManagedSwarm#isNewVersion}, is fetched at once, unless the one before it is nearly complete, see
+ * {@link FinishFirstRule}. Any other version is already held by the agents, and is fetched from
+ * them after a delay. Confined to the control thread, except {@link #handler()}, which is
+ * thread-safe.
  */
 public final class WeightRelay {
     /** Number of threads for blocking calls. */
@@ -30,6 +33,11 @@
     /** Delay before a version that agents hold already is fetched; agents fetch theirs first. */
     private static final Duration OLD_VERSION_DELAY = Duration.ofSeconds(6);
 
+    /** Pause before it is decided again whether the version being fetched is finished first. */
+    private static final Duration FINISH_CHECK_PAUSE = Duration.ofMillis(50);
+
+    private static final FinishFirstRule FINISH_FIRST_RULE = FinishFirstRule.DEFAULT;
+
     private final ManagedNode node;
 
     /** Runs blocking calls. */
@@ -42,6 +50,9 @@
     /** Version to fetch and serve; empty until a snapshot has an engine service with a model. */
     private Optional<WeightVersion> current = Optional.empty();
 
+    /** Whether {@link #scheduleFinishCheck} has scheduled a check that has not run yet. */
+    private boolean finishCheckScheduled;
+
     /**
      * Creates a relay without a version and adds it as a listener of platform snapshots.
      *
@@ -77,6 +88,10 @@
         if (current.equals(Optional.of(version))) {
             return;
         }
+        if (requested.isPresent() && finishesCurrent(requested.get())) {
+            scheduleFinishCheck();
+            return;
+        }
         current = Optional.of(version);
         boolean isNew = swarm.isNewVersion(requested);
         Optional<ServiceId> service = engineService.map(ServiceSpec::id);
@@ -84,6 +99,33 @@
         node.thread().schedule(delay, () -> fetch(version, isNew, service));
     }
 
+    private void scheduleFinishCheck() {
+        if (finishCheckScheduled) {
+            return;
+        }
+        finishCheckScheduled = true;
+        node.thread()
+                .schedule(
+                        FINISH_CHECK_PAUSE,
+                        () -> {
+                            finishCheckScheduled = false;
+                            snapshotChanged(node.state().snapshot());
+                        });
+    }
+
+    private boolean finishesCurrent(RequestedVersion newer) {
+        DownloadProgress progress = swarm.swarm().progress();
+        boolean incomplete =
+                current.filter(c -> c.digest().equals(progress.digest())).isPresent()
+                        && !progress.staged();
+        return incomplete
+                && FINISH_FIRST_RULE.finishes(
+                        progress.heldChunks(),
+                        progress.totalChunks(),
+                        newer.receivedAt(),
+                        node.clock().instant());
+    }
+
     // Does nothing if another version has become the current one during the delay.
     private void fetch(WeightVersion version, boolean isNew, Optional<ServiceId> service) {
         if (current.equals(Optional.of(version))) {
--- a/src/main/java/org/papayawalk/daemon/swarm/CachedVersion.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/CachedVersion.java
@@ -3,12 +3,16 @@
 import java.util.BitSet;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.weight.FetchResult;
 import org.papayawalk.core.weight.Manifest;
 
 /**
- * Current version of the weights: its verified manifest, and its chunks in the chunk cache.
+ * Current version of the weights: its verified manifest, and its chunks in the chunk cache. The
+ * version before it stays readable until it is dropped, so that peers that have fetched most of it
+ * can finish. A version can only follow the one before it if its source does not forget that one
+ * the moment a newer version is requested.
  *
  * <p>Not thread-safe: confined to the weights thread.
  */
@@ -21,6 +25,12 @@
     /** Null until a manifest is known. */
     private VerifiedManifest current;
 
+    /** Digest of the version before the current one, none if it was dropped. */
+    private Digest previousDigest = Digest.NONE;
+
+    /** Manifest of the version before the current one, null if it was dropped. */
+    private VerifiedManifest previous;
+
     /**
      * Creates a version without a manifest.
      *
@@ -31,25 +41,42 @@
     }
 
     /**
-     * Switches to another version. Evicts cached chunks that it does not contain.
+     * Switches to another version. Keeps the chunks of the current one, which becomes the previous
+     * one, and evicts all others.
      *
      * @param newDigest digest of its manifest
      * @param manifest its manifest
      */
     void switchTo(Digest newDigest, VerifiedManifest manifest) {
+        if (!newDigest.equals(digest)) {
+            previousDigest = digest;
+            previous = current;
+        }
         digest = newDigest;
         current = manifest;
-        cache.retainOnly(new HashSet<>(manifest.manifest().chunks()));
+        evictOthers();
+    }
+
+    /** Drops the version before the current one and evicts its chunks. */
+    void dropPrevious() {
+        previousDigest = Digest.NONE;
+        previous = null;
+        if (current != null) {
+            evictOthers();
+        }
     }
 
     /**
      * Looks up a manifest.
      *
      * @param wanted digest of the manifest
-     * @return manifest, or empty if the current version has another digest
+     * @return manifest, or empty if neither the current nor the previous version has the digest
      */
     Optional<VerifiedManifest> manifest(Digest wanted) {
-        return wanted.equals(digest) ? Optional.ofNullable(current) : Optional.empty();
+        if (wanted.equals(digest)) {
+            return Optional.ofNullable(current);
+        }
+        return wanted.equals(previousDigest) ? Optional.ofNullable(previous) : Optional.empty();
     }
 
     /**
@@ -58,7 +85,7 @@
      * @return indexes of the chunks, empty until a manifest is known
      */
     BitSet cachedChunks() {
-        return current == null ? new BitSet() : cache.cachedIndexes(current.manifest().chunks());
+        return current == null ? new BitSet() : cachedChunks(current);
     }
 
     /**
@@ -66,10 +93,10 @@
      *
      * @param wanted digest of the manifest
      * @param index index of the chunk
-     * @return its bytes, or empty if the version is not the current one or the chunk is not cached
+     * @return its bytes, or empty if the version is not known or the chunk is not cached
      */
     Optional<byte[]> chunk(Digest wanted, int index) {
-        return wanted.equals(digest) ? chunk(index) : Optional.empty();
+        return manifest(wanted).flatMap(m -> chunk(m, index));
     }
 
     /**
@@ -79,10 +106,7 @@
      * @return its bytes, or empty if it is not cached
      */
     Optional<byte[]> chunk(int index) {
-        if (current == null || index < 0 || index >= current.manifest().chunkCount()) {
-            return Optional.empty();
-        }
-        return cache.get(current.manifest().chunks().get(index));
+        return current == null ? Optional.empty() : chunk(current, index);
     }
 
     /**
@@ -103,20 +127,32 @@
      * @param index index of the chunk
      * @param beingFetched whether this host is fetching the chunk; a missing chunk is then reported
      *     as busy instead of not held
-     * @return the response, with the cached chunks if the version is the current one
+     * @return the response, with the cached chunks of the version if it is known
      */
     ChunkResponse respond(Digest wanted, int index, boolean beingFetched) {
-        if (!wanted.equals(digest)) {
-            FetchResult result = beingFetched ? FetchResult.BUSY : FetchResult.NOT_HELD;
-            return new ChunkResponse(result, new byte[0], new BitSet());
+        FetchResult missing = beingFetched ? FetchResult.BUSY : FetchResult.NOT_HELD;
+        BitSet cached = manifest(wanted).map(this::cachedChunks).orElseGet(BitSet::new);
+        return chunk(wanted, index)
+                .map(data -> new ChunkResponse(FetchResult.VERIFIED, data, cached))
+                .orElseGet(() -> new ChunkResponse(missing, new byte[0], cached));
+    }
+
+    private Optional<byte[]> chunk(VerifiedManifest version, int index) {
+        if (index < 0 || index >= version.manifest().chunkCount()) {
+            return Optional.empty();
+        }
+        return cache.get(version.manifest().chunks().get(index));
+    }
+
+    private BitSet cachedChunks(VerifiedManifest version) {
+        return cache.cachedIndexes(version.manifest().chunks());
+    }
+
+    private void evictOthers() {
+        Set<Digest> kept = new HashSet<>(current.manifest().chunks());
+        if (previous != null) {
+            kept.addAll(previous.manifest().chunks());
         }
-        return chunk(index)
-                .map(data -> new ChunkResponse(FetchResult.VERIFIED, data, cachedChunks()))
-                .orElseGet(
-                        () ->
-                                new ChunkResponse(
-                                        beingFetched ? FetchResult.BUSY : FetchResult.NOT_HELD,
-                                        new byte[0],
-                                        cachedChunks()));
+        cache.retainOnly(kept);
     }
 }
--- a/src/main/java/org/papayawalk/daemon/swarm/Swarm.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/Swarm.java
@@ -20,7 +20,6 @@
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.core.weight.SwarmPeer;
 import org.papayawalk.daemon.ControlThread;
-import org.papayawalk.log.Event;
 
 /**
  * Downloads the chunks of the wanted version, writes them to the staging area, and serves them to
@@ -36,6 +35,9 @@
     /** Interval between ticks while the wanted version is complete. */
     private static final Duration IDLE_TICK_INTERVAL = Duration.ofMillis(500);
 
+    /** Time for which peers can still read the version before the wanted one. */
+    private static final Duration PREVIOUS_VERSION_RETENTION = Duration.ofSeconds(8);
+
     /** Backlog of the paced downlink above which no further chunks are requested. */
     private static final Duration MAX_BACKLOG = Duration.ofMillis(100);
 
@@ -79,6 +81,9 @@
 
     private volatile DownloadProgress progress = DownloadProgress.NONE;
 
+    /** Sources of the present download, null until it starts. */
+    private DownloadTally tally;
+
     /**
      * Starts the weights thread. No version is wanted at first.
      *
@@ -292,10 +297,19 @@
     // Called with the manifest of the wanted version.
     private void useManifest(VerifiedManifest verified) {
         cachedVersion.switchTo(wantedDigest, verified);
+        Digest switchedTo = wantedDigest;
+        thread.schedule(PREVIOUS_VERSION_RETENTION, () -> dropPreviousOf(switchedTo));
         manifest = verified.manifest();
         recovery.recoverThen(manifest, this::startDownload);
     }
 
+    // Has no effect if another version is wanted meanwhile, whose own retention then counts.
+    private void dropPreviousOf(Digest version) {
+        if (version.equals(wantedDigest)) {
+            cachedVersion.dropPrevious();
+        }
+    }
+
     // Has no effect if the download has started or another version is wanted meanwhile.
     private void startDownload() {
         if (download != null || manifest == null) {
@@ -314,10 +328,7 @@
                         .ifPresent(d -> stage(index, d, () -> download.markHeld(index)));
             }
         }
-        Event.named("download-started")
-                .with("digest", wantedDigest.shortText())
-                .with("chunks", manifest.chunkCount())
-                .info();
+        tally = new DownloadTally(wantedDigest, manifest.chunkCount(), clock.instant());
         publish("");
     }
 
@@ -337,6 +348,7 @@
                     new ChunkResponse(FetchResult.BUSY, response.data(), response.heldChunks()));
             return;
         }
+        tally.received(request.source());
         cachedVersion.put(request.index(), response.data());
         pendingQueries.answerWaiting(request.index());
         stage(request.index(), response.data(), () -> recordResult(request, response));
@@ -350,6 +362,9 @@
                 () -> current == download,
                 () -> {
                     done.run();
+                    if (download.isComplete()) {
+                        tally.complete(clock.instant());
+                    }
                     publish("");
                     tick();
                 });
