Take what a relay holds first, and what engines serve from the neighbors

While the origin is away, agents asked relays for the lowest missing chunk and waited a second for it, although the relays held others.

Ruled out: relays of other regions going to the origin on its return; they took 0 chunks from it.

Change: a version that an engine serves is not new to a restarted daemon (NewVersionRule); an agent requests chunks that a relay is known to hold before the others.

--- a/src/main/java/org/papayawalk/core/weight/RelayFirstPlanner.java
+++ b/src/main/java/org/papayawalk/core/weight/RelayFirstPlanner.java
@@ -17,7 +17,9 @@
  * Requests chunks from relays, and delegates to another planner while no relay can deliver. Relays
  * are hosts of the same region on fast links. This suits a burst in which every host wants a
  * version that no host holds yet: the uplinks of the hosts stay free for live responses, and only
- * their downlinks limit the duration. Not thread-safe: confined to one thread of its caller.
+ * their downlinks limit the duration. Chunks that a relay is known to hold are requested first, so
+ * that a host does not wait for a chunk that the origin does not send while it could fetch others.
+ * Not thread-safe: confined to one thread of its caller.
  */
 public final class RelayFirstPlanner implements ChunkPlanner {
     /** First backoff after a relay replied that it does not hold the version; doubled each time. */
@@ -42,6 +44,9 @@
     /** Relays of the region, whether available or not. */
     private List<HostId> relays = List.of();
 
+    /** Chunks that each relay held according to its last reply. */
+    private final Map<HostId, BitSet> relayChunks = new HashMap<>();
+
     /** End of the backoff, by relay. */
     private final Map<HostId, Instant> backoffUntil = new HashMap<>();
 
@@ -92,7 +97,9 @@
 
     @Override
     public void updateAvailability(HostId peer, BitSet chunks) {
-        if (!relays.contains(peer)) {
+        if (relays.contains(peer)) {
+            relayChunks.put(peer, (BitSet) chunks.clone());
+        } else {
             fallback.updateAvailability(peer, chunks);
         }
     }
@@ -108,19 +115,8 @@
             return early || !inFlight.isEmpty() ? List.of() : fallback.nextRequests(now);
         }
         List<FetchRequest> requests = new ArrayList<>();
-        for (int i = held.nextClearBit(0); i < chunkCount; i = held.nextClearBit(i + 1)) {
-            if (inFlight.size() >= maxRequests) {
-                break;
-            }
-            int index = i;
-            if (inFlight.stream().anyMatch(r -> r.index() == index)) {
-                continue;
-            }
-            HostId relay = RendezvousHash.order(available, versionKey + "/" + i).get(0);
-            FetchRequest request = new FetchRequest(i, new ChunkSource(relay));
-            inFlight.add(request);
-            requests.add(request);
-        }
+        addRequests(requests, available, true);
+        addRequests(requests, available, false);
         return requests;
     }
 
@@ -163,6 +159,38 @@
         return held.cardinality() == chunkCount;
     }
 
+    // Adds requests for missing chunks by ascending index while there are free slots: for chunks
+    // that a relay is known to hold, or for any chunk. The rendezvous order spreads the chunks over
+    // the relays, and makes the hosts of the region wait for a chunk at the same relay.
+    private void addRequests(
+            List<FetchRequest> requests, List<HostId> available, boolean knownToBeHeld) {
+        for (int i = held.nextClearBit(0); i < chunkCount; i = held.nextClearBit(i + 1)) {
+            if (inFlight.size() >= maxRequests) {
+                return;
+            }
+            int index = i;
+            if (inFlight.stream().anyMatch(r -> r.index() == index)) {
+                continue;
+            }
+            List<HostId> candidates =
+                    knownToBeHeld
+                            ? available.stream().filter(r -> isKnownToHold(r, index)).toList()
+                            : available;
+            if (candidates.isEmpty()) {
+                continue;
+            }
+            HostId relay = RendezvousHash.order(candidates, versionKey + "/" + i).get(0);
+            FetchRequest request = new FetchRequest(i, new ChunkSource(relay));
+            inFlight.add(request);
+            requests.add(request);
+        }
+    }
+
+    private boolean isKnownToHold(HostId relay, int index) {
+        BitSet chunks = relayChunks.get(relay);
+        return chunks != null && chunks.get(index);
+    }
+
     // Replies that arrive during a backoff answer requests sent before it, so they do not count.
     private void recordNotHeld(HostId relay, Instant now) {
         if (backoffUntil.getOrDefault(relay, Instant.MIN).isAfter(now)) {
--- a/src/main/java/org/papayawalk/daemon/managed/PlatformSnapshot.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformSnapshot.java
@@ -48,6 +48,19 @@
                 : Optional.of(requested.get(requested.size() - 1));
     }
 
+    /**
+     * Returns whether an upstream serves a version of a model.
+     *
+     * @param service service of the upstreams
+     * @param model name of the model
+     * @param number number of the version
+     * @return true if at least one upstream registered with that version
+     */
+    public boolean isServed(ServiceId service, String model, int number) {
+        return upstreams(service).stream()
+                .anyMatch(r -> Integer.valueOf(number).equals(r.models().get(model)));
+    }
+
     /**
      * Returns whether requests can be routed.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -190,11 +190,11 @@
     // before the new one can be staged, the engine loads the staged one first.
     private void startFetch(WeightVersion targetVersion, Optional<Integer> served) {
         Instant now = clock.instant();
-        boolean isNew =
-                swarm.isNewVersion(
-                        target.requestedVersions().stream()
-                                .filter(v -> v.number() == targetVersion.number())
-                                .findFirst());
+        Optional<RequestedVersion> requested =
+                target.requestedVersions().stream()
+                        .filter(v -> v.number() == targetVersion.number())
+                        .findFirst();
+        boolean isNew = swarm.isNewVersion(requested, false);
         boolean expiresSoon =
                 served.filter(n -> target.validUntil(n).isBefore(now.plus(FETCH_AND_SWITCH_TIME)))
                         .isPresent();
--- a/src/main/java/org/papayawalk/daemon/managed/weight/ManagedSwarm.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/ManagedSwarm.java
@@ -21,6 +21,7 @@
 import org.papayawalk.core.weight.ChunkPlanner;
 import org.papayawalk.core.weight.DistributionPolicy;
 import org.papayawalk.core.weight.Manifest;
+import org.papayawalk.core.weight.NewVersionRule;
 import org.papayawalk.core.weight.RelayFirstPlanner;
 import org.papayawalk.core.weight.SwarmPeer;
 import org.papayawalk.core.weight.SwarmPlanner;
@@ -73,7 +74,7 @@
     /** Service whose agents already hold the version that a relay fetches; empty if none do. */
     private volatile Optional<ServiceId> holderService = Optional.empty();
 
-    /** Whether the wanted version is new, see {@link #isNewVersion}. */
+    /** Whether the wanted version is new, see {@link NewVersionRule}. */
     private volatile boolean newVersion;
 
     /** This host, identified by its IP address. */
@@ -126,7 +127,7 @@
      * Sets the version to fetch. It must be registered with the origin.
      *
      * @param version version
-     * @param isNew whether possibly no host holds the version yet, see {@link #isNewVersion}
+     * @param isNew whether possibly no host holds the version yet, see {@link NewVersionRule}
      * @param agents service whose agents hold the version if it is not new; may be empty
      */
     public void setWantedVersion(WeightVersion version, boolean isNew, Optional<ServiceId> agents) {
@@ -136,17 +137,14 @@
     }
 
     /**
-     * Returns whether a version is new, which means that possibly no host holds it yet: it was
-     * requested while this daemon runs, or this daemon was restarted, possibly together with all
-     * others.
+     * Returns whether a version is new, see {@link NewVersionRule}.
      *
      * @param requested version that the operator requested, empty if none was requested
+     * @param served whether an engine is known to serve the version
      * @return true if the version may have to be fetched from the origin
      */
-    public boolean isNewVersion(Optional<RequestedVersion> requested) {
-        boolean whileRunning =
-                requested.filter(v -> !v.receivedAt().equals(Instant.MIN)).isPresent();
-        return whileRunning || !node.settings().firstStart();
+    public boolean isNewVersion(Optional<RequestedVersion> requested, boolean served) {
+        return NewVersionRule.isNew(requested, node.settings().firstStart(), served);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
@@ -93,8 +93,10 @@
             return;
         }
         current = Optional.of(version);
-        boolean isNew = swarm.isNewVersion(requested);
         Optional<ServiceId> service = engineService.map(ServiceSpec::id);
+        boolean served =
+                snapshot.isServed(service.orElseThrow(), version.model(), version.number());
+        boolean isNew = swarm.isNewVersion(requested, served);
         Duration delay = isNew ? Duration.ZERO : OLD_VERSION_DELAY;
         node.thread().schedule(delay, () -> fetch(version, isNew, service));
     }
--- a/src/test/java/org/papayawalk/core/weight/RelayFirstPlannerTest.java
+++ b/src/test/java/org/papayawalk/core/weight/RelayFirstPlannerTest.java
@@ -73,6 +73,26 @@
         assertFalse(planner.nextRequests(now.plus(Duration.ofSeconds(1))).isEmpty());
     }
 
+    /**
+     * While the origin is away, chunks that the relay holds are fetched although it lacks earlier
+     * ones; the missing ones are requested last.
+     */
+    @Test
+    public void chunksThatTheRelayHoldsAreRequestedFirst() {
+        RelayFirstPlanner planner = planner(new CountingPlanner());
+        BitSet held = new BitSet();
+        held.set(5, 8);
+        for (FetchRequest r : planner.nextRequests(T0)) {
+            planner.updateAvailability(RELAY, held);
+            planner.recordResult(r, FetchResult.BUSY, T0);
+        }
+        List<FetchRequest> requests = planner.nextRequests(T0);
+        assertEquals(requests.stream().map(FetchRequest::index).toList(), List.of(5, 6));
+        requests.forEach(r -> planner.recordResult(r, FetchResult.VERIFIED, T0));
+        requests = planner.nextRequests(T0);
+        assertEquals(requests.stream().map(FetchRequest::index).toList(), List.of(7, 0));
+    }
+
     // Creates a planner for twelve chunks with one relay and one other peer.
     private static RelayFirstPlanner planner(CountingPlanner fallback) {
         RelayFirstPlanner planner = new RelayFirstPlanner("v", 12, 2, fallback, T0.plusMillis(400));
