Let an agent read the store when it starts

Ruled out: the agents' own start, which takes no longer than that of the entries.

Change: an agent watches the store from its start until the first reply of an entry.

Measured: UnresponsiveEntryTest, the new case takes more than 1,500 ms without the change by construction (it is the time after which a silent entry is given up).

--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -120,8 +120,9 @@
     }
 
     /**
-     * Starts as an agent: polls one entry for state, and watches the store while no entry replies.
-     * Returns once it listens.
+     * Starts as an agent: reads the store, polls one entry for state, and watches the store until
+     * the first reply and whenever no entry replies. After a restart of all hosts, the agents so do
+     * not wait for the entries. Returns once it listens.
      *
      * @param handler handles the messages of other daemons
      * @throws IOException if the address cannot be used
@@ -129,7 +130,11 @@
     public void runAsAgent(MessageHandler handler) throws IOException {
         listen(settings.peerAddress(), handler);
         StateSyncClient client = client(new SuspectRegistry(1, Duration.ofSeconds(1)));
-        thread.execute(() -> client.runAsAgent(this::recordEntryOutcome));
+        thread.execute(
+                () -> {
+                    watchers.forEach(TableWatcher::start);
+                    client.runAsAgent(this::recordEntryOutcome);
+                });
         thread.scheduleRepeatedly(ENTRY_COUNT_INTERVAL, this::refreshLiveEntries);
     }
 
--- a/src/test/java/org/papayawalk/daemon/managed/UnresponsiveEntryTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/UnresponsiveEntryTest.java
@@ -22,6 +22,8 @@
 public final class UnresponsiveEntryTest {
     private static final long TIMEOUT_MILLIS = 20_000;
 
+    private static final long ENTRY_TIMEOUT_MILLIS = 1500;
+
     private static final MessageHandler NO_WEIGHTS =
             new MessageHandler() {
                 @Override
@@ -60,6 +62,24 @@
         }
     }
 
+    /**
+     * An agent that starts before any entry replies, as after a restart of all hosts, reads the
+     * store at once: before the time after which it gives up a silent entry.
+     *
+     * @throws IOException if no port is free
+     */
+    @Test
+    public void agentReadsTheStoreBeforeAnyEntryReplies() throws IOException {
+        try (FakeStore store = new FakeStore();
+                ServerSocket silent = listen()) {
+            store.put("op", "config", "{\"version\":4,\"routes\":[],\"services\":[]}");
+            String seeds = "\"127.0.0.1:%d\"".formatted(silent.getLocalPort());
+            ManagedNode agent = node("side-1", FreePort.find(), seeds, store.address());
+            agent.runAsAgent(NO_WEIGHTS);
+            Await.within(ENTRY_TIMEOUT_MILLIS, () -> version(agent) == 4);
+        }
+    }
+
     // Accepts connections in the backlog and never replies.
     private static ServerSocket listen() throws IOException {
         return new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
