Recover from a loss of power without misdirected requests and long delays

With only the true rows, a starting entry would tell callers to stay away for 4 s, though engines load what is staged within about 1.3 s.

Change: of several processes registered at one address only the one that started last is usable; an entry that has seen no engine since its start expects the first one after 1.5 s (LoadSheddingRule).

Measured: UpstreamTrackerTest and LoadSheddingRuleTest, which fail without the changes.

--- a/src/main/java/org/papayawalk/core/upstream/UpstreamTracker.java
+++ b/src/main/java/org/papayawalk/core/upstream/UpstreamTracker.java
@@ -187,14 +187,21 @@
     }
 
     /**
-     * Returns the upstreams that may take new work.
+     * Returns the upstreams that may take new work. An address belongs to the process that started
+     * last: after a loss of power, the registrations of the processes before it remain until their
+     * leases expire, but nobody answers for them.
      *
      * @return registrations in force that are not draining, in no particular order
      */
     public List<UpstreamRegistration> usable() {
+        Map<String, Long> newest = new HashMap<>();
+        for (UpstreamRegistration r : registered.values()) {
+            newest.merge(r.address(), r.incarnation(), Math::max);
+        }
         List<UpstreamRegistration> usable = new ArrayList<>();
         for (UpstreamRegistration r : registered.values()) {
-            if (!r.draining()) {
+            boolean replaced = r.incarnation() < newest.get(r.address());
+            if (!r.draining() && !replaced) {
                 usable.add(r);
             }
         }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
@@ -42,6 +42,9 @@
     /** Since when no upstream can serve requests; null if one can. */
     private Instant unavailableSince;
 
+    /** Whether an upstream has been able to serve requests since the start of this entry. */
+    private boolean seenAvailable;
+
     private boolean immediateScanScheduled;
 
     private boolean nextScanScheduled;
@@ -76,7 +79,7 @@
                 exchange.stream().started()
                         ? now.plus(RESUME_TIMEOUT)
                         : exchange.receivedAt()
-                                .plus(LOAD_SHEDDING_RULE.maxWait(target, unavailableFor(now)));
+                                .plus(LOAD_SHEDDING_RULE.maxWait(target, outage(now)));
         if (!queue.offer(exchange, rank, until, now)) {
             refuse(exchange, now);
             return;
@@ -107,7 +110,7 @@
         return LOAD_SHEDDING_RULE.retryAfter(
                 exchange.authorized().route().targetLatency(),
                 Duration.between(now, exchange.deadline()),
-                unavailableFor(now),
+                outage(now),
                 random.nextDouble());
     }
 
@@ -146,14 +149,16 @@
 
     private void recordAvailability(boolean available, Instant now) {
         if (available) {
+            seenAvailable = true;
             unavailableSince = null;
         } else if (unavailableSince == null) {
             unavailableSince = now;
         }
     }
 
-    private Optional<Duration> unavailableFor(Instant now) {
-        return Optional.ofNullable(unavailableSince).map(t -> Duration.between(t, now));
+    private Optional<LoadSheddingRule.Outage> outage(Instant now) {
+        return Optional.ofNullable(unavailableSince)
+                .map(t -> new LoadSheddingRule.Outage(Duration.between(t, now), !seenAvailable));
     }
 
     private void scheduleNextScan() {
--- a/src/main/java/org/papayawalk/lab/load/LoadSheddingVariants.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadSheddingVariants.java
@@ -20,6 +20,9 @@
     /** Expected time from the failure of all engines until the first one answers. */
     private static final Duration RECOVERY_TIME = Duration.ofMillis(4000);
 
+    /** The same from the start of an entry. */
+    private static final Duration START_TIME = Duration.ofMillis(1500);
+
     private LoadSheddingVariants() {}
 
     /**
@@ -29,7 +32,11 @@
      */
     static LoadSheddingRule lateRetry() {
         return new LoadSheddingRule(
-                MAX_WAIT_SHARE, MIN_RETRY_AFTER.multipliedBy(5), RETRY_JITTER, RECOVERY_TIME);
+                MAX_WAIT_SHARE,
+                MIN_RETRY_AFTER.multipliedBy(5),
+                RETRY_JITTER,
+                RECOVERY_TIME,
+                START_TIME);
     }
 
     /**
@@ -38,7 +45,7 @@
      * @return rule
      */
     static LoadSheddingRule noWait() {
-        return new LoadSheddingRule(0.02, MIN_RETRY_AFTER, RETRY_JITTER, RECOVERY_TIME);
+        return new LoadSheddingRule(0.02, MIN_RETRY_AFTER, RETRY_JITTER, RECOVERY_TIME, START_TIME);
     }
 
     /**
@@ -48,6 +55,6 @@
      */
     static LoadSheddingRule longWait() {
         return new LoadSheddingRule(
-                2 * MAX_WAIT_SHARE, MIN_RETRY_AFTER, RETRY_JITTER, RECOVERY_TIME);
+                2 * MAX_WAIT_SHARE, MIN_RETRY_AFTER, RETRY_JITTER, RECOVERY_TIME, START_TIME);
     }
 }
--- a/src/test/java/org/papayawalk/core/place/LoadSheddingRuleTest.java
+++ b/src/test/java/org/papayawalk/core/place/LoadSheddingRuleTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.papayawalk.core.place.LoadSheddingRule.Outage;
 import org.testng.annotations.Test;
 
 /** Tests {@link LoadSheddingRule}. */
@@ -20,7 +21,7 @@
     /** A request is refused at once while no upstream can answer. */
     @Test
     public void requestDoesNotWaitWhileNoUpstreamCanAnswer() {
-        assertEquals(RULE.maxWait(TARGET, Optional.of(Duration.ZERO)), Duration.ZERO);
+        assertEquals(RULE.maxWait(TARGET, outage(0)), Duration.ZERO);
         assertTrue(RULE.maxWait(TARGET, Optional.empty()).compareTo(TARGET) < 0);
     }
 
@@ -29,11 +30,10 @@
     public void callersRetryAfterExpectedRecovery() {
         for (long down : new long[] {0, 1_500, 3_500}) {
             Duration downFor = Duration.ofMillis(down);
-            Duration after = RULE.retryAfter(TARGET, FULL_TIME, Optional.of(downFor), 0);
+            Duration after = RULE.retryAfter(TARGET, FULL_TIME, outage(down), 0);
             assertTrue(downFor.plus(after).compareTo(RULE.recoveryTime()) >= 0, "down " + downFor);
         }
-        Duration longOutage = Duration.ofSeconds(60);
-        Duration after = RULE.retryAfter(TARGET, FULL_TIME, Optional.of(longOutage), 0);
+        Duration after = RULE.retryAfter(TARGET, FULL_TIME, outage(60_000), 0);
         assertEquals(after, RULE.minRetryAfter());
     }
 
@@ -41,7 +41,7 @@
     @Test
     public void callersRetryBeforeTheirDeadline() {
         Duration left = Duration.ofMillis(2000);
-        Duration after = RULE.retryAfter(TARGET, left, Optional.of(Duration.ZERO), 0.99);
+        Duration after = RULE.retryAfter(TARGET, left, outage(0), 0.99);
         assertTrue(after.plus(TARGET).compareTo(left) < 0, "after " + after);
         Duration atDeadline = RULE.retryAfter(TARGET, Duration.ZERO, Optional.empty(), 0.99);
         assertEquals(atDeadline, RULE.minRetryAfter());
@@ -54,4 +54,18 @@
         Duration last = RULE.retryAfter(TARGET, FULL_TIME, Optional.empty(), 0.999);
         assertTrue(last.minus(first).compareTo(Duration.ofMillis(800)) > 0);
     }
+
+    /** Callers of an entry that has just started retry when staged weights are loaded. */
+    @Test
+    public void callersRetrySoonerAfterAStart() {
+        Optional<Outage> start = Optional.of(new Outage(Duration.ofMillis(500), true));
+        Duration after = RULE.retryAfter(TARGET, FULL_TIME, start, 0);
+        assertEquals(after, RULE.startTime().minusMillis(500));
+        assertTrue(after.compareTo(RULE.retryAfter(TARGET, FULL_TIME, outage(500), 0)) < 0);
+    }
+
+    // Returns the outage of an entry that has seen an upstream which could answer.
+    private static Optional<Outage> outage(long millis) {
+        return Optional.of(new Outage(Duration.ofMillis(millis), false));
+    }
 }
--- a/src/test/java/org/papayawalk/core/upstream/UpstreamTrackerTest.java
+++ b/src/test/java/org/papayawalk/core/upstream/UpstreamTrackerTest.java
@@ -172,9 +172,33 @@
         assertEquals(tracker.usable().get(0).incarnation(), 2);
     }
 
+    /**
+     * After a loss of power, a new process registers under another name at the address of the one
+     * before it, whose lease has not expired yet. Requests for that one would be misdirected.
+     */
+    @Test
+    public void newerProcessAtTheSameAddressReplacesTheOlder() {
+        UpstreamTracker tracker = new UpstreamTracker();
+        tracker.put(registration("old", 1), T0);
+        tracker.put(registration("new", 2), T0);
+        assertEquals(tracker.usable().size(), 1);
+        assertEquals(tracker.usable().get(0).id(), new UpstreamId("new"));
+        tracker.remove(new UpstreamId("old"), T0);
+        assertEquals(tracker.usable().size(), 1);
+    }
+
     private static UpstreamRegistration registration(long incarnation, boolean draining) {
+        return registration("u", incarnation, draining);
+    }
+
+    private static UpstreamRegistration registration(String id, long incarnation) {
+        return registration(id, incarnation, false);
+    }
+
+    private static UpstreamRegistration registration(
+            String id, long incarnation, boolean draining) {
         return new UpstreamRegistration(
-                new UpstreamId("u"),
+                new UpstreamId(id),
                 incarnation,
                 new ServiceId("s"),
                 "10.0.0.1:80",
