--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -212,6 +212,15 @@
         return metadata.requestId();
     }
 
+    /**
+     * Returns the model that the request needs.
+     *
+     * @return name of the model, empty if it needs none
+     */
+    Optional<String> model() {
+        return metadata.model();
+    }
+
     /**
      * Returns the length of the prompt.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -216,9 +216,33 @@
         newConnection.send(exchange.upstreamRequest(candidate, now), exchange.requestId(), this);
         if (!done && route().retryable()) {
             scheduleStallCheck();
+            entry.upstreams()
+                    .beginBy(candidate.upstream(), exchange.model())
+                    .filter(t -> t.isAfter(now))
+                    .ifPresent(t -> scheduleBeginCheck(Duration.between(now, t)));
         }
     }
 
+    // Withdraws the request if it has not begun when the version of the upstream expires.
+    private void scheduleBeginCheck(Duration delay) {
+        entry.loop()
+                .schedule(
+                        () -> {
+                            if (!done && head == null) {
+                                withdraw("not begun before the version of its weights expired");
+                            }
+                        },
+                        Math.max(1, delay.toMillis()),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    // Ends the attempt without a failure of its upstream. The request may be about to begin there.
+    private void withdraw(String reason) {
+        connection.abandon();
+        finish(AttemptResult.CANCELLED);
+        exchange.attemptFailed(true, true, candidate.upstream().id() + ": " + reason);
+    }
+
     private RouteRule route() {
         return exchange.authorized().route();
     }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
@@ -149,6 +149,22 @@
         return anyVersion ? OptionalInt.empty() : OptionalInt.of(held);
     }
 
+    /**
+     * Returns by when a request must have begun at an upstream, because the version of weights that
+     * it serves expires then.
+     *
+     * @param registration upstream
+     * @param model model of the request, empty if it needs none
+     * @return time, empty if the version does not expire
+     */
+    Optional<Instant> beginBy(UpstreamRegistration registration, Optional<String> model) {
+        Integer held = model.map(registration.models()::get).orElse(null);
+        return held == null
+                ? Optional.empty()
+                : versionRule.beginBy(
+                        snapshot.versions().getOrDefault(model.get(), List.of()), held);
+    }
+
     /**
      * Returns an upstream.
      *
--- a/src/test/java/org/papayawalk/core/place/MinimumVersionRuleTest.java
+++ b/src/test/java/org/papayawalk/core/place/MinimumVersionRuleTest.java
@@ -39,4 +39,18 @@
         List<RequestedVersion> requested = List.of(new RequestedVersion(5, Instant.MIN));
         assertEquals(rule.lowestAllowed(requested, T0), OptionalInt.of(5));
     }
+
+    /**
+     * A request at an upstream with an older version must have begun before the deadline of the
+     * next version, also if that is not the newest.
+     */
+    @Test
+    public void requestMustHaveBegunBeforeTheNextVersionIsDue() {
+        List<RequestedVersion> requested =
+                List.of(new RequestedVersion(2, T0), new RequestedVersion(3, T0.plusSeconds(4)));
+        assertTrue(rule.beginBy(requested, 1).orElseThrow().isBefore(T0.plusSeconds(8)));
+        assertTrue(rule.beginBy(requested, 1).orElseThrow().isAfter(T0.plusSeconds(7)));
+        assertTrue(rule.beginBy(requested, 2).orElseThrow().isAfter(T0.plusSeconds(11)));
+        assertTrue(rule.beginBy(requested, 3).isEmpty());
+    }
 }
