Tell entries of the loads of engines ahead of the engines' rows

A cut-off zone's entries learn of versions from rows of the store only: from 36.1 s, when version 2 expires, to the end of the cut at 38.9 s they refuse everything, though the engines of their own zone serve version 3.

Ruled out: a longer pause after a refusal, which would also keep requests from engines that are merely full.

Change: an agent announces a load just before its order, and the version served after it, to the entries that it knows (16 at most, its own domain first). Of notice and row the higher version counts; a load counts as failed after 2.5 s (EngineNotices). An engine that loads takes no new requests but still counts as one that will answer.

--- a/src/main/java/org/papayawalk/core/upstream/UpstreamRegistration.java
+++ b/src/main/java/org/papayawalk/core/upstream/UpstreamRegistration.java
@@ -1,5 +1,6 @@
 package org.papayawalk.core.upstream;
 
+import java.util.HashMap;
 import java.util.Map;
 import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.ServiceId;
@@ -44,6 +45,20 @@
                 && address.equals(other.address);
     }
 
+    /**
+     * Returns this registration with another version of a model.
+     *
+     * @param model name of the model
+     * @param version version that the upstream serves
+     * @return copy
+     */
+    public UpstreamRegistration withVersion(String model, int version) {
+        Map<String, Integer> changed = new HashMap<>(models);
+        changed.put(model, version);
+        return new UpstreamRegistration(
+                id, incarnation, service, address, domain, slots, draining, changed);
+    }
+
     /**
      * Returns the IP address.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
@@ -16,6 +17,7 @@
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.suspect.SuspectRegistry;
+import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.core.upstream.TableUpdate;
 import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.daemon.ControlThread;
@@ -26,6 +28,7 @@
 import org.papayawalk.wire.PeerClient;
 import org.papayawalk.wire.PeerServer;
 import org.papayawalk.wire.PeerServerConnection;
+import org.papayawalk.wire.TrafficClass;
 import org.papayawalk.wire.proto.Envelope;
 
 /**
@@ -38,6 +41,9 @@
 
     private static final Duration ENTRY_COUNT_INTERVAL = Duration.ofMillis(500);
 
+    // Bound on the connections that an agent opens to entries for notices.
+    private static final int MAX_NOTIFIED_ENTRIES = 16;
+
     private static final Duration DEREGISTER_TIMEOUT = Duration.ofMillis(500);
 
     private final ManagedSettings settings;
@@ -221,6 +227,21 @@
         return liveEntries;
     }
 
+    /**
+     * Tells entries of the engine beside this agent: all that are alive, or those of this failure
+     * domain first if there are many. A lost message is not repeated; the engine's registration
+     * follows.
+     *
+     * @param notice notice
+     */
+    public void notifyEntries(EngineNotice notice) {
+        Envelope message = StateSyncMessages.engineNotice(notice);
+        liveEntries.entrySet().stream()
+                .sorted(Comparator.comparing(e -> !e.getValue().equals(settings.domain())))
+                .limit(MAX_NOTIFIED_ENTRIES)
+                .forEach(e -> peers.sendOneWay(e.getKey(), TrafficClass.LIVE, message));
+    }
+
     /**
      * Removes the row of this entry from the store. Blocks for 500 ms at most; a failure is only
      * logged.
@@ -290,12 +311,15 @@
         };
     }
 
-    private static MessageHandler handler(StateSyncServer server, MessageHandler weights) {
+    private MessageHandler handler(StateSyncServer server, MessageHandler weights) {
         return new MessageHandler() {
             @Override
             public void onMessage(Envelope message, PeerServerConnection from) {
                 if (message.hasViewQuery()) {
                     server.received(message, from);
+                } else if (message.hasEngineNotice()) {
+                    EngineNotice notice = StateSyncMessages.engineNotice(message);
+                    thread.execute(() -> state.recordEngineNotice(notice));
                 } else {
                     weights.onMessage(message, from);
                 }
--- a/src/main/java/org/papayawalk/daemon/managed/PlatformSnapshot.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformSnapshot.java
@@ -3,8 +3,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.id.UpstreamId;
 import org.papayawalk.core.place.RequestedVersion;
 import org.papayawalk.core.upstream.UpstreamRegistration;
 
@@ -14,15 +16,17 @@
  * @param desired desired state in force, empty until the first one is received
  * @param upstreams upstreams that may receive new work, by service; empty until the table of
  *     servers has been read
+ * @param loading upstreams of these that load weights and take no new requests at present
  * @param versions versions of each model's weights that the operator requested, the newest last
  */
 public record PlatformSnapshot(
         Optional<DesiredState> desired,
         Optional<Map<ServiceId, List<UpstreamRegistration>>> upstreams,
+        Set<UpstreamId> loading,
         Map<String, List<RequestedVersion>> versions) {
     /** Snapshot before any table has been read. */
     public static final PlatformSnapshot EMPTY =
-            new PlatformSnapshot(Optional.empty(), Optional.empty(), Map.of());
+            new PlatformSnapshot(Optional.empty(), Optional.empty(), Set.of(), Map.of());
 
     /**
      * Returns the upstreams of a service.
--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -6,14 +6,18 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.id.UpstreamId;
 import org.papayawalk.core.place.RequestedVersion;
+import org.papayawalk.core.upstream.EngineNotice;
+import org.papayawalk.core.upstream.EngineNotices;
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableReplica;
 import org.papayawalk.core.upstream.TableUpdate;
@@ -42,6 +46,8 @@
 
     private final UpstreamTracker upstreams = new UpstreamTracker();
 
+    private final EngineNotices engines = new EngineNotices();
+
     // Requested versions by model, the newest last.
     private final Map<String, List<RequestedVersion>> versions = new HashMap<>();
 
@@ -136,6 +142,27 @@
         }
     }
 
+    /**
+     * Records what an agent tells of the engine beside it. Publishes a snapshot if that is new, and
+     * again when an announced load should have ended.
+     *
+     * @param notice notice
+     */
+    void recordEngineNotice(EngineNotice notice) {
+        if (!engines.record(notice, clock.instant())) {
+            return;
+        }
+        Event.named("engine-notice")
+                .with("address", notice.address())
+                .with("served", notice.served())
+                .with("loading", notice.loading())
+                .info();
+        publishSnapshot();
+        if (notice.loading() > 0) {
+            thread.schedule(EngineNotices.MAX_LOADING_TIME, this::publishSnapshot);
+        }
+    }
+
     /**
      * Applies rows of a table. Publishes a snapshot if a row changed or if this was the first
      * reading. Ignores tables that this daemon does not follow.
@@ -265,7 +292,10 @@
         }
         snapshot =
                 new PlatformSnapshot(
-                        Optional.of(desired), snapshot.upstreams(), snapshot.versions());
+                        Optional.of(desired),
+                        snapshot.upstreams(),
+                        snapshot.loading(),
+                        snapshot.versions());
         Event.named("desired-state-in-force")
                 .with("version", desired.version())
                 .with("before", known == Long.MIN_VALUE ? "none" : known)
@@ -297,13 +327,20 @@
     private void publishSnapshot() {
         boolean serversRead = !tables.get(StoreCodec.SERVER_TABLE).version().isUnread();
         Map<ServiceId, List<UpstreamRegistration>> byService = new HashMap<>();
-        for (UpstreamRegistration r : upstreams.usable()) {
+        Set<UpstreamId> loading = new HashSet<>();
+        Instant now = clock.instant();
+        for (UpstreamRegistration registered : upstreams.usable()) {
+            UpstreamRegistration r = engines.merge(registered);
             byService.computeIfAbsent(r.service(), s -> new ArrayList<>()).add(r);
+            if (engines.isLoading(r, now)) {
+                loading.add(r.id());
+            }
         }
         snapshot =
                 new PlatformSnapshot(
                         snapshot.desired(),
                         serversRead ? Optional.of(byService) : Optional.empty(),
+                        Set.copyOf(loading),
                         Map.copyOf(versions));
         listeners.forEach(l -> l.accept(snapshot));
     }
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
@@ -8,11 +8,13 @@
 import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.suspect.SuspectRegistry;
+import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableReplica;
 import org.papayawalk.core.upstream.TableUpdate;
 import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.wire.proto.EntryAddress;
+import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.LostRun;
 import org.papayawalk.wire.proto.TableChanges;
 import org.papayawalk.wire.proto.TableMark;
@@ -152,6 +154,36 @@
         }
     }
 
+    /**
+     * Encodes what an agent tells of the engine beside it.
+     *
+     * @param notice notice
+     * @return one-way message
+     */
+    static Envelope engineNotice(EngineNotice notice) {
+        return Envelope.newBuilder()
+                .setEngineNotice(
+                        org.papayawalk.wire.proto.EngineNotice.newBuilder()
+                                .setAddress(notice.address())
+                                .setIncarnation(notice.incarnation())
+                                .setModel(notice.model())
+                                .setServed(notice.served())
+                                .setLoading(notice.loading()))
+                .build();
+    }
+
+    /**
+     * Decodes what an agent tells of the engine beside it.
+     *
+     * @param message message with a notice
+     * @return notice
+     */
+    static EngineNotice engineNotice(Envelope message) {
+        org.papayawalk.wire.proto.EngineNotice n = message.getEngineNotice();
+        return new EngineNotice(
+                n.getAddress(), n.getIncarnation(), n.getModel(), n.getServed(), n.getLoading());
+    }
+
     private static TableRow row(TableRecord row) {
         return TableRow.newBuilder()
                 .setKey(row.key())
--- a/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
@@ -55,7 +55,14 @@
         node.runAsAgent(swarm.handler());
         TargetVersion target = new PlatformTargetVersion(node, service(), origin);
         VersionReconciler reconciler =
-                new VersionReconciler(engine, swarm, work, node.thread(), node.clock(), target);
+                new VersionReconciler(
+                        engine,
+                        swarm,
+                        work,
+                        node.thread(),
+                        node.clock(),
+                        target,
+                        new EngineAnnouncer(upstream, node::notifyEntries));
         node.state().addListener(v -> reconciler.snapshotChanged());
         node.thread().execute(reconciler::start);
         serveMetrics(swarm.swarm());
--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -54,6 +54,8 @@
 
     private final TargetVersion target;
 
+    private final EngineAnnouncer announcer;
+
     private final StagedChunkVerifier verifier;
 
     private Optional<WeightVersion> fetching = Optional.empty();
@@ -84,6 +86,7 @@
      * @param thread control thread
      * @param clock monotonic clock
      * @param target target version, and the versions requested before it
+     * @param announcer tells entries of the engine's loads
      */
     VersionReconciler(
             LocalEngine engine,
@@ -91,13 +94,15 @@
             Executor work,
             ControlThread thread,
             InstantSource clock,
-            TargetVersion target) {
+            TargetVersion target,
+            EngineAnnouncer announcer) {
         this.engine = engine;
         this.swarm = swarm;
         this.work = work;
         this.thread = thread;
         this.clock = clock;
         this.target = target;
+        this.announcer = announcer;
         this.verifier = new StagedChunkVerifier(engine, swarm.swarm());
     }
 
@@ -145,6 +150,7 @@
             startFetch(targetVersion, served);
         }
         EngineReport report = result.get();
+        announcer.reported(targetVersion.model(), report, clock.instant());
         recordIncarnation(report);
         if (served.isPresent() && served.get() >= targetVersion.number()) {
             recordServing(targetVersion);
@@ -259,6 +265,7 @@
                     engine.stopStaging();
                     try {
                         if (verifier.verify(stagedVersion)) {
+                            announcer.loadOrdered(stagedVersion.version(), report, clock.instant());
                             accepted = orderLoad(stagedVersion.version(), report);
                         }
                     } finally {
@@ -268,6 +275,7 @@
                     }
                     if (!accepted.getOrElse(false)) {
                         engine.holdStaging(false);
+                        announcer.loadNotAccepted();
                     }
                 });
     }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -189,9 +189,10 @@
      *
      * @param now present time
      * @return false if no upstream of the service holds an allowed version of the requested model
+     *     or is loading weights
      */
     boolean hasCandidate(Instant now) {
-        return !entry.upstreams().candidates(authorized.service(), metadata.model(), now).isEmpty();
+        return entry.upstreams().hasCandidate(authorized.service(), metadata.model(), now);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
@@ -102,7 +102,7 @@
     }
 
     /**
-     * Returns the upstreams that can serve a request, regardless of their load.
+     * Returns the upstreams that can serve a request at present, regardless of their load.
      *
      * @param service service of the request
      * @param model model of the request, empty if it needs none
@@ -112,6 +112,9 @@
     List<PlacementCandidate> candidates(ServiceId service, Optional<String> model, Instant now) {
         List<PlacementCandidate> list = new ArrayList<>();
         for (Upstream u : byService.getOrDefault(service, List.of())) {
+            if (snapshot.loading().contains(u.registration().id())) {
+                continue;
+            }
             if (model.isEmpty() || holdsAllowedVersion(u.registration(), model.get(), now)) {
                 list.add(new PlacementCandidate(u.registration(), u.load()));
             }
@@ -119,6 +122,24 @@
         return list;
     }
 
+    /**
+     * Returns whether an upstream can serve a request now or once it has loaded weights.
+     *
+     * @param service service of the request
+     * @param model model of the request, empty if it needs none
+     * @param now present time
+     * @return false if no upstream holds an allowed version and none is loading
+     */
+    boolean hasCandidate(ServiceId service, Optional<String> model, Instant now) {
+        return byService.getOrDefault(service, List.of()).stream()
+                .map(Upstream::registration)
+                .anyMatch(
+                        r ->
+                                snapshot.loading().contains(r.id())
+                                        || model.isEmpty()
+                                        || holdsAllowedVersion(r, model.get(), now));
+    }
+
     /**
      * Returns the lowest version of weights that may answer a request.
      *
