Start a download once the engine answers, from what lies staged there

Ruled out: corrupt staged chunks; the engines loaded them moments later.

Change: the reconciler waits for the first report of the engine before it starts to fetch. Nothing can be staged before that anyway.

Measured: EngineStartTest, which failed on the code before with a chunk read from the origin.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -137,13 +137,14 @@
     private void handleReport(WeightVersion targetVersion, Either<Fault, EngineReport> result) {
         Optional<Integer> served =
                 result.toJavaOptional().map(r -> r.models().get(targetVersion.model()));
-        if (fetching.isEmpty()) {
-            startFetch(targetVersion, served);
-        }
         if (result.isLeft()) {
             thread.schedule(POLL_INTERVAL, this::poll);
             return;
         }
+        // The download begins with what is staged, which can be read only once the engine answers.
+        if (fetching.isEmpty()) {
+            startFetch(targetVersion, served);
+        }
         lastServed = served;
         recordIfStaged(fetching.get());
         if (!Optional.of(targetVersion).equals(fetching) && !finishesCurrentFetch()) {
--- a/src/test/java/org/papayawalk/daemon/managed/agent/FakeEngine.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/FakeEngine.java
@@ -50,6 +50,11 @@
 
     private int stagedWrites;
 
+    private int unanswered;
+
+    // Whether the engine answers; the origin always does.
+    private boolean available = true;
+
     // Orders that arrived while orders were held.
     private int heldOrders;
 
@@ -88,6 +93,35 @@
         corruptStagedChunks = whenStaged;
     }
 
+    /**
+     * Stages a whole version, as an earlier process of the agent did.
+     *
+     * @param version number of the version
+     */
+    synchronized void stage(int version) {
+        for (int i = 0; i < CHUNKS; i++) {
+            staged.put(i, chunk(version, i));
+        }
+    }
+
+    /**
+     * Starts or stops answering as an engine.
+     *
+     * @param answers whether reports and staged chunks can be read from now on
+     */
+    synchronized void setAvailable(boolean answers) {
+        available = answers;
+    }
+
+    /**
+     * Returns how many calls the engine did not answer.
+     *
+     * @return number of calls
+     */
+    synchronized int unanswered() {
+        return unanswered;
+    }
+
     /** Loses the loaded version, as a restart of the engine does. */
     synchronized void restart() {
         loaded.add(0);
@@ -183,7 +217,7 @@
 
     // Returns null for status 404.
     private synchronized byte[] handle(String target, byte[] body) throws IOException {
-        if (target.equals("/report")) {
+        if (target.equals("/report") && available) {
             return report().getBytes();
         }
         if (target.equals("/order")) {
@@ -191,6 +225,11 @@
             return new byte[] {'{', '}'};
         }
         int index = number(target, "digestCount");
+        boolean fromOrigin = target.startsWith("/manifest/") || target.startsWith("/piece/");
+        if (!available && !fromOrigin) {
+            unanswered++;
+            return null;
+        }
         int version = number(target, "version");
         if (target.startsWith("/manifest/")) {
             return manifest(version).getBytes();
