Take the policy of placing as a value; play slower engines in the load model

Cause: the weights of LeastLoaded were constants, so that an ablation had to change code, and the load model knew only the engines of the first two customers.

No behavior changes.

--- a/src/main/java/org/papayawalk/core/place/LeastLoaded.java
+++ b/src/main/java/org/papayawalk/core/place/LeastLoaded.java
@@ -28,20 +28,7 @@
  * <p>Holds no mutable state; as thread-safe as its random generator.
  */
 public final class LeastLoaded implements PlacementRule {
-    /** Upstreams that are compared. A larger sample makes entries choose the same upstream. */
-    private static final int SAMPLE_SIZE = 4;
-
-    /** Upper bound of the random tie-break between upstreams of equal load, in slots. */
-    private static final double MAX_JITTER_SLOTS = 0.6;
-
-    /** Cost of one prompt of usual length while it is in prefill, in slots. */
-    private static final double PREFILL_COST_SLOTS = 3;
-
-    /** Penalty at a failure rate of 1, in slots; lower rates count in proportion. */
-    private static final double FAILURE_PENALTY_SLOTS = 12;
-
-    private final double maxQueueShare;
-    private final double maxUnreportedShare;
+    private final PlacementPolicy policy;
     private final IntSupplier entryCount;
     private final ToDoubleFunction<PlacementCandidate> distancePenaltySlots;
     private final RandomGenerator random;
@@ -49,22 +36,17 @@
     /**
      * Creates a rule.
      *
-     * @param maxQueueShare requests that may queue at an upstream, as a share of its slots; at
-     *     least one request may
-     * @param maxUnreportedShare requests that all entries together may send to an upstream before
-     *     its next load report, as a share of its slots; each entry may send at least one
+     * @param policy bounds and weights
      * @param entryCount supplies the number of running entries, at least 1
      * @param distancePenaltySlots penalty for the distance of an upstream, in slots
      * @param random random generator for the sample and the tie-breaks
      */
     public LeastLoaded(
-            double maxQueueShare,
-            double maxUnreportedShare,
+            PlacementPolicy policy,
             IntSupplier entryCount,
             ToDoubleFunction<PlacementCandidate> distancePenaltySlots,
             RandomGenerator random) {
-        this.maxQueueShare = maxQueueShare;
-        this.maxUnreportedShare = maxUnreportedShare;
+        this.policy = policy;
         this.entryCount = entryCount;
         this.distancePenaltySlots = distancePenaltySlots;
         this.random = random;
@@ -82,7 +64,7 @@
         }
         PlacementCandidate best = null;
         double bestScore = Double.MAX_VALUE;
-        for (int i = 0; i < SAMPLE_SIZE && !eligible.isEmpty(); i++) {
+        for (int i = 0; i < policy.sampleSize() && !eligible.isEmpty(); i++) {
             PlacementCandidate c = eligible.remove(random.nextInt(eligible.size()));
             double score = score(c, now);
             if (score < bestScore) {
@@ -95,9 +77,10 @@
 
     private boolean hasCapacity(PlacementCandidate candidate, Instant now) {
         int slots = candidate.upstream().slots();
-        long maxQueue = Math.max(1, Math.round(slots * maxQueueShare));
+        long maxQueue = Math.max(1, Math.round(slots * policy.maxQueueShare()));
         long maxUnreported =
-                Math.max(1, Math.round(slots * maxUnreportedShare / entryCount.getAsInt()));
+                Math.max(
+                        1, Math.round(slots * policy.maxUnreportedShare() / entryCount.getAsInt()));
         return candidate.load().unreported() < maxUnreported
                 && candidate.load().expectedInFlight(now) < slots + maxQueue;
     }
@@ -106,10 +89,10 @@
     private double score(PlacementCandidate candidate, Instant now) {
         double load =
                 candidate.load().expectedInFlight(now)
-                        + candidate.load().pendingPrefill() * PREFILL_COST_SLOTS
+                        + candidate.load().pendingPrefill() * policy.prefillCostSlots()
                         + distancePenaltySlots.applyAsDouble(candidate)
-                        + candidate.load().failureRate() * FAILURE_PENALTY_SLOTS
-                        + random.nextDouble() * MAX_JITTER_SLOTS;
+                        + candidate.load().failureRate() * policy.failurePenaltySlots()
+                        + random.nextDouble() * policy.maxJitterSlots();
         return load / candidate.upstream().slots();
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
@@ -4,29 +4,12 @@
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.place.LeastLoaded;
 import org.papayawalk.core.place.PlacementCandidate;
+import org.papayawalk.core.place.PlacementPolicy;
 import org.papayawalk.core.place.PlacementRule;
 import org.papayawalk.core.settings.ManagedSettings;
 
 /** Rules by which an entry selects upstreams. Confined to the event loop thread. */
 final class PlacementRules {
-    /** Requests that may queue at an engine, as a share of its slots. */
-    private static final double ENGINE_MAX_QUEUE_SHARE = 0.05;
-
-    /**
-     * Outstanding requests of all entries that are not yet in an engine's load report, as a share
-     * of its slots.
-     */
-    private static final double ENGINE_MAX_UNREPORTED_SHARE = 0.5;
-
-    /**
-     * The same for a plain service. Effectively unbounded, because its responses, and with them its
-     * load reports, arrive quickly.
-     */
-    private static final double PLAIN_MAX_UNREPORTED_SHARE = 1000;
-
-    /** Requests that may queue at an upstream of a plain service, as a share of its slots. */
-    private static final double PLAIN_MAX_QUEUE_SHARE = 2.0;
-
     /** Load penalty, in slots, for an upstream in another failure domain of the same region. */
     private static final double OTHER_DOMAIN_PENALTY_SLOTS = 1.0;
 
@@ -50,18 +33,10 @@
         this.settings = settings;
         engines =
                 new LeastLoaded(
-                        ENGINE_MAX_QUEUE_SHARE,
-                        ENGINE_MAX_UNREPORTED_SHARE,
-                        entryCount,
-                        this::distancePenaltySlots,
-                        random);
+                        PlacementPolicy.ENGINES, entryCount, this::distancePenaltySlots, random);
         plain =
                 new LeastLoaded(
-                        PLAIN_MAX_QUEUE_SHARE,
-                        PLAIN_MAX_UNREPORTED_SHARE,
-                        entryCount,
-                        this::distancePenaltySlots,
-                        random);
+                        PlacementPolicy.PLAIN, entryCount, this::distancePenaltySlots, random);
     }
 
     /**
--- a/src/main/java/org/papayawalk/lab/load/EngineProfile.java
+++ b/src/main/java/org/papayawalk/lab/load/EngineProfile.java
@@ -28,7 +28,11 @@
         int promptTokensPerStep,
         int stepsPerPass,
         double wakeUpMillis) {
-    /** Profile of the engines that both users of this software run. */
+    /** Profile of engines that write an event of 6 tokens in about 40 ms. */
     static final EngineProfile PRODUCTION =
             new EngineProfile(16, 32, 6.73, 0.0219, 0.0068, 30.6, 0.647, 2048, 6, 12);
+
+    /** Profile of slower engines, whose steps also grow more with the context. */
+    static final EngineProfile SLOW =
+            new EngineProfile(16, 32, 9.27, 0.0232, 0.0322, 20.7, 1.18, 2048, 5, 12);
 }
--- a/src/main/java/org/papayawalk/lab/load/LoadCommand.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadCommand.java
@@ -50,6 +50,11 @@
             description = "Skew of requests over entries; 1 for none, 1.5 for a marked one")
     private double entrySkew = 1;
 
+    @Parameter(
+            names = "--slow-engines",
+            description = "Slower engines, with the classes of request that are sent to them")
+    private boolean slowEngines;
+
     @Parameter(names = "--policy", description = "Names of policies to compare, or all")
     private List<String> policies = new ArrayList<>(List.of("product"));
 
@@ -91,8 +96,8 @@
         return new LoadScenario(
                 entries,
                 engines,
-                EngineProfile.PRODUCTION,
-                RequestClass.PRODUCTION,
+                slowEngines ? EngineProfile.SLOW : EngineProfile.PRODUCTION,
+                slowEngines ? RequestClass.LONGER_TARGETS : RequestClass.PRODUCTION,
                 requestsPerEngine * engines,
                 burstFactor,
                 duration,
--- a/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
@@ -4,6 +4,7 @@
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.place.LeastLoaded;
 import org.papayawalk.core.place.LoadSheddingRule;
+import org.papayawalk.core.place.PlacementPolicy;
 import org.papayawalk.core.place.PlacementRule;
 
 /**
@@ -64,6 +65,9 @@
                             MAX_QUEUE_SHARE,
                             MAX_UNREPORTED_SHARE,
                             LoadSheddingVariants.longWait()),
+                    ablated("one-sampled", 1, PlacementPolicy.ENGINES.prefillCostSlots()),
+                    ablated("all-compared", 1000, PlacementPolicy.ENGINES.prefillCostSlots()),
+                    ablated("prefill-free", PlacementPolicy.ENGINES.sampleSize(), 0),
                     of("half-queue", 0.5, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT),
                     of("full-queue", 2, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT),
                     of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
@@ -86,11 +90,33 @@
             double maxQueueShare,
             double maxUnreportedShare,
             LoadSheddingRule loadShedding) {
-        PlacementFactory placement =
-                (n, r) -> new LeastLoaded(maxQueueShare, maxUnreportedShare, () -> n, c -> 0, r);
+        return of(
+                name,
+                PlacementPolicy.ENGINES.withBounds(maxQueueShare, maxUnreportedShare),
+                loadShedding);
+    }
+
+    private static LoadPolicy of(
+            String name, PlacementPolicy policy, LoadSheddingRule loadShedding) {
+        PlacementFactory placement = (n, r) -> new LeastLoaded(policy, () -> n, c -> 0, r);
         return new LoadPolicy(name, placement, loadShedding, 0);
     }
 
+    // Returns the policy used in production with one weight of the placement changed.
+    private static LoadPolicy ablated(String name, int sampleSize, double prefillCostSlots) {
+        PlacementPolicy product = PlacementPolicy.ENGINES;
+        return of(
+                name,
+                new PlacementPolicy(
+                        product.maxQueueShare(),
+                        product.maxUnreportedShare(),
+                        sampleSize,
+                        prefillCostSlots,
+                        product.failurePenaltySlots(),
+                        product.maxJitterSlots()),
+                LoadSheddingRule.DEFAULT);
+    }
+
     // Returns this policy with the engines divided among the entries.
     private LoadPolicy withSubsets(String newName, int newEntriesPerEngine) {
         PlacementFactory placement =
--- a/src/main/java/org/papayawalk/lab/load/RequestClass.java
+++ b/src/main/java/org/papayawalk/lab/load/RequestClass.java
@@ -26,7 +26,7 @@
         int priority,
         LognormalDistribution promptTokens,
         LognormalDistribution events) {
-    /** Classes of the requests that both users of this software send to model engines. */
+    /** Classes of the requests that are sent to {@link EngineProfile#PRODUCTION}. */
     static final List<RequestClass> PRODUCTION =
             List.of(
                     new RequestClass(
@@ -60,6 +60,40 @@
                             new LognormalDistribution(607, 0.96, 2640),
                             new LognormalDistribution(11.6, 0.9, 60)));
 
+    /** Classes of the requests that are sent to {@link EngineProfile#SLOW}. */
+    static final List<RequestClass> LONGER_TARGETS =
+            List.of(
+                    new RequestClass(
+                            "long",
+                            57,
+                            Duration.ofMillis(500),
+                            Duration.ofSeconds(6),
+                            2.4,
+                            0.6,
+                            1,
+                            new LognormalDistribution(1290, 1.0, 3880),
+                            new LognormalDistribution(20.3, 0.89, 50)),
+                    new RequestClass(
+                            "middle",
+                            43,
+                            Duration.ofMillis(400),
+                            Duration.ofSeconds(6),
+                            2.0,
+                            0.49,
+                            1,
+                            new LognormalDistribution(787, 1.0, 3330),
+                            new LognormalDistribution(20, 0.69, 50)),
+                    new RequestClass(
+                            "short",
+                            40,
+                            Duration.ofMillis(400),
+                            Duration.ofSeconds(6),
+                            1.5,
+                            0.37,
+                            1,
+                            new LognormalDistribution(607, 0.96, 2640),
+                            new LognormalDistribution(14, 0.9, 50)));
+
     /** Share of the worth that does not depend on the size. */
     private static final double FIXED_WORTH_SHARE = 0.3;
 
--- a/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
+++ b/src/test/java/org/papayawalk/core/place/LeastLoadedTest.java
@@ -98,7 +98,7 @@
      */
     @Test
     public void unreportedRequestsAreBounded() {
-        PlacementRule rule = new LeastLoaded(0.15, 0.5, () -> 4, c -> 0, new SplittableRandom(7));
+        PlacementRule rule = new LeastLoaded(policy(0.5), () -> 4, c -> 0, new SplittableRandom(7));
         PlacementCandidate engine = candidate("engine");
         int sent = 0;
         while (sent < SLOTS && rule.choose(List.of(engine), Set.of(), T0).isPresent()) {
@@ -113,7 +113,7 @@
     /** An upstream that sends no load reports takes the next request once it answers. */
     @Test
     public void responseWithoutLoadReportResetsUnreportedRequests() {
-        PlacementRule rule = new LeastLoaded(0.15, 0.5, () -> 8, c -> 0, new SplittableRandom(7));
+        PlacementRule rule = new LeastLoaded(policy(0.5), () -> 8, c -> 0, new SplittableRandom(7));
         PlacementCandidate engine = candidate("engine");
         engine.load().sent(1);
         assertTrue(rule.choose(List.of(engine), Set.of(), T0).isEmpty());
@@ -133,7 +133,7 @@
         int toLeastLoaded = 0;
         for (int entry = 0; entry < 100; entry++) {
             PlacementRule rule =
-                    new LeastLoaded(0.15, 0.5, () -> 7, c -> 0, new SplittableRandom(entry));
+                    new LeastLoaded(policy(0.5), () -> 7, c -> 0, new SplittableRandom(entry));
             PlacementCandidate chosen = rule.choose(engines, Set.of(), T0).orElseThrow();
             toLeastLoaded += chosen == engines.get(0) ? 1 : 0;
         }
@@ -153,7 +153,7 @@
     // Returns a rule without distance penalties and practically without a bound on unreported
     // requests.
     private static PlacementRule rule() {
-        return new LeastLoaded(0.15, 1000, () -> 1, c -> 0, new SplittableRandom(7));
+        return new LeastLoaded(policy(1000), () -> 1, c -> 0, new SplittableRandom(7));
     }
 
     // Returns an idle upstream.
@@ -170,4 +170,8 @@
                         Map.of());
         return new PlacementCandidate(registration, new UpstreamLoad());
     }
+
+    private static PlacementPolicy policy(double maxUnreportedShare) {
+        return PlacementPolicy.ENGINES.withBounds(0.15, maxUnreportedShare);
+    }
 }
