Do not wait for good for a neighbor that has no chunk of a version

Ruled out: the notices of loads, which came in between; the engines that had the weights switched on time.

Change: two busy replies for a chunk by a host of the region that reports no chunk at all count as not held, and the next host in the fallback order is asked.

--- a/src/main/java/org/papayawalk/core/weight/AvailabilityTracker.java
+++ b/src/main/java/org/papayawalk/core/weight/AvailabilityTracker.java
@@ -74,6 +74,17 @@
         }
     }
 
+    /**
+     * Returns whether a peer offers any chunk.
+     *
+     * @param peer peer
+     * @return false if it reported none, or has not reported yet
+     */
+    boolean offersAny(HostId peer) {
+        BitSet chunks = chunksByPeer.get(peer);
+        return chunks != null && !chunks.isEmpty();
+    }
+
     /**
      * Returns the health of a peer.
      *
--- a/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
+++ b/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
@@ -34,6 +34,12 @@
     /** Number of offered chunks among which the rarest is chosen. */
     private static final int RAREST_FIRST_SAMPLE = 6;
 
+    /**
+     * Busy replies to requests for a chunk, by a host that reports no chunk at all, after which the
+     * next host in the fallback order is asked: it may not even have the manifest.
+     */
+    private static final int MAX_BUSY_REPLIES = 2;
+
     /** Backoff after a failed request to the origin. */
     private static final Duration ORIGIN_BACKOFF = Duration.ofMillis(500);
 
@@ -64,6 +70,9 @@
     /** Position in the fallback order to try next, by chunk index; absent for the first. */
     private final Map<Integer, Integer> fallbackPositions = new HashMap<>();
 
+    /** Busy replies of hosts without any chunk since the last other reply, by chunk index. */
+    private final Map<Integer, Integer> busyReplies = new HashMap<>();
+
     private final FetchSchedule schedule;
 
     private FallbackOrder fallbackOrder;
@@ -177,7 +186,12 @@
         }
         HostId peer = request.source().host();
         availability.health(peer).recordResult(result, now);
-        if (result == FetchResult.VERIFIED || result == FetchResult.BUSY) {
+        if (result == FetchResult.BUSY) {
+            recordBusy(peer, index);
+            return;
+        }
+        busyReplies.remove(index);
+        if (result == FetchResult.VERIFIED) {
             return;
         }
         if (result == FetchResult.FAILED) {
@@ -209,6 +223,16 @@
         return inFlight.isRequested(index) || (assigned && !held.get(index));
     }
 
+    private void recordBusy(HostId peer, int index) {
+        if (!fallbackOrder.isInRegion(peer) || availability.offersAny(peer)) {
+            return;
+        }
+        if (busyReplies.merge(index, 1, Integer::sum) >= MAX_BUSY_REPLIES) {
+            busyReplies.remove(index);
+            fallbackPositions.merge(index, 1, Integer::sum);
+        }
+    }
+
     // Returns null if there is no request to send now.
     private FetchRequest chooseRequest(Instant now) {
         int fallbacks = countFallbacks(now);
