Divide the engines among entries if there are many

Change: SharedEngines assigns about 8 entries to each engine by rendezvous hashing, gives every entry at least the mean number of engines, and turns to others only while none of its own can be selected. With 8 entries or fewer nothing changes. The load model runs the same class (rendezvous-8).

--- /dev/null
+++ b/src/main/java/org/papayawalk/core/place/SharedEngines.java
@@ -0,0 +1,107 @@
+package org.papayawalk.core.place;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.papayawalk.core.RendezvousHash;
+import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.id.UpstreamId;
+
+/**
+ * Restricts an entry to a share of the engines if there are many entries. Answers the load of more
+ * entries than an engine has slots: an entry hears of an engine's load only by responses to its own
+ * requests, so with all engines to choose from it hears of each too seldom, and one unreported
+ * request of every entry is too many.
+ *
+ * <p>Rendezvous hashing assigns a bounded number of entries to each engine, without communication;
+ * an engine or entry that comes or goes moves few others. Every entry has at least the mean number
+ * of engines. Other engines are used only while none of its own can be selected. Not thread-safe:
+ * confined to the event loop thread.
+ */
+public final class SharedEngines implements PlacementRule {
+    private final PlacementRule rule;
+
+    private final int entriesPerEngine;
+
+    private final HostId self;
+
+    private final Supplier<Set<HostId>> otherEntries;
+
+    /** Other entries for which the ranks were computed. */
+    private Set<HostId> rankedAmong = Set.of();
+
+    /** Number of entries that precede this one for an engine. */
+    private final Map<UpstreamId, Integer> ranks = new HashMap<>();
+
+    /**
+     * Creates a rule.
+     *
+     * @param rule chooses among the engines of this entry
+     * @param entriesPerEngine number of entries that share an engine, at least 1
+     * @param self this entry
+     * @param otherEntries supplies the other running entries
+     */
+    public SharedEngines(
+            PlacementRule rule,
+            int entriesPerEngine,
+            HostId self,
+            Supplier<Set<HostId>> otherEntries) {
+        this.rule = rule;
+        this.entriesPerEngine = entriesPerEngine;
+        this.self = self;
+        this.otherEntries = otherEntries;
+    }
+
+    @Override
+    public Optional<PlacementCandidate> choose(
+            Collection<PlacementCandidate> candidates, Set<UpstreamId> tried, Instant now) {
+        Set<HostId> others = otherEntries.get();
+        if (others.size() < entriesPerEngine) {
+            return rule.choose(candidates, tried, now);
+        }
+        updateRanks(others, candidates);
+        List<PlacementCandidate> own =
+                own(candidates, others.size() + 1).stream()
+                        .filter(c -> c.load().isSelectable(now))
+                        .toList();
+        boolean usable = own.stream().anyMatch(c -> !tried.contains(c.upstream().id()));
+        return rule.choose(usable ? own : candidates, tried, now);
+    }
+
+    // Returns the engines that rendezvous hashing assigns to this entry, and further ones in the
+    // order of their ranks up to the mean number.
+    private List<PlacementCandidate> own(Collection<PlacementCandidate> engines, int entries) {
+        int mean = (int) Math.ceil((double) engines.size() * entriesPerEngine / entries);
+        long assigned = engines.stream().filter(c -> rank(c) < entriesPerEngine).count();
+        return engines.stream()
+                .sorted(
+                        Comparator.comparingInt(this::rank)
+                                .thenComparing(c -> c.upstream().id().value()))
+                .limit(Math.max(assigned, mean))
+                .toList();
+    }
+
+    private int rank(PlacementCandidate engine) {
+        return ranks.get(engine.upstream().id());
+    }
+
+    private void updateRanks(Set<HostId> others, Collection<PlacementCandidate> engines) {
+        if (!others.equals(rankedAmong)) {
+            rankedAmong = Set.copyOf(others);
+            ranks.clear();
+        }
+        if (ranks.size() > 2 * engines.size()) {
+            ranks.clear();
+        }
+        for (PlacementCandidate c : engines) {
+            UpstreamId id = c.upstream().id();
+            ranks.computeIfAbsent(id, i -> RendezvousHash.rank(self, others, i.value()));
+        }
+    }
+}
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -8,12 +8,15 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Collectors;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.suspect.SuspectRegistry;
@@ -74,6 +77,9 @@
     // Failure domain by address, without this daemon. Immutable; replaced on the control thread.
     private volatile Map<String, DomainId> liveEntries = Map.of();
 
+    // Hosts of the live entries. Immutable; replaced on the control thread.
+    private volatile Set<HostId> otherEntries = Set.of();
+
     /**
      * Creates a node that does not listen or send anything yet.
      *
@@ -208,6 +214,15 @@
         return state;
     }
 
+    /**
+     * Returns the hosts of the other live entries, see {@link #liveEntries()}.
+     *
+     * @return hosts by their IP addresses, refreshed every 500 ms
+     */
+    public Set<HostId> otherEntries() {
+        return otherEntries;
+    }
+
     /**
      * Returns the number of live entries, this daemon included. Meaningful on an entry only.
      *
@@ -284,7 +299,14 @@
     }
 
     private void refreshLiveEntries() {
-        liveEntries = Map.copyOf(directory.alive(clock.instant()));
+        Map<String, DomainId> alive = Map.copyOf(directory.alive(clock.instant()));
+        if (!alive.keySet().equals(liveEntries.keySet())) {
+            otherEntries =
+                    alive.keySet().stream()
+                            .map(a -> new HostId(a.substring(0, a.lastIndexOf(':'))))
+                            .collect(Collectors.toUnmodifiableSet());
+        }
+        liveEntries = alive;
     }
 
     private TableWatcher.Receiver receiver(String table) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -10,9 +10,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.desired.EngineSpec;
+import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.MinimumVersionRule;
 import org.papayawalk.core.place.PlacementRule;
@@ -44,8 +45,8 @@
 
     private final UpstreamTable upstreams;
 
-    /** Number of running entries, this one included. */
-    private final IntSupplier entryCount;
+    /** Hosts of the other running entries, by their IP addresses. */
+    private final Supplier<Set<HostId>> otherEntries;
 
     private final ManagedEntryMetrics metrics;
 
@@ -73,21 +74,21 @@
      * @param settings settings of the process
      * @param loop event loop thread
      * @param clock monotonic clock
-     * @param entryCount number of running entries, this one included
+     * @param otherEntries hosts of the other running entries, by their IP addresses
      * @param metrics counters and histograms
      */
     EntryContext(
             ManagedSettings settings,
             EventLoop loop,
             InstantSource clock,
-            IntSupplier entryCount,
+            Supplier<Set<HostId>> otherEntries,
             ManagedEntryMetrics metrics) {
         this.settings = settings;
         this.loop = loop;
         this.clock = clock;
-        this.entryCount = entryCount;
+        this.otherEntries = otherEntries;
         this.metrics = metrics;
-        this.placementRules = new PlacementRules(settings, entryCount, random);
+        this.placementRules = new PlacementRules(settings, otherEntries, random);
         this.upstreams =
                 new UpstreamTable(
                         loop, clock, new MinimumVersionRule(settings.limits().versionDeadline()));
@@ -153,7 +154,7 @@
      * @return at least 1
      */
     int entryCount() {
-        return entryCount.getAsInt();
+        return otherEntries.get().size() + 1;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -67,7 +67,7 @@
                         node.settings(),
                         loop,
                         node.clock(),
-                        node::entryCount,
+                        node::otherEntries,
                         new ManagedEntryMetrics(registry));
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
@@ -1,11 +1,15 @@
 package org.papayawalk.daemon.managed.entry;
 
+import java.util.Set;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.place.LeastLoaded;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.PlacementPolicy;
 import org.papayawalk.core.place.PlacementRule;
+import org.papayawalk.core.place.SharedEngines;
 import org.papayawalk.core.settings.ManagedSettings;
 
 /** Rules by which an entry selects upstreams. Confined to the event loop thread. */
@@ -16,6 +20,12 @@
     /** Load penalty, in slots, for an upstream in another region. */
     private static final double OTHER_REGION_PENALTY_SLOTS = 2.0;
 
+    /**
+     * Entries that share an engine. With half as many as an engine has slots, all of them together
+     * may send what is allowed before the next load report.
+     */
+    private static final int ENTRIES_PER_ENGINE = 8;
+
     private final ManagedSettings settings;
 
     private final PlacementRule engines;
@@ -26,14 +36,23 @@
      * Creates the rules.
      *
      * @param settings settings of the process
-     * @param entryCount number of running entries, at least 1
+     * @param otherEntries hosts of the other running entries, by their IP addresses
      * @param random random generator
      */
-    PlacementRules(ManagedSettings settings, IntSupplier entryCount, RandomGenerator random) {
+    PlacementRules(
+            ManagedSettings settings, Supplier<Set<HostId>> otherEntries, RandomGenerator random) {
         this.settings = settings;
+        IntSupplier entryCount = () -> otherEntries.get().size() + 1;
         engines =
-                new LeastLoaded(
-                        PlacementPolicy.ENGINES, entryCount, this::distancePenaltySlots, random);
+                new SharedEngines(
+                        new LeastLoaded(
+                                PlacementPolicy.ENGINES,
+                                () -> Math.min(entryCount.getAsInt(), ENTRIES_PER_ENGINE),
+                                this::distancePenaltySlots,
+                                random),
+                        ENTRIES_PER_ENGINE,
+                        new HostId(settings.ip()),
+                        otherEntries);
         plain =
                 new LeastLoaded(
                         PlacementPolicy.PLAIN, entryCount, this::distancePenaltySlots, random);
@@ -42,7 +61,8 @@
     /**
      * Returns the rule for engines.
      *
-     * @return rule with a short queue and a bound on unreported requests
+     * @return rule with a short queue and a bound on unreported requests, among a share of the
+     *     engines if there are many entries
      */
     PlacementRule engines() {
         return engines;
--- a/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
@@ -1,11 +1,16 @@
 package org.papayawalk.lab.load;
 
 import java.util.List;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.place.LeastLoaded;
 import org.papayawalk.core.place.LoadSheddingRule;
 import org.papayawalk.core.place.PlacementPolicy;
 import org.papayawalk.core.place.PlacementRule;
+import org.papayawalk.core.place.SharedEngines;
 
 /**
  * Placement and load shedding that are compared with other policies. Immutable.
@@ -26,11 +31,12 @@
         /**
          * Creates a placement rule.
          *
+         * @param entryIndex index of the entry, from 0
          * @param entries number of entries that share the engines
          * @param random random generator of the entry
          * @return rule
          */
-        PlacementRule create(int entries, RandomGenerator random);
+        PlacementRule create(int entryIndex, int entries, RandomGenerator random);
     }
 
     /** Requests that may queue at an engine in production, as a share of its slots. */
@@ -70,6 +76,10 @@
                     ablated("prefill-free", PlacementPolicy.ENGINES.sampleSize(), 0),
                     of("half-queue", 0.5, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT),
                     of("full-queue", 2, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT),
+                    of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
+                            .withRendezvous("rendezvous-4", 4),
+                    of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
+                            .withRendezvous("rendezvous-8", 8),
                     of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
                             .withSubsets("shared-4", 4),
                     of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
@@ -78,11 +88,14 @@
                             .withSubsets("shared-12", 12),
                     new LoadPolicy(
                             "two-choices",
-                            (n, r) -> new TwoChoicesPlacement(r),
+                            (i, n, r) -> new TwoChoicesPlacement(r),
                             LoadSheddingRule.DEFAULT,
                             0),
                     new LoadPolicy(
-                            "any", (n, r) -> new RandomPlacement(r), LoadSheddingRule.DEFAULT, 0));
+                            "any",
+                            (i, n, r) -> new RandomPlacement(r),
+                            LoadSheddingRule.DEFAULT,
+                            0));
 
     // Returns a policy with the placement used in production, but with other bounds.
     private static LoadPolicy of(
@@ -98,7 +111,7 @@
 
     private static LoadPolicy of(
             String name, PlacementPolicy policy, LoadSheddingRule loadShedding) {
-        PlacementFactory placement = (n, r) -> new LeastLoaded(policy, () -> n, c -> 0, r);
+        PlacementFactory placement = (i, n, r) -> new LeastLoaded(policy, () -> n, c -> 0, r);
         return new LoadPolicy(name, placement, loadShedding, 0);
     }
 
@@ -120,7 +133,30 @@
     // Returns this policy with the engines divided among the entries.
     private LoadPolicy withSubsets(String newName, int newEntriesPerEngine) {
         PlacementFactory placement =
-                (n, r) -> placement().create(Math.min(n, newEntriesPerEngine), r);
+                (i, n, r) -> placement().create(i, Math.min(n, newEntriesPerEngine), r);
         return new LoadPolicy(newName, placement, loadShedding, newEntriesPerEngine);
     }
+
+    // Returns this policy with a share of the engines for each entry, as in production.
+    private LoadPolicy withRendezvous(String newName, int newEntriesPerEngine) {
+        PlacementFactory shared =
+                (i, n, r) ->
+                        new SharedEngines(
+                                placement().create(i, Math.min(n, newEntriesPerEngine), r),
+                                newEntriesPerEngine,
+                                entry(i),
+                                () -> others(i, n));
+        return new LoadPolicy(newName, shared, loadShedding, 0);
+    }
+
+    private static Set<HostId> others(int index, int entries) {
+        return IntStream.range(0, entries)
+                .filter(i -> i != index)
+                .mapToObj(LoadPolicy::entry)
+                .collect(Collectors.toSet());
+    }
+
+    private static HostId entry(int index) {
+        return new HostId("entry-" + index);
+    }
 }
--- a/src/main/java/org/papayawalk/lab/load/SimulatedEntry.java
+++ b/src/main/java/org/papayawalk/lab/load/SimulatedEntry.java
@@ -94,7 +94,7 @@
             RefusalHandler refusalHandler) {
         this.scheduler = scheduler;
         this.engines = engines;
-        this.placement = policy.placement().create(entries, random);
+        this.placement = policy.placement().create(entryIndex, entries, random);
         this.loadShedding = policy.loadShedding();
         this.random = random;
         this.refusalHandler = refusalHandler;
