Play many entries in the test of the load model

The model's policy 'product' now divides the engines as the product does; with 7 entries it is unchanged.

--- a/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
@@ -48,13 +48,22 @@
      */
     private static final double MAX_UNREPORTED_SHARE = 0.5;
 
+    /** Entries that share an engine in production. */
+    private static final int ENTRIES_PER_ENGINE = 8;
+
     /** Share of the slots that is never reached, so that unreported requests are not bounded. */
     private static final double UNBOUNDED_SHARE = 1000;
 
     /** All policies; the first is the one used in production. */
     static final List<LoadPolicy> ALL =
             List.of(
-                    of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT),
+                    of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
+                            .withRendezvous("product", ENTRIES_PER_ENGINE),
+                    of(
+                            "undivided",
+                            MAX_QUEUE_SHARE,
+                            MAX_UNREPORTED_SHARE,
+                            LoadSheddingRule.DEFAULT),
                     of("unheard", MAX_QUEUE_SHARE, UNBOUNDED_SHARE, LoadSheddingRule.DEFAULT),
                     of(
                             "returns-late",
@@ -78,8 +87,6 @@
                     of("full-queue", 2, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT),
                     of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
                             .withRendezvous("rendezvous-4", 4),
-                    of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
-                            .withRendezvous("rendezvous-8", 8),
                     of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
                             .withSubsets("shared-4", 4),
                     of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
--- a/src/test/java/org/papayawalk/lab/load/LoadSimulationTest.java
+++ b/src/test/java/org/papayawalk/lab/load/LoadSimulationTest.java
@@ -18,6 +18,9 @@
     /** Share of the upper bound that must be reached while the demand is within the capacity. */
     private static final double MIN_BOUND_SHARE = 0.9;
 
+    /** Share of the worth with few entries that must be reached with many. */
+    private static final double MIN_SHARE_OF_FEW = 0.9;
+
     /**
      * Provides demands outside the burst, as shares of the capacity.
      *
@@ -68,12 +71,31 @@
         }
     }
 
-    // Runs a simulation. The load is the demand outside the burst, as a share of the capacity.
+    /**
+     * Callers of 35 entries get nearly what those of 7 get from the same engines; without a share
+     * of the engines for each entry they get far less.
+     */
+    @Test
+    public void manyEntriesServeLikeFew() {
+        double load = 0.8;
+        SimulationReport few = run(policy("product"), 7, load, 1.5);
+        SimulationReport many = run(policy("product"), 35, load, 1.5);
+        SimulationReport undivided = run(policy("undivided"), 35, load, 1.5);
+        assertTrue(many.worth() >= MIN_SHARE_OF_FEW * few.worth(), many + " against " + few);
+        assertTrue(many.worth() > undivided.worth(), many + " against " + undivided);
+    }
+
     private static SimulationReport run(LoadPolicy policy, double load, double burstFactor) {
+        return run(policy, 7, load, burstFactor);
+    }
+
+    // Runs a simulation. The load is the demand outside the burst, as a share of the capacity.
+    private static SimulationReport run(
+            LoadPolicy policy, int entries, double load, double burstFactor) {
         int engines = 16;
         LoadScenario scenario =
                 new LoadScenario(
-                        7,
+                        entries,
                         engines,
                         EngineProfile.PRODUCTION,
                         RequestClass.PRODUCTION,
