--- a/src/main/java/org/papayawalk/daemon/managed/ManagedMain.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedMain.java
@@ -18,22 +18,6 @@
 
     private ManagedMain() {}
 
-    /** Role of a daemon, entry or agent. */
-    public interface Role {
-        /**
-         * Starts the role and returns once it listens.
-         *
-         * @throws IOException if the settings lack a value that the role needs, or if an address
-         *     cannot be used
-         */
-        void start() throws IOException;
-
-        /**
-         * Stops the role gracefully. Called on a shutdown hook; blocks until the process may exit.
-         */
-        void stop();
-    }
-
     /**
      * Starts the daemon and returns; it runs until the process receives a termination signal. Exits
      * with status 2 if the arguments or the settings are invalid, with 3 if the role cannot start.
@@ -66,7 +50,8 @@
 
     private static void run(String name, ManagedSettings settings, Path file) {
         ManagedNode node = new ManagedNode(settings);
-        Role role = name.equals("entry") ? new ManagedEntryRole(node) : new ManagedAgentRole(node);
+        ManagedRole role =
+                name.equals("entry") ? new ManagedEntryRole(node) : new ManagedAgentRole(node);
         try {
             role.start();
         } catch (IOException e) {
--- a/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.Executors;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.settings.ManagedSettings;
-import org.papayawalk.daemon.managed.ManagedMain;
 import org.papayawalk.daemon.managed.ManagedNode;
+import org.papayawalk.daemon.managed.ManagedRole;
 import org.papayawalk.daemon.managed.StatusEndpoint;
 import org.papayawalk.daemon.managed.weight.ManagedOrigin;
 import org.papayawalk.daemon.managed.weight.ManagedSwarm;
@@ -20,7 +20,7 @@
  * Role of an agent on the managed platform: keeps the model engine beside this process at the
  * version that the operator wants. Thread-safe.
  */
-public final class ManagedAgentRole implements ManagedMain.Role {
+public final class ManagedAgentRole implements ManagedRole {
     private static final int WORKERS = 3;
 
     private final ManagedNode node;
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -17,8 +17,8 @@
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.desired.CallerLimits;
 import org.papayawalk.core.desired.DesiredState;
-import org.papayawalk.daemon.managed.ManagedMain;
 import org.papayawalk.daemon.managed.ManagedNode;
+import org.papayawalk.daemon.managed.ManagedRole;
 import org.papayawalk.daemon.managed.PlatformSnapshot;
 import org.papayawalk.daemon.managed.StatusEndpoint;
 import org.papayawalk.daemon.managed.weight.WeightRelay;
@@ -26,7 +26,7 @@
 import org.papayawalk.log.Event;
 
 /** Role of the process that receives callers' requests. Thread-safe. */
-public final class ManagedEntryRole implements ManagedMain.Role {
+public final class ManagedEntryRole implements ManagedRole {
     private static final int ACCEPT_BACKLOG = 1024;
 
     /** Time after the stop signal during which new requests are still served. */
