--- a/src/main/java/org/papayawalk/core/upstream/EngineNotices.java
+++ b/src/main/java/org/papayawalk/core/upstream/EngineNotices.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -16,10 +16,21 @@
     /** Time after which a load that has neither ended nor been withdrawn counts as failed. */
     public static final Duration MAX_LOADING_TIME = Duration.ofMillis(2500);
 
-    /** Bound on the notices; more than the engines of a deployment. */
+    /** Bound on the notices; the one that was not renewed for longest is forgotten first. */
     private static final int MAX_NOTICES = 4096;
 
-    private final Map<String, Received> byAddress = new HashMap<>();
+    private static final int INITIAL_CAPACITY = 16;
+
+    private static final float LOAD_FACTOR = 0.75f;
+
+    /** Notices by the address of the engine, the least recently used first. */
+    private final Map<String, Received> byAddress =
+            new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Received> eldest) {
+                    return size() > MAX_NOTICES;
+                }
+            };
 
     /**
      * Records a notice. Ignores one of an earlier process at the same address.
@@ -30,8 +41,7 @@
      */
     public boolean record(EngineNotice notice, Instant now) {
         Received known = byAddress.get(notice.address());
-        boolean earlier = known != null && notice.incarnation() < known.notice().incarnation();
-        if (earlier || (known == null && byAddress.size() >= MAX_NOTICES)) {
+        if (known != null && notice.incarnation() < known.notice().incarnation()) {
             return false;
         }
         byAddress.put(notice.address(), new Received(notice, now));
