--- a/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
@@ -12,8 +12,6 @@
 import org.papayawalk.support.Await;
 import org.papayawalk.support.FreePort;
 import org.papayawalk.wire.MessageHandler;
-import org.papayawalk.wire.PeerServerConnection;
-import org.papayawalk.wire.proto.Envelope;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -28,18 +26,7 @@
 
     private static final ServiceId DESK = new ServiceId("desk");
 
-    private static final MessageHandler NO_WEIGHTS =
-            new MessageHandler() {
-                @Override
-                public void onMessage(Envelope message, PeerServerConnection from) {
-                    // This test sends no messages about weights.
-                }
-
-                @Override
-                public void onClose(PeerServerConnection from) {
-                    // This test sends no messages about weights.
-                }
-            };
+    private static final MessageHandler NO_WEIGHTS = new NoWeights();
 
     private FakeStore store;
 
--- a/src/test/java/org/papayawalk/daemon/managed/StoreRestoreTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/StoreRestoreTest.java
@@ -14,8 +14,6 @@
 import org.papayawalk.support.Await;
 import org.papayawalk.support.FreePort;
 import org.papayawalk.wire.MessageHandler;
-import org.papayawalk.wire.PeerServerConnection;
-import org.papayawalk.wire.proto.Envelope;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -32,18 +30,7 @@
 
     private static final ServiceId DESK = new ServiceId("desk");
 
-    private static final MessageHandler NO_WEIGHTS =
-            new MessageHandler() {
-                @Override
-                public void onMessage(Envelope message, PeerServerConnection from) {
-                    // This test sends no messages about weights.
-                }
-
-                @Override
-                public void onClose(PeerServerConnection from) {
-                    // This test sends no messages about weights.
-                }
-            };
+    private static final MessageHandler NO_WEIGHTS = new NoWeights();
 
     private FakeStore store;
 
--- a/src/test/java/org/papayawalk/daemon/managed/UnresponsiveEntryTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/UnresponsiveEntryTest.java
@@ -11,8 +11,6 @@
 import org.papayawalk.support.Await;
 import org.papayawalk.support.FreePort;
 import org.papayawalk.wire.MessageHandler;
-import org.papayawalk.wire.PeerServerConnection;
-import org.papayawalk.wire.proto.Envelope;
 import org.testng.annotations.Test;
 
 /**
@@ -24,18 +22,7 @@
 
     private static final long ENTRY_TIMEOUT_MILLIS = 1500;
 
-    private static final MessageHandler NO_WEIGHTS =
-            new MessageHandler() {
-                @Override
-                public void onMessage(Envelope message, PeerServerConnection from) {
-                    // This test sends no messages about weights.
-                }
-
-                @Override
-                public void onClose(PeerServerConnection from) {
-                    // This test sends no messages about weights.
-                }
-            };
+    private static final MessageHandler NO_WEIGHTS = new NoWeights();
 
     /**
      * The agent finds the entry that replies, and receives later changes through it.
--- a/src/test/java/org/papayawalk/daemon/managed/agent/ManagedAgentRoleTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/ManagedAgentRoleTest.java
@@ -3,14 +3,10 @@
 import static org.testng.Assert.assertEquals;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.papayawalk.daemon.managed.FakeStore;
-import org.papayawalk.daemon.managed.ManagedNode;
-import org.papayawalk.platform.ManagedSettingsCodec;
 import org.papayawalk.support.Await;
-import org.papayawalk.support.FreePort;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -25,14 +21,7 @@
     // Time for which the test watches for an event that must not happen.
     private static final long OBSERVATION_MILLIS = 400;
 
-    // Desired state, with a placeholder for the address of the origin.
-    private static final String DESIRED =
-            """
-            {"version":1,"routes":[],"services":[
-            {"name":"helper","engine":{"slots":4,"models":[{"name":"m","warmupS":0.1}],"chunks":6,
-             "chunkBytes":512}},
-            {"name":"origin","origin":"%s","zone":"luzon-a"}]}
-            """;
+    private ManagedAgentFixture fixture;
 
     private FakeStore store;
 
@@ -46,33 +35,16 @@
      */
     @BeforeClass
     public void start() throws IOException {
-        store = new FakeStore();
-        engine = new FakeEngine();
-        store.put("op", "config", DESIRED.formatted(engine.address()));
-        store.put(
-                "servers",
-                "i-1",
-                """
-                {"service":"helper","address":"%s","zone":"luzon-a","slots":4,"state":"ready"}
-                """
-                        .formatted(engine.address()));
-        String settings =
-                """
-                {"nodeName":"side-1","ip":"127.0.0.1","zone":"luzon-a",
-                 "zones":{"luzon-a":"luzon"},"internalPorts":[%d,%d],"seeds":[],"listen":{},
-                 "bootstrap":true,"provider":{"address":"%s"},"bounds":{"version_ms":8000},
-                 "limits":{"linkMbps":1000},"app":"%s","service":"helper"}
-                """
-                        .formatted(FreePort.find(), 0, store.address(), engine.address());
-        byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
-        new ManagedAgentRole(new ManagedNode(ManagedSettingsCodec.decode(bytes))).start();
+        fixture = new ManagedAgentFixture();
+        store = fixture.store();
+        engine = fixture.engine();
+        fixture.startAgent();
     }
 
     /** Stops the fakes. */
     @AfterClass
     public void stop() {
-        store.close();
-        engine.close();
+        fixture.close();
     }
 
     /** An engine without weights gets the first version, each chunk from the origin once. */
