Fetch a version at once when the engines that served it are gone

Cause, in reading: right after a loss of power the rows of dead engines still say that the version is served; a relay would then wait 6 s for agents that hold nothing.

Change: the delay ends as soon as no registered engine serves the version any more.

--- a/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
@@ -50,6 +50,9 @@
     /** Version to fetch and serve; empty until a snapshot has an engine service with a model. */
     private Optional<WeightVersion> current = Optional.empty();
 
+    /** Whether the current version is fetched after a delay, because agents hold it. */
+    private boolean fetchDelayed;
+
     /** Whether {@link #scheduleFinishCheck} has scheduled a check that has not run yet. */
     private boolean finishCheckScheduled;
 
@@ -85,18 +88,21 @@
         Optional<RequestedVersion> requested = snapshot.newestVersion(model.get());
         WeightVersion version =
                 new WeightVersion(model.get(), requested.map(RequestedVersion::number).orElse(1));
-        if (current.equals(Optional.of(version))) {
+        Optional<ServiceId> service = engineService.map(ServiceSpec::id);
+        boolean served =
+                snapshot.isServed(service.orElseThrow(), version.model(), version.number());
+        boolean isNew = swarm.isNewVersion(requested, served);
+        boolean unchanged = current.equals(Optional.of(version));
+        boolean urgentNow = fetchDelayed && isNew;
+        if (unchanged && !urgentNow) {
             return;
         }
-        if (requested.isPresent() && finishesCurrent(requested.get())) {
+        if (!unchanged && requested.isPresent() && finishesCurrent(requested.get())) {
             scheduleFinishCheck();
             return;
         }
         current = Optional.of(version);
-        Optional<ServiceId> service = engineService.map(ServiceSpec::id);
-        boolean served =
-                snapshot.isServed(service.orElseThrow(), version.model(), version.number());
-        boolean isNew = swarm.isNewVersion(requested, served);
+        fetchDelayed = !isNew;
         Duration delay = isNew ? Duration.ZERO : OLD_VERSION_DELAY;
         node.thread().schedule(delay, () -> fetch(version, isNew, service));
     }
@@ -128,9 +134,12 @@
                         node.clock().instant());
     }
 
-    // Does nothing if another version has become the current one during the delay.
+    // Does nothing if another version has become the current one during the delay, or if the fetch
+    // has become urgent meanwhile, because the engines that served the version are gone.
     private void fetch(WeightVersion version, boolean isNew, Optional<ServiceId> service) {
-        if (current.equals(Optional.of(version))) {
+        boolean overtaken = !isNew && !fetchDelayed;
+        if (current.equals(Optional.of(version)) && !overtaken) {
+            fetchDelayed = false;
             origin.register(version);
             swarm.setWantedVersion(version, isNew, service);
         }
