Test that notices of an engine reach entries without the store

Cause: the notices were tested as decisions only; that they travel from an agent to every entry, also to one that the store turns away, had no test.

Change: ManagedNodeTest sends the notice of a load and of the version served after it.

--- a/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
@@ -1,13 +1,16 @@
 package org.papayawalk.daemon.managed;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.id.UpstreamId;
 import org.papayawalk.core.suspect.SuspectRegistry;
+import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.platform.ManagedSettingsCodec;
 import org.papayawalk.support.Await;
 import org.papayawalk.support.FreePort;
@@ -26,6 +29,18 @@
 
     private static final ServiceId DESK = new ServiceId("desk");
 
+    private static final ServiceId HELPER = new ServiceId("helper");
+
+    private static final String ENGINE_ADDRESS = "127.0.0.1:3";
+
+    private static final long ENGINE_INCARNATION = 17;
+
+    private static final String ENGINE_ROW =
+            """
+            {"service":"helper","address":"127.0.0.1:3","zone":"luzon-a","slots":4,"state":"ready",
+             "born":17,"models":[{"name":"m","version":1,"adapters":[]}]}
+            """;
+
     private static final MessageHandler NO_WEIGHTS = new NoWeights();
 
     private FakeStore store;
@@ -53,6 +68,7 @@
         store = new FakeStore();
         store.put("op", "config", "{\"version\":4,\"routes\":[],\"services\":[]}");
         store.put("servers", "i-1", server("ready"));
+        store.put("servers", "i-9", ENGINE_ROW);
         int control = FreePort.find();
         connected = node("front-1", control, control, store.address());
         isolated = node("front-2", FreePort.find(), control, "127.0.0.1:1");
@@ -104,6 +120,29 @@
                                 .isEmpty());
     }
 
+    /**
+     * What an agent tells of its engine reaches both entries, also the one without access to the
+     * store: first that the engine loads a version, then that it serves it.
+     */
+    @Test(dependsOnMethods = "desiredStateReachesDaemonsWithoutStoreAccess")
+    public void noticesOfAnEngineReachTheEntries() {
+        Await.within(TIMEOUT_MILLIS, () -> agent.liveEntries().size() == 2);
+        agent.notifyEntries(new EngineNotice(ENGINE_ADDRESS, ENGINE_INCARNATION, "m", 1, 2));
+        UpstreamId engine = new UpstreamId("i-9");
+        Await.within(
+                TIMEOUT_MILLIS,
+                () ->
+                        connected.state().snapshot().loading().contains(engine)
+                                && isolated.state().snapshot().loading().contains(engine));
+        agent.notifyEntries(new EngineNotice(ENGINE_ADDRESS, ENGINE_INCARNATION, "m", 2, 0));
+        Await.within(
+                TIMEOUT_MILLIS,
+                () ->
+                        connected.state().snapshot().isServed(HELPER, "m", 2)
+                                && isolated.state().snapshot().isServed(HELPER, "m", 2));
+        assertTrue(isolated.state().snapshot().loading().isEmpty());
+    }
+
     /** The entries count each other, as they divide budgets among them. */
     @Test(dependsOnMethods = "desiredStateReachesDaemonsWithoutStoreAccess")
     public void entriesCountEachOther() {
