Test on the wire that a request is withdrawn when its weights expire

Without the withdrawal the caller gets 504 at the timeout of the route in place of 502 at the limit of the version, and the engine keeps the request.

--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/WeightExpiryTest.java
@@ -0,0 +1,91 @@
+package org.papayawalk.daemon.managed.entry;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.papayawalk.daemon.managed.FakeStore;
+import org.papayawalk.daemon.managed.FakeUpstream;
+import org.papayawalk.daemon.managed.FakeUpstream.Mode;
+import org.papayawalk.daemon.managed.ManagedNode;
+import org.papayawalk.platform.ManagedSettingsCodec;
+import org.papayawalk.support.Await;
+import org.papayawalk.support.FreePort;
+import org.testng.annotations.Test;
+
+/**
+ * A request waits in the queue of an overloaded engine while the version of its weights expires. If
+ * the entry left it there, it would begin on a version that may no longer answer.
+ */
+public final class WeightExpiryTest {
+    private static final long TIMEOUT_MILLIS = 10_000;
+
+    // The route's timeout is longer than the time that an old version may answer, which is 3 s.
+    private static final String DESIRED =
+            """
+            {"version":1,"routes":[
+            {"name":"advice","host":"shop.example","prefix":"/advice/","kind":"streaming",
+             "timeoutMs":9000,"targetLatencyMs":500,"priority":1,"service":"helper",
+             "maxAttempts":1,"resumeStreams":true}],
+            "services":[{"name":"helper","maxConnections":50}],
+            "limits":{"maxHeaderBytes":2048,"maxBodyBytes":4096,"headerTimeoutMs":400,
+             "idleTimeoutMs":15000},
+            "tenants":[{"name":"bakers","apiKeys":["key-1"]}]}
+            """;
+
+    private static final String ENGINE =
+            """
+            {"service":"helper","address":"%s","zone":"luzon-a","slots":4,"state":"ready","born":1,
+             "models":[{"name":"m","version":1,"adapters":[]}]}
+            """;
+
+    /**
+     * The request is withdrawn when the version expires, long before the timeout of its route.
+     *
+     * @throws IOException if a port cannot be bound
+     */
+    @Test
+    public void requestThatHasNotBegunIsWithdrawn() throws IOException {
+        try (FakeStore store = new FakeStore();
+                FakeUpstream engine = new FakeUpstream(Mode.MUTE)) {
+            store.put("op", "config", DESIRED);
+            store.put("servers", "i-1", ENGINE.formatted(engine.address()));
+            int port = FreePort.find();
+            int readyPort = FreePort.find();
+            ManagedNode node = start(port, readyPort, store.address());
+            Await.within(
+                    TIMEOUT_MILLIS, () -> TestCaller.get(readyPort, "/readiness").status() == 200);
+            store.put("op", "version/m", "{\"model\":\"m\",\"version\":2}");
+            Await.within(
+                    TIMEOUT_MILLIS, () -> node.state().snapshot().newestVersion("m").isPresent());
+            TestCaller caller = new TestCaller(port);
+            try (Socket socket = caller.connect()) {
+                String request = caller.request("GET", "/advice/x", "key-1");
+                TestCaller.write(
+                        socket, request.replace("\r\nConnection", "\r\nX-Model: m\r\nConnection"));
+                assertEquals(TestCaller.read(socket).status(), 502);
+            }
+            Await.within(TIMEOUT_MILLIS, () -> engine.abandoned().equals(List.of("r1")));
+        }
+    }
+
+    private static ManagedNode start(int port, int readyPort, String storeAddress)
+            throws IOException {
+        String settings =
+                """
+                {"nodeName":"front-1","ip":"127.0.0.1","zone":"luzon-a",
+                 "zones":{"luzon-a":"luzon"},"internalPorts":[%d,%d],"seeds":[],
+                 "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
+                 "provider":{"address":"%s"},
+                 "bounds":{"graceS":8,"budgetSlack":500,"version_ms":3000},
+                 "limits":{"linkMbps":1000}}
+                """
+                        .formatted(FreePort.find(), 0, port, readyPort, storeAddress);
+        byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
+        ManagedNode node = new ManagedNode(ManagedSettingsCodec.decode(bytes));
+        new ManagedEntryRole(node).start();
+        return node;
+    }
+}
