--- a/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
@@ -147,12 +147,11 @@
     // Returns this policy with a share of the engines for each entry, as in production.
     private LoadPolicy withRendezvous(String newName, int newEntriesPerEngine) {
         PlacementFactory shared =
-                (i, n, r) ->
-                        new SharedEngines(
-                                placement().create(i, Math.min(n, newEntriesPerEngine), r),
-                                newEntriesPerEngine,
-                                entry(i),
-                                () -> others(i, n));
+                (i, n, r) -> {
+                    PlacementRule rule = placement().create(i, Math.min(n, newEntriesPerEngine), r);
+                    Set<HostId> others = others(i, n);
+                    return new SharedEngines(rule, newEntriesPerEngine, entry(i), () -> others);
+                };
         return new LoadPolicy(newName, shared, loadShedding, 0);
     }
 
