--- a/src/main/java/org/papayawalk/core/id/StoreEra.java
+++ b/src/main/java/org/papayawalk/core/id/StoreEra.java
@@ -2,7 +2,7 @@
 
 /**
  * Number of times that the platform's store was restored from an older copy of itself. Table
- * versions are comparable within one era only: a restored store gives out versions again.
+ * versions are comparable within one era only, because a restored store reuses version numbers.
  * Immutable.
  *
  * @param number 0 until the store states an era
--- a/src/main/java/org/papayawalk/core/place/SharedEngines.java
+++ b/src/main/java/org/papayawalk/core/place/SharedEngines.java
@@ -15,9 +15,9 @@
 
 /**
  * Restricts an entry to a share of the engines if there are many entries. Answers the load of more
- * entries than an engine has slots: an entry hears of an engine's load only by responses to its own
- * requests, so with all engines to choose from it hears of each too seldom, and one unreported
- * request of every entry is too many.
+ * entries than an engine has slots. An entry receives load reports only with the responses to its
+ * own requests. If every entry used every engine, these reports would be rare, and the unreported
+ * requests of all entries together would exceed the slots of an engine.
  *
  * <p>Rendezvous hashing assigns a bounded number of entries to each engine, without communication;
  * an engine or entry that comes or goes moves few others. Every entry has at least the mean number
--- a/src/main/java/org/papayawalk/core/upstream/EngineNotices.java
+++ b/src/main/java/org/papayawalk/core/upstream/EngineNotices.java
@@ -49,7 +49,7 @@
     }
 
     /**
-     * Returns a registration with the version that the engine's agent has told.
+     * Returns a registration with the version that the engine's agent has reported.
      *
      * @param registration registration as read from the store
      * @return the registration, with the higher version of both
--- a/src/main/java/org/papayawalk/core/upstream/TableReplica.java
+++ b/src/main/java/org/papayawalk/core/upstream/TableReplica.java
@@ -100,8 +100,7 @@
     }
 
     // Replaces all rows by the first snapshot of a later era. A row with the same value as before
-    // is
-    // not a change; tombstones of the earlier era are dropped.
+    // is not a change. Tombstones of the earlier era are dropped.
     private List<TableRecord> enterEra(TableUpdate snapshot) {
         Map<String, TableRecord> before = new HashMap<>(rows);
         List<TableRecord> changed = new ArrayList<>();
--- a/src/main/java/org/papayawalk/core/upstream/TableVersion.java
+++ b/src/main/java/org/papayawalk/core/upstream/TableVersion.java
@@ -5,7 +5,7 @@
 
 /**
  * Version of a table of the store. Ordered by era first, because a store that was restored from an
- * older copy gives out the same numbers again. Immutable.
+ * older copy reuses version numbers. Immutable.
  *
  * @param era era of the store in which the number was given out
  * @param number version within the era, 0 before the first read
--- a/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
+++ b/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
@@ -35,8 +35,9 @@
     private static final int RAREST_FIRST_SAMPLE = 6;
 
     /**
-     * Busy replies to requests for a chunk, by a host that reports no chunk at all, after which the
-     * next host in the fallback order is asked: it may not even have the manifest.
+     * Limit of busy replies to requests for a chunk from hosts that report no chunk at all. Such a
+     * host may be unable to fetch even the manifest, so the next host in the fallback order is
+     * asked.
      */
     private static final int MAX_BUSY_REPLIES = 2;
 
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -133,8 +133,8 @@
 
     /**
      * Starts as an agent: reads the store, polls one entry for state, and watches the store until
-     * the first reply and whenever no entry replies. After a restart of all hosts, the agents so do
-     * not wait for the entries. Returns once it listens.
+     * the first reply and whenever no entry replies. So agents need not wait for the entries after
+     * a restart of all hosts. Returns once it listens.
      *
      * @param handler handles the messages of other daemons
      * @throws IOException if the address cannot be used
@@ -243,9 +243,9 @@
     }
 
     /**
-     * Tells entries of the engine beside this agent: all that are alive, or those of this failure
-     * domain first if there are many. A lost message is not repeated; the engine's registration
-     * follows.
+     * Sends a notice of the engine beside this agent to the live entries, those of this failure
+     * domain first, up to a limit. A lost message is not repeated, as the engine's registration
+     * carries the same state later.
      *
      * @param notice notice
      */
