Log each failed call to the store and the time without an answer

Change: store-call-failed for the further failures, at most one for each call; store-regained states the time without an answer. No change of logic.

--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -93,7 +93,7 @@
         for (String table : state.tableNames()) {
             watchers.add(
                     new TableWatcher(
-                            http, settings.storeAddress(), table, thread, receiver(table)));
+                            http, settings.storeAddress(), table, thread, receiver(table), clock));
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -3,6 +3,8 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -88,8 +90,13 @@
 
     private final Receiver receiver;
 
+    private final InstantSource clock;
+
     private int consecutiveFailures;
 
+    // Last call that succeeded, initially the creation of the watcher.
+    private Instant lastSuccessAt;
+
     // Whether the store has dropped changes that this daemon has not received, or was restored.
     private boolean needsFullRead;
 
@@ -109,18 +116,22 @@
      * @param table name of the table
      * @param thread control thread
      * @param receiver receives what is read
+     * @param clock monotonic clock
      */
     TableWatcher(
             AsyncHttpClient http,
             String storeAddress,
             String table,
             ControlThread thread,
-            Receiver receiver) {
+            Receiver receiver,
+            InstantSource clock) {
         this.http = http;
         this.storeAddress = storeAddress;
         this.table = table;
         this.thread = thread;
         this.receiver = receiver;
+        this.clock = clock;
+        this.lastSuccessAt = clock.instant();
     }
 
     /** Starts watching the table; no effect while it runs. */
@@ -254,26 +265,31 @@
     }
 
     private void recordSuccess() {
+        Instant now = clock.instant();
         if (consecutiveFailures > 0) {
             Event.named("store-regained")
                     .with("table", table)
                     .with("failures", consecutiveFailures)
+                    .with("unanswered_ms", Duration.between(lastSuccessAt, now).toMillis())
                     .info();
         }
         consecutiveFailures = 0;
+        lastSuccessAt = now;
     }
 
     private void retryAfterFailure(Either<Fault, AsyncHttpResponse> result, int callGeneration) {
+        String reason =
+                result.fold(
+                        Fault::toString,
+                        a -> "HTTP status " + a.status() + " from the store at " + storeAddress);
         if (consecutiveFailures == 0) {
-            String reason =
-                    result.fold(
-                            Fault::toString,
-                            a ->
-                                    "HTTP status "
-                                            + a.status()
-                                            + " from the store at "
-                                            + storeAddress);
             Event.named("store-lost").with("table", table).with("reason", reason).warn();
+        } else {
+            Event.named("store-call-failed")
+                    .with("table", table)
+                    .with("failures", consecutiveFailures + 1)
+                    .with("reason", reason)
+                    .info();
         }
         consecutiveFailures++;
         receiver.storeFailed();
--- a/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.upstream.TableReplica;
 import org.papayawalk.core.upstream.TableUpdate;
@@ -73,7 +74,9 @@
                     }
                 };
         AsyncHttpClient http = new AsyncHttpClient(runtime.group());
-        TableWatcher watcher = new TableWatcher(http, store.address(), TABLE, thread, receiver);
+        MonotonicClock clock = new MonotonicClock();
+        TableWatcher watcher =
+                new TableWatcher(http, store.address(), TABLE, thread, receiver, clock);
         thread.execute(watcher::start);
         Await.within(TIMEOUT_MILLIS, () -> rows() == 1);
     }
