Show that a lost call holds back changes of the desired state (fails)

Cause, shown here: a call that the store never answers is noticed after 5.2 s, the wait of the long poll and the time for the answer; the calls after it wait as long. The bound is 3 s: with the settings' contactMs of 3000, a daemon counts as in touch 3 s after trouble of the store has ended. The old case, pauses between stale reads, passes.

--- a/src/test/java/org/papayawalk/daemon/managed/FakeStore.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeStore.java
@@ -52,6 +52,12 @@
 
     private int fullReads;
 
+    // Whether calls stay without an answer.
+    private boolean silent;
+
+    // Number of calls that were left without an answer.
+    private int unansweredCalls;
+
     // Number of restores.
     private long era;
 
@@ -211,6 +217,26 @@
         notifyAll();
     }
 
+    /**
+     * Leaves calls without an answer for as long as the store is silent: those that arrive and
+     * those that wait. They stay so also afterwards.
+     *
+     * @param nowSilent whether the store is silent from now on
+     */
+    public synchronized void setSilent(boolean nowSilent) {
+        silent = nowSilent;
+        notifyAll();
+    }
+
+    /**
+     * Returns how many calls were left without an answer.
+     *
+     * @return number of calls
+     */
+    public synchronized int unansweredCalls() {
+        return unansweredCalls;
+    }
+
     @Override
     public void close() {
         server.stop(0);
@@ -256,6 +282,7 @@
         long until = System.nanoTime() + wait * 1_000_000;
         long begunIn = era;
         while (refusalStatus == 0
+                && !silent
                 && begunIn == era
                 && after >= historyFrom
                 && after <= version
@@ -321,6 +348,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (isUnanswered()) {
+            return;
+        }
         status = status();
         int code = status != 0 ? status : answer == null ? 410 : 200;
         // The era at which a call was handled, as a restore may follow before the answer is sent.
@@ -332,6 +362,14 @@
         exchange.close();
     }
 
+    // Tells whether a call stays without an answer, and counts it.
+    private synchronized boolean isUnanswered() {
+        if (silent) {
+            unansweredCalls++;
+        }
+        return silent;
+    }
+
     private synchronized long era() {
         return era;
     }
--- a/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.MonotonicClock;
@@ -19,10 +20,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/**
- * Watches a table whose store drops its history while its full reads are stale. Without a pause the
- * watcher would repeat full reads in a tight loop.
- */
+/** Watches a table whose store drops its history, serves stale reads or leaves calls unanswered. */
 public final class TableWatcherTest {
     private static final long TIMEOUT_MILLIS = 10_000;
 
@@ -33,12 +31,15 @@
     // Least time that COUNTED_READS full reads of a stale table take.
     private static final long MIN_MILLIS = 700;
 
-    private final ControlThread thread = new ControlThread("watcher-test");
+    // Time after trouble of the store in which a daemon has to follow it again.
+    private static final Duration CATCH_UP = Duration.ofSeconds(3);
 
     private final EventLoops runtime = new EventLoops(1);
 
+    private ControlThread thread;
+
     // Confined to the control thread.
-    private final TableReplica replica = new TableReplica();
+    private TableReplica replica;
 
     private FakeStore store;
 
@@ -49,6 +50,8 @@
      */
     @BeforeMethod
     public void start() throws IOException {
+        thread = new ControlThread("watcher-test");
+        replica = new TableReplica();
         store = new FakeStore();
         store.put(TABLE, "a", "1");
         TableWatcher.Receiver receiver =
@@ -70,7 +73,7 @@
 
                     @Override
                     public void storeFailed() {
-                        // The store never fails in this test.
+                        // Tests observe the rows only.
                     }
                 };
         AsyncHttpClient http = new AsyncHttpClient(runtime.group());
@@ -89,8 +92,8 @@
     }
 
     /**
-     * While the history is dropped and full reads are stale, the table is read with pauses and the
-     * known rows stay. Once reads are current again, the change arrives.
+     * While the history is dropped and full reads are stale, the table is read with pauses, not in
+     * a tight loop, and the known rows stay. Once reads are current again, the change arrives.
      */
     @Test
     public void staleTableIsReadWithPauses() {
@@ -108,6 +111,27 @@
         Await.within(TIMEOUT_MILLIS, () -> rows() == 3);
     }
 
+    /** A change arrives in time although the call that was pending when it was made is lost. */
+    @Test
+    public void lostLongPollDoesNotHoldBackLaterChanges() {
+        checkCatchUpAfterLostCalls(1);
+    }
+
+    /** A change arrives in time although the store lost several calls in a row. */
+    @Test
+    public void callLostAtTheEndOfAnOutageDoesNotHoldBackLaterChanges() {
+        checkCatchUpAfterLostCalls(2);
+    }
+
+    // Silences the store until it has lost a number of calls, then makes a change.
+    private void checkCatchUpAfterLostCalls(int calls) {
+        store.setSilent(true);
+        Await.within(TIMEOUT_MILLIS, () -> store.unansweredCalls() >= calls);
+        store.setSilent(false);
+        store.put(TABLE, "b", "2");
+        Await.within(CATCH_UP.toMillis(), () -> rows() == 2);
+    }
+
     private int rows() {
         CompletableFuture<Integer> size = new CompletableFuture<>();
         thread.execute(() -> size.complete(replica.liveRows().size()));
