Retire silent connections to an address after a timeout

If all open connections go silent, the first call times out, and the next one takes another idle connection from the pool, which is silent too. Change: after a timeout, idle connections to that address without an answer since the call was sent are closed. Other clients of AsyncHttpClient (engine, origin, own rows) get the same.

--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -28,7 +28,9 @@
 
 /**
  * HTTP client with a connection pool. A connection carries one request at a time and is reused for
- * requests to the same address; it is closed if its request fails. Thread-safe.
+ * requests to the same address; it is closed if its request fails. After a timeout, idle
+ * connections to that address that have not answered since are not reused, as they may be silent
+ * too. Thread-safe.
  */
 public final class AsyncHttpClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
@@ -59,6 +61,7 @@
      * @return response with any status, or a fault; never completes exceptionally
      */
     public CompletableFuture<Either<Fault, AsyncHttpResponse>> send(AsyncHttpRequest request) {
+        long sentNanos = System.nanoTime();
         CompletableFuture<AsyncHttpResponse> response = new CompletableFuture<>();
         Connection pooled = takeIdle(request.address());
         if (pooled == null) {
@@ -67,12 +70,22 @@
             pooled.send(request, response);
         }
         return response.orTimeout(request.timeout().toNanos(), TimeUnit.NANOSECONDS)
-                .handle(
-                        (a, e) ->
-                                e == null
-                                        ? Either.<Fault, AsyncHttpResponse>right(a)
-                                        : Either.<Fault, AsyncHttpResponse>left(
-                                                toFault(request, e)));
+                .handle((a, e) -> toResult(request, sentNanos, a, e));
+    }
+
+    // The response is null if the request failed, otherwise the failure is.
+    private Either<Fault, AsyncHttpResponse> toResult(
+            AsyncHttpRequest request,
+            long sentNanos,
+            AsyncHttpResponse response,
+            Throwable failure) {
+        if (failure == null) {
+            return Either.right(response);
+        }
+        if (failure instanceof TimeoutException) {
+            retireIdle(request.address(), sentNanos);
+        }
+        return Either.left(toFault(request, failure));
     }
 
     // Returns null if there is no reusable connection; closes those that are too old.
@@ -101,6 +114,18 @@
         }
     }
 
+    // Closes the idle connections to an address whose last answer is older than a request.
+    private void retireIdle(String address, long sentNanos) {
+        Deque<Connection> pool = idle.get(address);
+        if (pool == null) {
+            return;
+        }
+        synchronized (pool) {
+            pool.stream().filter(c -> !c.isReusable(sentNanos)).forEach(Connection::close);
+            pool.removeIf(c -> !c.isReusable(sentNanos));
+        }
+    }
+
     private void connect(AsyncHttpRequest request, CompletableFuture<AsyncHttpResponse> response) {
         Connection connection = new Connection(request.address());
         Connector.connect(
