--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -79,6 +79,9 @@
 
     private volatile Mode mode;
 
+    // Header by which answers state a limit, empty if they state none.
+    private volatile String limitHeader = "";
+
     /**
      * Starts a server on a free port.
      *
@@ -128,6 +131,20 @@
         mode = newMode;
     }
 
+    /**
+     * Makes all answers with a stamp state a limit from now on.
+     *
+     * @param perSecond requests per second from all entries together
+     */
+    public void limit(double perSecond) {
+        limitHeader = "Server-Limit: " + perSecond + "\r\n";
+    }
+
+    /** Makes answers state no limit from now on. */
+    public void unlimited() {
+        limitHeader = "";
+    }
+
     /** Sends the answers that mode {@link Mode#HELD} holds back. */
     public void release() {
         releaseLatch.countDown();
@@ -271,7 +288,7 @@
         out.flush();
     }
 
-    private static String response(int status, String id, String body, String extraHeaders) {
+    private String response(int status, String id, String body, String extraHeaders) {
         return "HTTP/1.1 "
                 + status
                 + " X\r\nContent-Length: "
@@ -284,7 +301,7 @@
     }
 
     // Returns the stream up to an event, without the last chunk.
-    private static String stream(Seen request, String id, int upTo) {
+    private String stream(Seen request, String id, int upTo) {
         StringBuilder text = new StringBuilder("HTTP/1.1 200 OK\r\n");
         text.append("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
         text.append(stampHeaders(id)).append("\r\n");
@@ -297,7 +314,10 @@
         return text.toString();
     }
 
-    private static String stampHeaders(String id) {
-        return "X-Request-Id: " + id + "\r\nX-Server-Stamp: code\r\nX-Server-Load: 1,0,4\r\n";
+    private String stampHeaders(String id) {
+        return "X-Request-Id: "
+                + id
+                + "\r\nX-Server-Stamp: code\r\nX-Server-Load: 1,0,4\r\n"
+                + limitHeader;
     }
 }
