Keep the limits that upstreams state in their answers

What operators saw: engines that had named a limit of 1 and 1.6 requests a second got 23 and 24 in 4 s. Cause: no code read the header Server-Limit. Class of fault: a signal of overload that is passed on to callers but not obeyed; X-Server-Load was the only one that placing knew. Ruled out: a limit kept by each entry for itself, or forgotten in between (rates did not change at 8.0 s). Change: UpstreamLimits (core.limit) knows what upstreams state to this entry and to others. Rendezvous hashing divides a limit among the entries, as many as it can take at once, each at its own pace; entries tell each other what was stated to themselves (ViewQuery, ViewReply). It ends with an answer to this entry that states none; an entry without a share learns that with one request. LimitedUpstreams takes upstreams without a request left out of placing.

--- a/src/main/java/org/papayawalk/core/call/ResponseMetadata.java
+++ b/src/main/java/org/papayawalk/core/call/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package org.papayawalk.core.call;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 /**
@@ -11,6 +12,8 @@
  * @param hasAuthenticationCode whether the response carries an authentication code of the upstream;
  *     the code itself is not verified
  * @param load load report, empty if the response carries none
+ * @param limitPerSecond requests per second that the upstream takes from all entries together,
+ *     empty if it states no limit
  * @param weightVersion version of the weights that produced the response, empty if not stated
  * @param keepAliveSeconds time for which the upstream keeps an idle connection open, in seconds;
  *     empty if not stated
@@ -20,5 +23,6 @@
         boolean notRun,
         boolean hasAuthenticationCode,
         Optional<ReportedLoad> load,
+        OptionalDouble limitPerSecond,
         OptionalInt weightVersion,
         OptionalInt keepAliveSeconds) {}
--- a/src/main/java/org/papayawalk/core/upstream/UpstreamRegistration.java
+++ b/src/main/java/org/papayawalk/core/upstream/UpstreamRegistration.java
@@ -5,6 +5,7 @@
 import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.core.id.UpstreamProcess;
 
 /**
  * Registration that an upstream writes to the platform's store. Immutable.
@@ -33,6 +34,15 @@
         models = Map.copyOf(models);
     }
 
+    /**
+     * Returns the process that the registration describes.
+     *
+     * @return process
+     */
+    public UpstreamProcess process() {
+        return new UpstreamProcess(id, incarnation);
+    }
+
     /**
      * Returns whether another registration belongs to the same process.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -19,7 +19,6 @@
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
-import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.core.upstream.PollSchedule;
 import org.papayawalk.core.upstream.TableUpdate;
@@ -109,16 +108,16 @@
      * Starts as an entry: watches the tables of the store, exchanges state with other entries and
      * answers the state queries of agents. Returns once it listens.
      *
-     * @param suspects crash evidence against requests, exchanged with the other entries
+     * @param evidence what this entry observes, exchanged with the other entries
      * @param weights handles all messages except state queries
      * @throws IOException if an address cannot be used
      */
-    public void runAsEntry(SuspectRegistry suspects, MessageHandler weights) throws IOException {
+    public void runAsEntry(SharedEvidence evidence, MessageHandler weights) throws IOException {
         StateSyncServer server =
                 new StateSyncServer(
                         state,
                         directory,
-                        suspects,
+                        evidence,
                         settings.peerAddress(),
                         settings.domain(),
                         thread,
@@ -128,7 +127,7 @@
         if (settings.controlAddress().isPresent()) {
             listen(settings.controlAddress().get(), handler);
         }
-        StateSyncClient client = client(suspects);
+        StateSyncClient client = client(evidence);
         thread.execute(
                 () -> {
                     watchers.forEach(TableWatcher::start);
@@ -149,7 +148,7 @@
      */
     public void runAsAgent(MessageHandler handler) throws IOException {
         listen(settings.peerAddress(), handler);
-        StateSyncClient client = client(new SuspectRegistry(1, Duration.ofSeconds(1)));
+        StateSyncClient client = client(SharedEvidence.none());
         thread.execute(
                 () -> {
                     watchers.forEach(TableWatcher::start);
@@ -279,12 +278,12 @@
         }
     }
 
-    private StateSyncClient client(SuspectRegistry suspects) {
+    private StateSyncClient client(SharedEvidence evidence) {
         return new StateSyncClient(
                 state,
                 directory,
                 settings.seeds(),
-                suspects,
+                evidence,
                 peers,
                 thread,
                 clock,
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
@@ -13,7 +13,6 @@
 import java.util.function.Consumer;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.id.DomainId;
-import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.wire.PeerClient;
 import org.papayawalk.wire.TrafficClass;
@@ -23,8 +22,8 @@
 import org.papayawalk.wire.proto.ViewReply;
 
 /**
- * Fetches table rows, addresses of entries and crash evidence from entries. An entry queries a few
- * random entries per round; an agent keeps one long poll open at one entry. Confined to the control
+ * Fetches table rows, addresses of entries and evidence from entries. An entry queries a few random
+ * entries per round; an agent keeps one long poll open at one entry. Confined to the control
  * thread.
  */
 final class StateSyncClient {
@@ -51,7 +50,7 @@
 
     private final List<String> seeds;
 
-    private final SuspectRegistry suspects;
+    private final SharedEvidence evidence;
 
     private final PeerClient client;
 
@@ -75,7 +74,7 @@
      * @param state state of this daemon
      * @param entries entries known to this daemon
      * @param seeds control addresses of some entries, used while no entry is known
-     * @param suspects crash evidence of this daemon
+     * @param evidence what this daemon observes
      * @param client client for messages to other daemons
      * @param thread control thread
      * @param clock monotonic clock
@@ -86,7 +85,7 @@
             PlatformState state,
             EntryDirectory entries,
             List<String> seeds,
-            SuspectRegistry suspects,
+            SharedEvidence evidence,
             PeerClient client,
             ControlThread thread,
             InstantSource clock,
@@ -95,7 +94,7 @@
         this.state = state;
         this.entries = entries;
         this.seeds = seeds;
-        this.suspects = suspects;
+        this.evidence = evidence;
         this.client = client;
         this.thread = thread;
         this.clock = clock;
@@ -128,7 +127,8 @@
         for (String t : targets.subList(0, Math.min(FANOUT, targets.size()))) {
             ViewQuery.Builder query =
                     ViewQuery.newBuilder().setEntry(StateSyncMessages.entryAddress(self, domain));
-            query.addAllLostRuns(StateSyncMessages.lostRuns(suspects, clock.instant()));
+            query.addAllLostRuns(StateSyncMessages.lostRuns(evidence.suspects(), clock.instant()));
+            query.addAllLimits(StateSyncMessages.limits(evidence.limits(), clock.instant()));
             sendQuery(t, query, Duration.ZERO, r -> {});
         }
     }
@@ -210,7 +210,8 @@
             }
         }
         state.recordPeerStoreHealth(reply.getStoreWellMillis());
-        StateSyncMessages.apply(reply.getLostRunsList(), suspects, now);
+        StateSyncMessages.apply(reply.getLostRunsList(), evidence.suspects(), now);
+        StateSyncMessages.apply(reply.getLimitsList(), evidence.limits(), now);
         StateSyncMessages.apply(reply, state, target);
         return true;
     }
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
@@ -1,12 +1,18 @@
 package org.papayawalk.daemon.managed;
 
 import com.google.protobuf.ByteString;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.StoreEra;
+import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.core.id.UpstreamProcess;
+import org.papayawalk.core.limit.LimitNotice;
+import org.papayawalk.core.limit.UpstreamLimits;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.core.upstream.TableRecord;
@@ -19,12 +25,13 @@
 import org.papayawalk.wire.proto.TableChanges;
 import org.papayawalk.wire.proto.TableMark;
 import org.papayawalk.wire.proto.TableRow;
+import org.papayawalk.wire.proto.UpstreamLimit;
 import org.papayawalk.wire.proto.ViewQuery;
 import org.papayawalk.wire.proto.ViewReply;
 
 /**
- * Encodes and decodes the messages by which daemons exchange table rows, addresses of entries and
- * crash evidence. Stateless.
+ * Encodes and decodes the messages by which daemons exchange table rows, addresses of entries,
+ * crash evidence and limits of upstreams. Stateless.
  */
 final class StateSyncMessages {
 
@@ -154,6 +161,47 @@
         }
     }
 
+    /**
+     * Encodes what upstreams lately stated of their limits to this entry.
+     *
+     * @param limits limits known to this daemon
+     * @param now present time
+     * @return one message per upstream process
+     */
+    static List<UpstreamLimit> limits(UpstreamLimits limits, Instant now) {
+        return limits.notices(now).stream()
+                .map(
+                        n ->
+                                UpstreamLimit.newBuilder()
+                                        .setUpstream(n.process().id().value())
+                                        .setIncarnation(n.process().incarnation())
+                                        .setPerSecond(n.perSecond().orElse(0))
+                                        .setEnded(n.perSecond().isEmpty())
+                                        .setAgeMillis((int) n.age().toMillis())
+                                        .build())
+                .toList();
+    }
+
+    /**
+     * Adds what upstreams stated of their limits to a peer.
+     *
+     * @param notices messages
+     * @param limits limits known to this daemon
+     * @param now present time
+     */
+    static void apply(List<UpstreamLimit> notices, UpstreamLimits limits, Instant now) {
+        limits.heard(notices.stream().map(StateSyncMessages::limit).toList(), now);
+    }
+
+    private static LimitNotice limit(UpstreamLimit notice) {
+        return new LimitNotice(
+                new UpstreamProcess(new UpstreamId(notice.getUpstream()), notice.getIncarnation()),
+                notice.getEnded()
+                        ? OptionalDouble.empty()
+                        : OptionalDouble.of(notice.getPerSecond()),
+                Duration.ofMillis(Integer.toUnsignedLong(notice.getAgeMillis())));
+    }
+
     /**
      * Encodes what an agent tells of the engine beside it.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import org.papayawalk.core.id.DomainId;
-import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.wire.PeerServerConnection;
 import org.papayawalk.wire.proto.Envelope;
@@ -27,7 +26,7 @@
 
     private final EntryDirectory entries;
 
-    private final SuspectRegistry suspects;
+    private final SharedEvidence evidence;
 
     private final String self;
 
@@ -44,7 +43,7 @@
      *
      * @param state state of this daemon
      * @param entries entries known to this daemon
-     * @param suspects crash evidence of this daemon
+     * @param evidence what this daemon observes
      * @param self address of this daemon
      * @param domain failure domain of this daemon
      * @param thread control thread
@@ -53,14 +52,14 @@
     StateSyncServer(
             PlatformState state,
             EntryDirectory entries,
-            SuspectRegistry suspects,
+            SharedEvidence evidence,
             String self,
             DomainId domain,
             ControlThread thread,
             InstantSource clock) {
         this.state = state;
         this.entries = entries;
-        this.suspects = suspects;
+        this.evidence = evidence;
         this.self = self;
         this.domain = domain;
         this.thread = thread;
@@ -85,7 +84,8 @@
             DomainId senderDomain = new DomainId(query.getEntry().getDomain());
             entries.recordContact(query.getEntry().getAddress(), senderDomain, now);
         }
-        StateSyncMessages.apply(query.getLostRunsList(), suspects, now);
+        StateSyncMessages.apply(query.getLostRunsList(), evidence.suspects(), now);
+        StateSyncMessages.apply(query.getLimitsList(), evidence.limits(), now);
         PendingQuery p = new PendingQuery(message.getCall(), query, from);
         boolean atOnce = query.getWaitMillis() == 0 || pending.size() >= MAX_PENDING;
         if (answer(p, atOnce)) {
@@ -119,7 +119,8 @@
         }
         reply.setStoreWellMillis(state.millisSinceStoreFailure());
         if (pendingQuery.query.hasEntry()) {
-            reply.addAllLostRuns(StateSyncMessages.lostRuns(suspects, now));
+            reply.addAllLostRuns(StateSyncMessages.lostRuns(evidence.suspects(), now));
+            reply.addAllLimits(StateSyncMessages.limits(evidence.limits(), now));
         }
         pendingQuery.from.send(
                 Envelope.newBuilder().setCall(pendingQuery.call).setViewReply(reply).build());
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -12,9 +12,11 @@
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.desired.EngineSpec;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.limit.UpstreamLimits;
 import org.papayawalk.core.place.MinimumVersionRule;
 import org.papayawalk.core.place.PlacementRule;
 import org.papayawalk.core.place.WindowedRetryBudget;
@@ -27,7 +29,7 @@
 
 /**
  * State and services that all exchanges of one entry share. Confined to the event loop thread,
- * except {@link #suspects()}, which is thread-safe.
+ * except {@link #suspects()} and {@link #limits()}, which are thread-safe.
  */
 final class EntryContext {
     private static final int CRASHES_BEFORE_REFUSAL = 3;
@@ -55,6 +57,8 @@
     private final SuspectRegistry suspects =
             new SuspectRegistry(CRASHES_BEFORE_REFUSAL, CRASH_RETENTION);
 
+    private final UpstreamLimits limits;
+
     private final Map<ServiceId, WindowedRetryBudget> retryBudgets = new HashMap<>();
 
     private final Map<ServiceId, DispatchQueue> queues = new HashMap<>();
@@ -88,7 +92,8 @@
         this.clock = clock;
         this.otherEntries = otherEntries;
         this.metrics = metrics;
-        this.placementRules = new PlacementRules(settings, otherEntries, random);
+        this.limits = new UpstreamLimits(new HostId(settings.ip()), otherEntries);
+        this.placementRules = new PlacementRules(settings, otherEntries, limits, random);
         this.upstreams =
                 new UpstreamTable(
                         loop, clock, new MinimumVersionRule(settings.limits().versionDeadline()));
@@ -130,6 +135,37 @@
         return suspects;
     }
 
+    /**
+     * Returns the limits that upstreams have stated.
+     *
+     * @return thread-safe registry
+     */
+    UpstreamLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Records what an answer states of the limit of its upstream.
+     *
+     * @param upstream upstream that answered
+     * @param answer metadata of the answer
+     * @param sentAt when the request was sent
+     */
+    void recordLimit(UpstreamRegistration upstream, ResponseMetadata answer, Instant sentAt) {
+        Instant now = clock.instant();
+        if (answer.limitPerSecond().isPresent()) {
+            double perSecond = answer.limitPerSecond().getAsDouble();
+            if (limits.stated(upstream.process(), perSecond, now)) {
+                Event.named("upstream-limited")
+                        .with("upstream", upstream.process())
+                        .with("per_second", perSecond)
+                        .info();
+            }
+        } else if (answer.hasAuthenticationCode() && limits.notStated(upstream.process(), sentAt)) {
+            Event.named("upstream-unlimited").with("upstream", upstream.process()).info();
+        }
+    }
+
     /**
      * Returns the counters and histograms.
      *
@@ -330,7 +366,7 @@
 
     private void recordCrash(String fingerprint, UpstreamRegistration upstream) {
         Instant now = clock.instant();
-        String process = upstream.id() + "/" + upstream.incarnation();
+        String process = upstream.process().toString();
         if (suspects.recordCrash(fingerprint, process, now)) {
             Event.named("request-suspected")
                     .with("fingerprint", fingerprint)
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -20,6 +20,7 @@
 import org.papayawalk.daemon.managed.ManagedNode;
 import org.papayawalk.daemon.managed.ManagedRole;
 import org.papayawalk.daemon.managed.PlatformSnapshot;
+import org.papayawalk.daemon.managed.SharedEvidence;
 import org.papayawalk.daemon.managed.StatusEndpoint;
 import org.papayawalk.daemon.managed.weight.WeightRelay;
 import org.papayawalk.http.SocketOptions;
@@ -74,7 +75,7 @@
     @Override
     public void start() throws IOException {
         node.state().addListener(this::snapshotChanged);
-        node.runAsEntry(entry.suspects(), relay.handler());
+        node.runAsEntry(new SharedEvidence(entry.suspects(), entry.limits()), relay.handler());
         StatusEndpoint status =
                 new StatusEndpoint(node.runtime().group(), () -> ready && !stopping, registry);
         if (node.settings().readyAddress().isPresent()) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
@@ -5,7 +5,9 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.limit.UpstreamLimits;
 import org.papayawalk.core.place.LeastLoaded;
+import org.papayawalk.core.place.LimitedUpstreams;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.PlacementPolicy;
 import org.papayawalk.core.place.PlacementRule;
@@ -37,25 +39,33 @@
      *
      * @param settings settings of the process
      * @param otherEntries hosts of the other running entries, by their IP addresses
+     * @param limits limits that upstreams have stated
      * @param random random generator
      */
     PlacementRules(
-            ManagedSettings settings, Supplier<Set<HostId>> otherEntries, RandomGenerator random) {
+            ManagedSettings settings,
+            Supplier<Set<HostId>> otherEntries,
+            UpstreamLimits limits,
+            RandomGenerator random) {
         this.settings = settings;
         IntSupplier entryCount = () -> otherEntries.get().size() + 1;
-        engines =
+        PlacementRule leastLoadedEngine =
+                new LeastLoaded(
+                        PlacementPolicy.ENGINES,
+                        () -> Math.min(entryCount.getAsInt(), ENTRIES_PER_ENGINE),
+                        this::distancePenaltySlots,
+                        random);
+        PlacementRule sharedEngines =
                 new SharedEngines(
-                        new LeastLoaded(
-                                PlacementPolicy.ENGINES,
-                                () -> Math.min(entryCount.getAsInt(), ENTRIES_PER_ENGINE),
-                                this::distancePenaltySlots,
-                                random),
+                        leastLoadedEngine,
                         ENTRIES_PER_ENGINE,
                         new HostId(settings.ip()),
                         otherEntries);
-        plain =
+        PlacementRule leastLoaded =
                 new LeastLoaded(
                         PlacementPolicy.PLAIN, entryCount, this::distancePenaltySlots, random);
+        engines = new LimitedUpstreams(sharedEngines, limits);
+        plain = new LimitedUpstreams(leastLoaded, limits);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -56,6 +56,9 @@
 
     private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
 
+    /** When a connection was requested for the request. */
+    private Instant sentAt;
+
     /** When data was last received, or the request was sent. */
     private Instant lastProgressAt = Instant.MIN;
 
@@ -85,6 +88,8 @@
                 entry.relativePromptLength(
                         exchange.authorized().service(), exchange.promptTokens());
         candidate.load().sent(pendingPrefill);
+        sentAt = entry.clock().instant();
+        entry.limits().sent(candidate.upstream().process(), sentAt);
         UpstreamTable.Upstream upstream =
                 entry.upstreams().find(candidate.upstream().id()).orElse(null);
         if (upstream == null) {
@@ -142,6 +147,8 @@
         notRun = metadata.notRun() || status == MISDIRECTED_REQUEST;
         if (status == MISDIRECTED_REQUEST) {
             entry.upstreams().pauseMisdirected(candidate.upstream().id(), now);
+        } else {
+            entry.recordLimit(candidate.upstream(), metadata, sentAt);
         }
         boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
         streaming = eventStream && metadata.hasAuthenticationCode();
--- a/src/main/java/org/papayawalk/platform/HeaderCodec.java
+++ b/src/main/java/org/papayawalk/platform/HeaderCodec.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -56,6 +57,9 @@
     /** Load of the server: running requests, waiting requests, slots, separated by commas. */
     private static final String LOAD = "X-Server-Load";
 
+    /** Requests per second, a decimal number, that the server takes from all machines together. */
+    private static final String LIMIT = "Server-Limit";
+
     /** Version of the weights that produced the response. */
     private static final String WEIGHT_VERSION = "X-Weight-Versions";
 
@@ -110,6 +114,7 @@
                 load.length == 3
                         ? Optional.of(new ReportedLoad(load[0], load[1], load[2]))
                         : Optional.empty(),
+                decimal(headers.get(LIMIT)),
                 version.length == 1 ? OptionalInt.of(version[0]) : OptionalInt.empty(),
                 keepAliveSeconds(headers.get("Keep-Alive")));
     }
@@ -173,6 +178,13 @@
         return numbers.length == 1 ? OptionalLong.of(numbers[0]) : OptionalLong.empty();
     }
 
+    // Decodes a decimal number that is not negative; the header may be null.
+    private static OptionalDouble decimal(String text) {
+        return text != null && text.matches(" *[0-9]{1,9}([.][0-9]{0,9})? *")
+                ? OptionalDouble.of(Double.parseDouble(text.strip()))
+                : OptionalDouble.empty();
+    }
+
     // Decodes the seconds for which a server keeps an idle connection open; the header may be null.
     private static OptionalInt keepAliveSeconds(String text) {
         if (text == null) {
--- a/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
@@ -6,9 +6,13 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Set;
 import org.papayawalk.core.desired.DesiredState;
+import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.core.id.UpstreamProcess;
+import org.papayawalk.core.limit.UpstreamLimits;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.platform.ManagedSettingsCodec;
@@ -58,6 +62,10 @@
 
     private final SuspectRegistry connectedEvidence = new SuspectRegistry(3, Duration.ofMinutes(1));
 
+    private final UpstreamLimits isolatedLimits = new UpstreamLimits(new HostId("a"), Set::of);
+
+    private final UpstreamLimits connectedLimits = new UpstreamLimits(new HostId("b"), Set::of);
+
     /**
      * Starts the store and the daemons.
      *
@@ -73,8 +81,8 @@
         connected = node("front-1", control, control, store.address());
         isolated = node("front-2", FreePort.find(), control, "127.0.0.1:1");
         agent = node("side-1", FreePort.find(), control, "127.0.0.1:1");
-        connected.runAsEntry(connectedEvidence, NO_WEIGHTS);
-        isolated.runAsEntry(isolatedEvidence, NO_WEIGHTS);
+        connected.runAsEntry(new SharedEvidence(connectedEvidence, connectedLimits), NO_WEIGHTS);
+        isolated.runAsEntry(new SharedEvidence(isolatedEvidence, isolatedLimits), NO_WEIGHTS);
         agent.runAsAgent(NO_WEIGHTS);
     }
 
@@ -120,6 +128,20 @@
                                 .isEmpty());
     }
 
+    /** A limit that an upstream stated to one entry reaches the other, in both directions. */
+    @Test(dependsOnMethods = "desiredStateReachesDaemonsWithoutStoreAccess")
+    public void limitsReachOtherEntries() {
+        UpstreamProcess first = new UpstreamProcess(new UpstreamId("i-5"), 1);
+        UpstreamProcess second = new UpstreamProcess(new UpstreamId("i-6"), 1);
+        isolatedLimits.stated(first, 0.1, isolated.clock().instant());
+        connectedLimits.stated(second, 0.1, connected.clock().instant());
+        Await.within(
+                TIMEOUT_MILLIS,
+                () ->
+                        !connectedLimits.admits(first, connected.clock().instant())
+                                && !isolatedLimits.admits(second, isolated.clock().instant()));
+    }
+
     /**
      * What an agent tells of its engine reaches both entries, also the one without access to the
      * store: first that the engine loads a version, then that it serves it.
--- a/src/test/java/org/papayawalk/daemon/managed/StoreRestoreTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/StoreRestoreTest.java
@@ -5,11 +5,9 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.RequestedVersion;
-import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.platform.ManagedSettingsCodec;
 import org.papayawalk.support.Await;
 import org.papayawalk.support.FreePort;
@@ -53,7 +51,7 @@
         controlPort = FreePort.find();
         entry = node("front-1", controlPort, store.address());
         agent = node("side-1", FreePort.find(), "127.0.0.1:1");
-        entry.runAsEntry(new SuspectRegistry(3, Duration.ofMinutes(1)), NO_WEIGHTS);
+        entry.runAsEntry(SharedEvidence.none(), NO_WEIGHTS);
         agent.runAsAgent(NO_WEIGHTS);
         Await.within(TIMEOUT_MILLIS, () -> version(entry) == 4 && version(agent) == 4);
         Await.within(TIMEOUT_MILLIS, () -> store.has(ENTRY_TABLE, "front-1"));
--- a/src/test/java/org/papayawalk/daemon/managed/UnresponsiveEntryTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/UnresponsiveEntryTest.java
@@ -4,9 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import org.papayawalk.core.desired.DesiredState;
-import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.platform.ManagedSettingsCodec;
 import org.papayawalk.support.Await;
 import org.papayawalk.support.FreePort;
@@ -37,7 +35,7 @@
             store.put("op", "config", "{\"version\":4,\"routes\":[],\"services\":[]}");
             int control = FreePort.find();
             ManagedNode entry = node("front-1", control, "", store.address());
-            entry.runAsEntry(new SuspectRegistry(3, Duration.ofMinutes(1)), NO_WEIGHTS);
+            entry.runAsEntry(SharedEvidence.none(), NO_WEIGHTS);
             String seeds =
                     "\"127.0.0.1:%d\",\"127.0.0.1:%d\",\"127.0.0.1:%d\""
                             .formatted(silent.getLocalPort(), mute.getLocalPort(), control);
