--- a/src/main/java/org/papayawalk/core/limit/UpstreamLimits.java
+++ b/src/main/java/org/papayawalk/core/limit/UpstreamLimits.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,9 @@
 
     private static final Duration NOTICE_RETENTION = Duration.ofSeconds(10);
 
+    // Bound on the notices in a message, as entries exchange several messages a second.
+    private static final int MAX_NOTICES = 16;
+
     // Time without a statement after which a limit is forgotten, as of a process that is gone.
     private static final Duration LIMIT_RETENTION = Duration.ofMinutes(10);
 
@@ -118,12 +122,13 @@
      * Returns what upstreams lately stated of their limits to this entry.
      *
      * @param now present time
-     * @return notices for other entries
+     * @return at most 16 notices for other entries, the newest first
      */
     public synchronized List<LimitNotice> notices(Instant now) {
         List<LimitNotice> notices = new ArrayList<>();
         limits.forEach((process, limit) -> limit.notice(process, now).ifPresent(notices::add));
-        return notices;
+        notices.sort(Comparator.comparing(LimitNotice::age));
+        return List.copyOf(notices.subList(0, Math.min(MAX_NOTICES, notices.size())));
     }
 
     /**
