Tell others only limits that were stated to this entry, and ends once

Cause: found by reading. After a limit had ended, each further answer renewed the notice of its end, so that it was sent for as long as the upstream was used; a notice could give a lower rate heard from a peer as stated here. Change: an end is recorded once; the rate stated here is kept beside the rate in force. No test shows the two cases by themselves.

--- a/src/main/java/org/papayawalk/core/limit/UpstreamLimits.java
+++ b/src/main/java/org/papayawalk/core/limit/UpstreamLimits.java
@@ -75,7 +75,9 @@
     public synchronized boolean stated(UpstreamProcess process, double perSecond, Instant now) {
         Limit known = limits.get(process);
         boolean same = known != null && known.inForce() && known.perSecond == perSecond;
-        renew(process, perSecond, now, now).statedHereAt = now;
+        Limit limit = renew(process, perSecond, now, now);
+        limit.statedHereAt = now;
+        limit.perSecondStatedHere = perSecond;
         return !same;
     }
 
@@ -89,12 +91,11 @@
      */
     public synchronized boolean notStated(UpstreamProcess process, Instant sentAt) {
         Limit limit = limits.get(process);
-        if (limit == null || !sentAt.isAfter(limit.statedAt)) {
+        if (limit == null || !limit.inForce() || !sentAt.isAfter(limit.statedAt)) {
             return false;
         }
-        boolean ended = limit.inForce();
         limit.endedAt = sentAt;
-        return ended;
+        return true;
     }
 
     /**
@@ -232,6 +233,8 @@
         // Newest answer that stated the limit to this entry.
         private Instant statedHereAt = Instant.MIN;
 
+        private double perSecondStatedHere;
+
         // When the newest request was sent whose answer stated no limit.
         private Instant endedAt = Instant.MIN;
 
@@ -265,7 +268,8 @@
             if (!at.plus(NOTICE_RETENTION).isAfter(now)) {
                 return Optional.empty();
             }
-            OptionalDouble rate = ended ? OptionalDouble.empty() : OptionalDouble.of(perSecond);
+            OptionalDouble rate =
+                    ended ? OptionalDouble.empty() : OptionalDouble.of(perSecondStatedHere);
             return Optional.of(new LimitNotice(process, rate, Duration.between(at, now)));
         }
     }
