Log failures 2, 4, 8 of a series of failed calls to the store

Cause: with a line for each failed call, a long outage writes about one line a second for each table. Change: of the failures after the first, those whose number is a power of two are logged. Result: a run of LimitedUpstreamTest beside entries whose store is gone shows failures 2, 4 and 8 only.

--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -279,16 +279,17 @@
                 result.fold(
                         Fault::toString,
                         a -> "HTTP status " + a.status() + " from the store at " + storeAddress);
-        if (consecutiveFailures == 0) {
+        consecutiveFailures++;
+        if (consecutiveFailures == 1) {
             Event.named("store-lost").with("table", table).with("reason", reason).warn();
-        } else {
+        } else if (Integer.bitCount(consecutiveFailures) == 1) {
+            // Failures 2, 4, 8 and so on, so that a long outage does not fill the log.
             Event.named("store-call-failed")
                     .with("table", table)
-                    .with("failures", consecutiveFailures + 1)
+                    .with("failures", consecutiveFailures)
                     .with("reason", reason)
                     .info();
         }
-        consecutiveFailures++;
         receiver.storeFailed();
         double draw = ThreadLocalRandom.current().nextDouble();
         thread.schedule(
