--- a/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
@@ -11,7 +11,10 @@
 import org.papayawalk.support.Await;
 import org.papayawalk.support.FreePort;
 
-/** Entry on loopback with fakes for the store and two servers. Confined to one thread. */
+/**
+ * Entry on loopback with fakes for the store and two servers; further entries may be added.
+ * Confined to one thread.
+ */
 final class ManagedEntryFixture implements AutoCloseable {
     private static final long AWAIT_TIMEOUT_MILLIS = 10_000;
 
@@ -44,6 +47,9 @@
 
     private final int readyPort;
 
+    // Entries so far; each has an IP address of its own.
+    private int entryCount;
+
     /**
      * Starts the store, the servers and the entry, and waits until the entry is ready.
      *
@@ -59,19 +65,47 @@
         int port = FreePort.find();
         readyPort = FreePort.find();
         caller = new TestCaller(port);
+        role = startEntry(port, readyPort);
+        await(this::ready);
+    }
+
+    /**
+     * Starts a further entry and waits until it is ready.
+     *
+     * @return caller of that entry
+     * @throws IOException if a port cannot be bound
+     */
+    TestCaller addEntry() throws IOException {
+        int port = FreePort.find();
+        int ready = FreePort.find();
+        startEntry(port, ready);
+        await(() -> TestCaller.get(ready, "/readiness").status() == 200);
+        return new TestCaller(port);
+    }
+
+    private ManagedEntryRole startEntry(int port, int ready) throws IOException {
+        entryCount++;
         String settings =
                 """
-                {"nodeName":"front-1","ip":"127.0.0.1","zone":"luzon-a",
+                {"nodeName":"front-%d","ip":"127.0.0.%d","zone":"luzon-a",
                  "zones":{"luzon-a":"luzon"},"internalPorts":[%d,%d],"seeds":[],
                  "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
                  "provider":{"address":"%s"},"bounds":{"graceS":8,"budgetSlack":500},
                  "limits":{"linkMbps":1000}}
                 """
-                        .formatted(FreePort.find(), 0, port, readyPort, store.address());
+                        .formatted(
+                                entryCount,
+                                entryCount,
+                                FreePort.find(),
+                                0,
+                                port,
+                                ready,
+                                store.address());
         byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
-        role = new ManagedEntryRole(new ManagedNode(ManagedSettingsCodec.decode(bytes)));
-        role.start();
-        await(this::ready);
+        ManagedEntryRole started =
+                new ManagedEntryRole(new ManagedNode(ManagedSettingsCodec.decode(bytes)));
+        started.start();
+        return started;
     }
 
     /**
