Read a stated limit in every form of a decimal number

Limits of more than nine decimals, without a leading digit or with an exponent were taken for absent, and so not kept. Change: the forms that a decimal number is usually written in are read, up to 30 decimals.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -56,8 +56,8 @@
 
     private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
 
-    /** When a connection was requested for the request. */
-    private Instant sentAt;
+    /** When the attempt started. The request is sent later if it needs a new connection. */
+    private Instant startedAt;
 
     /** When data was last received, or the request was sent. */
     private Instant lastProgressAt = Instant.MIN;
@@ -88,8 +88,8 @@
                 entry.relativePromptLength(
                         exchange.authorized().service(), exchange.promptTokens());
         candidate.load().sent(pendingPrefill);
-        sentAt = entry.clock().instant();
-        entry.limits().sent(candidate.upstream().process(), sentAt);
+        startedAt = entry.clock().instant();
+        entry.limits().sent(candidate.upstream().process(), startedAt);
         UpstreamTable.Upstream upstream =
                 entry.upstreams().find(candidate.upstream().id()).orElse(null);
         if (upstream == null) {
@@ -148,7 +148,7 @@
         if (status == MISDIRECTED_REQUEST) {
             entry.upstreams().pauseMisdirected(candidate.upstream().id(), now);
         } else {
-            entry.recordLimit(candidate.upstream(), metadata, sentAt);
+            entry.recordLimit(candidate.upstream(), metadata, startedAt);
         }
         boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
         streaming = eventStream && metadata.hasAuthenticationCode();
--- a/src/main/java/org/papayawalk/platform/HeaderCodec.java
+++ b/src/main/java/org/papayawalk/platform/HeaderCodec.java
@@ -11,6 +11,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.papayawalk.core.call.AttemptParameters;
 import org.papayawalk.core.call.ReportedLoad;
 import org.papayawalk.core.call.RequestMetadata;
@@ -78,6 +79,9 @@
                     "expect",
                     "content-length");
 
+    private static final Pattern DECIMAL =
+            Pattern.compile(" *([0-9]{1,20}([.][0-9]{0,30})?|[.][0-9]{1,30})(e[+-]?[0-9]{1,2})? *");
+
     private HeaderCodec() {}
 
     /**
@@ -180,7 +184,7 @@
 
     // Decodes a decimal number that is not negative; the header may be null.
     private static OptionalDouble decimal(String text) {
-        return text != null && text.matches(" *[0-9]{1,9}([.][0-9]{0,9})? *")
+        return text != null && DECIMAL.matcher(text).matches()
                 ? OptionalDouble.of(Double.parseDouble(text.strip()))
                 : OptionalDouble.empty();
     }
