Let requests within a high limit come together

Cause: each sharer of a limit kept an even pace of single requests. With a limit above the demand, an entry refused requests that came within one interval (6 entries, limit 10: 0.6 s), although the upstream would have taken them. Change: all sharers together may be 1 + 2L requests ahead of the pace, as the division already reckoned for low limits; a raised limit starts its pace anew. Result: UpstreamLimitsTest.requestsMayComeTogetherWithinAHighLimit failed before ('request 0').

--- a/src/main/java/org/papayawalk/core/limit/LimitShare.java
+++ b/src/main/java/org/papayawalk/core/limit/LimitShare.java
@@ -1,23 +1,25 @@
 package org.papayawalk.core.limit;
 
 import java.time.Duration;
+import java.time.Instant;
 
 /**
  * Share of one entry in the limit of an upstream. The limit is divided evenly among the entries
- * that rank first for the upstream. Each of them may send one request ahead of its pace, so there
- * are only as many as the upstream can take at once. Immutable.
+ * that rank first for the upstream. Each of them may send at least one request ahead of its pace,
+ * so there are only as many as the upstream can take at once. Immutable.
  *
  * @param sharers number of entries that share the limit, at least 1
  * @param rank rank of this entry for the upstream, 0 for the first; it sends only if the rank is
  *     below the number of sharers
- * @param interval least time between two requests of one sharer
+ * @param interval mean time between two requests of one sharer
+ * @param burst requests that one sharer may send together after a pause, at least 1
  */
-public record LimitShare(int sharers, int rank, Duration interval) {
+public record LimitShare(int sharers, int rank, Duration interval, int burst) {
     // Not more than send to an engine when no limit is stated.
     private static final int MAX_SHARERS = 8;
 
-    // Sharers beyond the first, for each request per second.
-    private static final double SHARERS_PER_RATE = 2;
+    // Time for which the requests of all sharers together may be ahead of the limit.
+    private static final double BURST_SECONDS = 2;
 
     // Least rate of requests, as only an answer tells that the limit has ended.
     private static final double MIN_PER_SECOND = 0.25;
@@ -33,10 +35,10 @@
      * @return share
      */
     public static LimitShare of(double perSecond, int rank, int entries) {
-        int most = (int) Math.min(MAX_SHARERS, 1 + perSecond * SHARERS_PER_RATE);
-        int sharers = Math.min(entries, most);
+        int ahead = (int) Math.min(Integer.MAX_VALUE, 1 + perSecond * BURST_SECONDS);
+        int sharers = Math.min(Math.min(entries, MAX_SHARERS), ahead);
         double nanos = sharers / Math.max(perSecond, MIN_PER_SECOND) * NANOS_PER_SECOND;
-        return new LimitShare(sharers, rank, Duration.ofNanos((long) nanos));
+        return new LimitShare(sharers, rank, Duration.ofNanos((long) nanos), ahead / sharers);
     }
 
     /**
@@ -49,12 +51,35 @@
     }
 
     /**
-     * Returns how long the entry waits before its first request, so that the sharers do not send at
-     * the same time.
+     * Returns from when the entry may send a request.
      *
-     * @return delay after the entry learned of the limit
+     * @param paceAt time to which the requests sent so far use up the pace
+     * @return time, earlier than the pace by the requests that may be sent together
      */
-    public Duration firstDelay() {
-        return interval.multipliedBy(rank + 1L).dividedBy(sharers);
+    public Instant earliest(Instant paceAt) {
+        return paceAt.minus(interval.multipliedBy(burst - 1L));
+    }
+
+    /**
+     * Returns the pace of an entry that has just learned of the limit. The sharers do not send at
+     * the same time, and none sends a burst at once.
+     *
+     * @param now present time
+     * @return time to which the pace counts as used up
+     */
+    public Instant startPace(Instant now) {
+        Duration turn = interval.multipliedBy(rank + 1L).dividedBy(sharers);
+        return now.plus(turn).plus(interval.multipliedBy(burst - 1L));
+    }
+
+    /**
+     * Returns the pace after a request.
+     *
+     * @param paceAt time to which earlier requests use up the pace
+     * @param now time of the request
+     * @return time to which the pace is used up now
+     */
+    public Instant nextPace(Instant paceAt, Instant now) {
+        return (paceAt.isAfter(now) ? paceAt : now).plus(interval);
     }
 }
--- a/src/main/java/org/papayawalk/core/limit/UpstreamLimits.java
+++ b/src/main/java/org/papayawalk/core/limit/UpstreamLimits.java
@@ -144,8 +144,9 @@
         if (limit == null || !limit.inForce()) {
             return true;
         }
-        return share(process, limit).sends()
-                ? !limit.nextSendAt.isAfter(now)
+        LimitShare share = share(process, limit);
+        return share.sends()
+                ? !share.earliest(limit.paceAt).isAfter(now)
                 : !limit.probeAt.isAfter(now) || !limit.hintedProbeAt.isAfter(now);
     }
 
@@ -158,7 +159,7 @@
     public synchronized void sent(UpstreamProcess process, Instant now) {
         Limit limit = limits.get(process);
         if (limit != null) {
-            limit.nextSendAt = now.plus(share(process, limit).interval());
+            limit.paceAt = share(process, limit).nextPace(limit.paceAt, now);
             limit.probeAt = now.plus(PROBE_AFTER);
             limit.hintedProbeAt = Instant.MAX;
         }
@@ -194,11 +195,13 @@
         limits.values().removeIf(l -> l.isForgotten(now));
         Limit limit = limits.computeIfAbsent(process, p -> new Limit());
         boolean starts = !limit.inForce();
+        boolean raised = perSecond > limit.perSecond;
         limit.perSecond = perSecond;
         confirm(process, limit, statedAt);
         limit.hintedProbeAt = Instant.MAX;
-        if (starts) {
-            limit.nextSendAt = now.plus(share(process, limit).firstDelay());
+        Instant startPace = share(process, limit).startPace(now);
+        if (starts || (raised && startPace.isBefore(limit.paceAt))) {
+            limit.paceAt = startPace;
         }
         return limit;
     }
@@ -238,8 +241,8 @@
         // When the newest request was sent whose answer stated no limit.
         private Instant endedAt = Instant.MIN;
 
-        // When this entry may send its next request if it has a share.
-        private Instant nextSendAt = Instant.MIN;
+        // Time to which the requests of this entry use up the pace of its share.
+        private Instant paceAt = Instant.EPOCH;
 
         // When this entry may send a request if it has no share.
         private Instant probeAt = Instant.MIN;
--- a/src/test/java/org/papayawalk/core/limit/LimitEmulation.java
+++ b/src/test/java/org/papayawalk/core/limit/LimitEmulation.java
@@ -41,7 +41,7 @@
     private static final Duration TOLD_AFTER = Duration.ofMillis(500);
 
     // Requests that an entry sends before the first answer.
-    private static final int MAX_IN_FLIGHT = 2;
+    private static final int MAX_IN_FLIGHT = 8;
 
     private static final int MIN_LATENCY_MILLIS = 30;
 
@@ -186,7 +186,7 @@
                 gossip(e, entries.get(random.nextInt(entries.size())));
             }
         }
-        if (e.pending.size() < MAX_IN_FLIGHT && e.limits.admits(upstream, e.clock())) {
+        while (e.pending.size() < MAX_IN_FLIGHT && e.limits.admits(upstream, e.clock())) {
             e.limits.sent(upstream, e.clock());
             e.pending.add(new Pending(e.clock(), answerTime(), limit));
             recordArrival(e);
--- a/src/test/java/org/papayawalk/core/limit/UpstreamLimitsProperties.java
+++ b/src/test/java/org/papayawalk/core/limit/UpstreamLimitsProperties.java
@@ -41,7 +41,7 @@
         emulation.run(Duration.ofSeconds(1));
         for (int i = 0; i < ROUNDS; i++) {
             if (random.nextInt(3) == 0) {
-                emulation.state(random.nextInt(4) == 0 ? -1 : random.nextDouble() * 6);
+                emulation.state(random.nextInt(4) == 0 ? -1 : randomLimit(random));
             }
             LimitEmulation.Trouble[] kinds = LimitEmulation.Trouble.values();
             emulation.trouble(
@@ -54,6 +54,11 @@
         assertTrue(emulation.worstExcess() <= 0, emulation.worstExcess() + " requests too many");
     }
 
+    // Low limits are more likely, as they leave the entries the least room.
+    private static double randomLimit(SplittableRandom random) {
+        return random.nextDouble() * (random.nextInt(4) == 0 ? 40 : 6);
+    }
+
     /**
      * Holds without trouble.
      *
--- a/src/test/java/org/papayawalk/core/limit/UpstreamLimitsTest.java
+++ b/src/test/java/org/papayawalk/core/limit/UpstreamLimitsTest.java
@@ -95,6 +95,21 @@
         assertFalse(limits.admits(process, at.plusSeconds(1)));
     }
 
+    /** A limit that is higher than the demand does not refuse requests that come together. */
+    @Test
+    public void requestsMayComeTogetherWithinAHighLimit() {
+        limits.stated(process, 10, NOW);
+        Instant at = NOW.plus(LATER);
+        for (int i = 0; i < 4; i++) {
+            assertTrue(limits.admits(process, at), "request " + i);
+            limits.sent(process, at);
+        }
+        for (int i = 0; i < 10; i++) {
+            limits.sent(process, at);
+        }
+        assertFalse(limits.admits(process, at));
+    }
+
     private LimitNotice notice(double perSecond) {
         return new LimitNotice(process, OptionalDouble.of(perSecond), Duration.ZERO);
     }
