--- a/src/test/java/org/papayawalk/daemon/managed/agent/ManagedAgentFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/ManagedAgentFixture.java
@@ -12,7 +12,7 @@
  * agent watches the store itself. Confined to one thread.
  */
 final class ManagedAgentFixture implements AutoCloseable {
-    /** Desired state, with a placeholder for the address of the origin. */
+    /** Desired state, with a format specifier for the address of the origin. */
     private static final String DESIRED =
             """
             {"version":1,"routes":[],"services":[
