Name the allowed requests in the emulator of limits

Cause: read as a newcomer would: figures without names, and a comment that needed two readings. Result: UpstreamLimitsProperties, LimitShareProperties and AsyncHttpClientTest pass.

--- a/src/test/java/org/papayawalk/core/limit/LimitEmulation.java
+++ b/src/test/java/org/papayawalk/core/limit/LimitEmulation.java
@@ -26,6 +26,11 @@
 
     private static final Duration WINDOW = Duration.ofSeconds(4);
 
+    // Requests that a window may hold: a multiple of the limit, and some more.
+    private static final double ALLOWED_RATE = 1.5;
+
+    private static final int ALLOWED_REQUESTS = 5;
+
     private static final Duration STEP = Duration.ofMillis(20);
 
     private static final Duration VIEW_INTERVAL = Duration.ofMillis(200);
@@ -217,7 +222,7 @@
         while (!counted.peek().plus(WINDOW).isAfter(now)) {
             counted.remove();
         }
-        double allowed = 1.5 * limit * WINDOW.toSeconds() + 5;
+        double allowed = ALLOWED_RATE * limit * WINDOW.toSeconds() + ALLOWED_REQUESTS;
         worstExcess = Math.max(worstExcess, counted.size() - allowed);
     }
 
@@ -244,7 +249,8 @@
 
         private Duration frozenFor = Duration.ZERO;
 
-        private Instant nextGossipAt = START.plusMillis(random.nextInt(400));
+        private Instant nextGossipAt =
+                START.plusMillis(random.nextLong(GOSSIP_INTERVAL.toMillis()));
 
         private Instant nextViewAt = START;
 
--- a/src/test/java/org/papayawalk/core/limit/LimitShareProperties.java
+++ b/src/test/java/org/papayawalk/core/limit/LimitShareProperties.java
@@ -15,11 +15,11 @@
 
     private static final Instant START = Instant.EPOCH;
 
-    // Requests beyond the limit that a window may hold, and as a part of the limit.
-    private static final int ALLOWED_REQUESTS = 5;
-
+    // Requests that a window may hold: a multiple of the limit, and some more.
     private static final double ALLOWED_RATE = 1.5;
 
+    private static final int ALLOWED_REQUESTS = 5;
+
     /**
      * All shares together stay below the allowed number of requests after a pause, and use the
      * limit in the long run.
--- a/src/test/java/org/papayawalk/http/AsyncHttpClientTest.java
+++ b/src/test/java/org/papayawalk/http/AsyncHttpClientTest.java
@@ -41,7 +41,7 @@
     // The first answers are sent once two requests have come, so that two connections are open.
     private final CountDownLatch firstRequests = new CountDownLatch(2);
 
-    // Connections that were accepted before this number of them are silent.
+    // Connections with lower numbers are silent; they are numbered in the order of acceptance.
     private volatile int silentBelow;
 
     private ServerSocket server;
