Wait in a test until the entry uses both upstreams again

Cause, from the log of that run: an earlier case made i-2 refuse at 52.791, which pauses it for 150 ms. The reset between cases waited for six answers in a row, all of which came from the other upstream. So the read of this case waited 100 ms for i-2, was given up at 52.936 and got the first upstream's failure; the pause ended at 52.941. The entry did what it should; the reset did not do what it says. Ruled out: stated limits (no upstream states one there) and the schedule of polls (both rows were known). Change: the reset waits until each upstream has answered while the other one fails. No check is changed.

--- a/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryRoleTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryRoleTest.java
@@ -63,6 +63,8 @@
     /** Resets the servers and waits until failures of earlier tests no longer affect the entry. */
     @BeforeMethod
     public void resetServers() {
+        awaitServed(first, second);
+        awaitServed(second, first);
         first.mode(Mode.WHOLE);
         second.mode(Mode.WHOLE);
         int[] streak = {0};
@@ -80,6 +82,14 @@
         second.abandoned().clear();
     }
 
+    // Waits until the entry uses a server again that it may have paused. While the other one fails,
+    // only this one can give the answer.
+    private void awaitServed(FakeUpstream server, FakeUpstream other) {
+        server.mode(Mode.WHOLE);
+        other.mode(Mode.ERROR);
+        ManagedEntryFixture.await(() -> caller.send("GET", "/read/x", "key-1").status() == 200);
+    }
+
     /** The server gets the team instead of the key, and the caller gets the server's bytes. */
     @Test
     public void requestIsForwardedWithTeamInPlaceOfKey() {
