Measure how long attempts wait for a connection and for a response

Change: histograms papayawalk_attempt_send_delay_seconds and papayawalk_attempt_begin_delay_seconds, the counter papayawalk_attempts_withdrawn_total, and the age of a withdrawn attempt in its reason.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
+import org.papayawalk.core.id.ServiceId;
 
 /** Counters and latency histograms of an entry. Thread-safe. */
 final class ManagedEntryMetrics {
@@ -20,6 +21,15 @@
     /** Seconds to the first part of the response, by service. */
     private final Histogram firstPartLatency;
 
+    /** Seconds from the choice of an upstream until the request is sent, by service. */
+    private final Histogram sendDelay;
+
+    /** Seconds from sending a request to the head of the response, by service. */
+    private final Histogram beginDelay;
+
+    /** Attempts withdrawn because the version of the weights expired, by service. */
+    private final Counter withdrawn;
+
     /**
      * Registers the metrics.
      *
@@ -51,6 +61,28 @@
                         .classicOnly()
                         .labelNames("service")
                         .register(registry);
+        sendDelay =
+                Histogram.builder()
+                        .name("papayawalk_attempt_send_delay_seconds")
+                        .help("Time from the choice of an upstream until the request is sent")
+                        .classicUpperBounds(0.01, 0.05, 0.2, 0.6, 1.2)
+                        .classicOnly()
+                        .labelNames("service")
+                        .register(registry);
+        beginDelay =
+                Histogram.builder()
+                        .name("papayawalk_attempt_begin_delay_seconds")
+                        .help("Time from sending a request to the head of its response")
+                        .classicUpperBounds(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+                        .classicOnly()
+                        .labelNames("service")
+                        .register(registry);
+        withdrawn =
+                Counter.builder()
+                        .name("papayawalk_attempts_withdrawn_total")
+                        .help("Attempts withdrawn because the version of the weights expired")
+                        .labelNames("service")
+                        .register(registry);
     }
 
     /** Counts a request that was received completely. */
@@ -77,4 +109,33 @@
                                     .observe(d.toMillis() / MILLIS_PER_SECOND);
                         });
     }
+
+    /**
+     * Records how long a request waited for a connection to its upstream.
+     *
+     * @param service service of the upstream
+     * @param delay time from the choice of the upstream until the request was sent
+     */
+    void sent(ServiceId service, Duration delay) {
+        sendDelay.labelValues(service.value()).observe(delay.toMillis() / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Records how long an upstream took to begin its response.
+     *
+     * @param service service of the upstream
+     * @param delay time from sending the request to the head of the response
+     */
+    void responseBegan(ServiceId service, Duration delay) {
+        beginDelay.labelValues(service.value()).observe(delay.toMillis() / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Counts an attempt that was withdrawn.
+     *
+     * @param service service of the upstream
+     */
+    void withdrawn(ServiceId service) {
+        withdrawn.labelValues(service.value()).inc();
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.desired.RouteRule;
+import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.AttemptResult;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
@@ -59,6 +60,9 @@
     /** When the attempt started. The request is sent later if it needs a new connection. */
     private Instant startedAt;
 
+    /** When the request was sent; null until then. */
+    private Instant sentAt;
+
     /** When data was last received, or the request was sent. */
     private Instant lastProgressAt = Instant.MIN;
 
@@ -131,7 +135,9 @@
 
     @Override
     public void onSent() {
-        lastProgressAt = entry.clock().instant();
+        sentAt = entry.clock().instant();
+        lastProgressAt = sentAt;
+        entry.metrics().sent(service(), Duration.between(startedAt, sentAt));
     }
 
     @Override
@@ -139,6 +145,7 @@
         Instant now = entry.clock().instant();
         lastProgressAt = now;
         head = response;
+        entry.metrics().responseBegan(service(), Duration.between(sentAt, now));
         metadata.load()
                 .ifPresentOrElse(
                         l -> candidate.load().loadReported(l, now),
@@ -245,9 +252,19 @@
 
     // Ends the attempt without a failure of its upstream. The request may be about to begin there.
     private void withdraw(String reason) {
+        long sentMillisAgo = Duration.between(sentAt, entry.clock().instant()).toMillis();
+        entry.metrics().withdrawn(service());
         connection.abandon();
         finish(AttemptResult.CANCELLED);
-        exchange.attemptFailed(true, true, candidate.upstream().id() + ": " + reason);
+        exchange.attemptFailed(
+                true,
+                true,
+                "%s: %s, sent %d ms before"
+                        .formatted(candidate.upstream().id(), reason, sentMillisAgo));
+    }
+
+    private ServiceId service() {
+        return exchange.authorized().service();
     }
 
     private RouteRule route() {
