--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -47,6 +48,8 @@
         LOST_ANSWER,
         /** Never answers; waits until the connection is closed. */
         MUTE,
+        /** Streams all events after 300 ms, unless the connection is closed before. */
+        QUEUED,
         /** Answers completely after {@link #release()}. */
         HELD,
         /** Answers 500. */
@@ -68,6 +71,9 @@
      */
     public record Seen(String line, Map<String, String> headers, String body) {}
 
+    // Time that requests wait in mode QUEUED.
+    private static final int QUEUE_MILLIS = 300;
+
     private final ServerSocket listener;
 
     private final List<Seen> seen = new CopyOnWriteArrayList<>();
@@ -75,6 +81,9 @@
     // Ids of requests whose connection was closed before the answer.
     private final List<String> abandoned = new CopyOnWriteArrayList<>();
 
+    // When requests began in mode QUEUED, by System.nanoTime().
+    private final List<Long> begunNanos = new CopyOnWriteArrayList<>();
+
     private final CountDownLatch releaseLatch = new CountDownLatch(1);
 
     private volatile Mode mode;
@@ -122,6 +131,15 @@
         return abandoned;
     }
 
+    /**
+     * Returns when requests began in mode {@link Mode#QUEUED}.
+     *
+     * @return times by {@link System#nanoTime()}
+     */
+    public List<Long> begunNanos() {
+        return begunNanos;
+    }
+
     /**
      * Changes what the server does with requests.
      *
@@ -155,9 +173,10 @@
         listener.close();
     }
 
-    private void awaitRelease() throws IOException {
+    private String heldResponse(String id, String body) throws IOException {
         try {
             releaseLatch.await();
+            return response(200, id, body, "");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException(e);
@@ -242,10 +261,7 @@
                 }
                 write(out, response(200, id, body, ""));
             }
-            case HELD -> {
-                awaitRelease();
-                write(out, response(200, id, body, ""));
-            }
+            case HELD -> write(out, heldResponse(id, body));
             case STRAY_ANSWER ->
                     write(
                             out,
@@ -270,6 +286,9 @@
                 write(out, stream(request, id, EVENTS / 2) + "9\r\nid: 4\ndat\r\n");
                 return false;
             }
+            case QUEUED -> {
+                return streamAfterWait(request, socket, in);
+            }
             case MUTE -> {
                 if (in.read() < 0) {
                     abandoned.add(id);
@@ -283,6 +302,22 @@
         return true;
     }
 
+    private boolean streamAfterWait(Seen request, Socket socket, InputStream in)
+            throws IOException {
+        String id = request.headers().getOrDefault("x-request-id", "");
+        socket.setSoTimeout(QUEUE_MILLIS);
+        try {
+            in.read();
+            abandoned.add(id);
+            return false;
+        } catch (SocketTimeoutException e) {
+            socket.setSoTimeout(0);
+        }
+        begunNanos.add(System.nanoTime());
+        write(socket.getOutputStream(), stream(request, id, EVENTS) + "0\r\n\r\n");
+        return true;
+    }
+
     private static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.UTF_8));
         out.flush();
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/managed/SlowLink.java
@@ -0,0 +1,138 @@
+package org.papayawalk.daemon.managed;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Arrays;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Forwards connections to an address and delays what is sent there, the end of a connection
+ * included. What comes back is not delayed. Thread-safe.
+ */
+public final class SlowLink implements AutoCloseable {
+    private static final int BUFFER_BYTES = 8192;
+
+    private final ServerSocket listener;
+
+    private final String target;
+
+    private volatile long delayMillis;
+
+    /**
+     * Starts to forward.
+     *
+     * @param target IP number and port to forward to
+     * @param delayMillis delay in milliseconds
+     * @throws IOException if no port is free
+     */
+    public SlowLink(String target, long delayMillis) throws IOException {
+        this.target = target;
+        this.delayMillis = delayMillis;
+        listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
+        start(this::accept);
+    }
+
+    /**
+     * Returns the address that is forwarded.
+     *
+     * @return IP number and port
+     */
+    public String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /**
+     * Changes the delay of what is sent from now on.
+     *
+     * @param millis delay in milliseconds
+     */
+    public void delay(long millis) {
+        delayMillis = millis;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "slow-link");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket from = listener.accept();
+                Socket to = new Socket();
+                String[] parts = target.split(":");
+                to.connect(new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
+                from.setTcpNoDelay(true);
+                to.setTcpNoDelay(true);
+                BlockingQueue<Parcel> underway = new LinkedBlockingQueue<>();
+                start(() -> read(from, underway));
+                start(() -> deliver(underway, to));
+                start(() -> copy(to, from));
+            }
+        } catch (IOException e) {
+            // The link was closed.
+        }
+    }
+
+    private void read(Socket from, BlockingQueue<Parcel> underway) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        int n = 0;
+        while (n >= 0) {
+            try {
+                n = from.getInputStream().read(buffer);
+            } catch (IOException e) {
+                n = -1;
+            }
+            byte[] data = n < 0 ? null : Arrays.copyOf(buffer, n);
+            underway.add(new Parcel(System.nanoTime() + nanos(delayMillis), data));
+        }
+    }
+
+    private static void deliver(BlockingQueue<Parcel> underway, Socket to) {
+        try (to) {
+            OutputStream out = to.getOutputStream();
+            while (true) {
+                Parcel next = underway.take();
+                TimeUnit.NANOSECONDS.sleep(next.dueNanos - System.nanoTime());
+                if (next.data == null) {
+                    return;
+                }
+                out.write(next.data);
+                out.flush();
+            }
+        } catch (IOException e) {
+            // The receiver closed the connection.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void copy(Socket from, Socket to) {
+        try (to) {
+            InputStream in = from.getInputStream();
+            in.transferTo(to.getOutputStream());
+        } catch (IOException e) {
+            // One side closed the connection.
+        }
+    }
+
+    private static long nanos(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    // Bytes to deliver, or null for the end of the connection.
+    private record Parcel(long dueNanos, byte[] data) {}
+}
