Withdraw requests from an expiring version in time on slow links

Cause: entries stopped sending 900 ms and withdrew 150 ms before a version expired, whatever the way to the upstream took. The link between two regions was jammed; a request took at least 0.74 s, its withdrawal 0.6 s. Ruled out: the engine's queue alone (0.23 s), timers of the entry. The time is looked at again while a request waits, and once its connection is open. Requests that may run once only are withdrawn too; their callers get 502, as before after a lost answer. Conclusion: a bound that is kept by a message holds only if the time of the message is known. That entries learn of a new version late on the same link is a fault of its own.

--- a/src/main/java/org/papayawalk/core/place/MinimumVersionRule.java
+++ b/src/main/java/org/papayawalk/core/place/MinimumVersionRule.java
@@ -9,20 +9,21 @@
 /**
  * Decides the lowest version of weights that may answer requests. After a new version is requested,
  * upstreams that still serve an older one may answer for a grace period; afterwards only the new
- * version may. A request that was sent in time may still wait in the queue of an overloaded
- * upstream; if it has not begun shortly before the deadline, it is withdrawn. Immutable.
+ * version may. A request that was sent in time may still be on its way or wait in the queue of an
+ * overloaded upstream; it is withdrawn early enough for the withdrawal to arrive before the
+ * deadline. How long a message to the upstream takes is measured. Immutable.
  */
 public final class MinimumVersionRule {
-    /** Time before the deadline at which older versions are no longer allowed. */
-    private static final Duration SAFETY_MARGIN = Duration.ofMillis(900);
+    /** Time that a request may wait in the queue of an upstream before it begins. */
+    private static final Duration QUEUE_TIME = Duration.ofMillis(750);
 
-    /** Time before the deadline at which a request that has not begun is withdrawn. */
-    private static final Duration BEGIN_MARGIN = Duration.ofMillis(150);
+    /** Time for late timers, and for differences between the clocks of daemons. */
+    private static final Duration TIMER_MARGIN = Duration.ofMillis(150);
 
-    private final Duration versionDeadline;
+    /** Multiple of the measured delay that a withdrawal may take, as the delay may be growing. */
+    private static final int DELAY_GROWTH = 2;
 
-    /** Time after a request for a new version during which older versions are allowed. */
-    private final Duration gracePeriod;
+    private final Duration versionDeadline;
 
     /**
      * Creates a rule.
@@ -31,18 +32,21 @@
      */
     public MinimumVersionRule(Duration versionDeadline) {
         this.versionDeadline = versionDeadline;
-        gracePeriod = versionDeadline.minus(SAFETY_MARGIN);
     }
 
     /**
-     * Returns the lowest version that may answer. The grace period of each version starts when that
-     * version was requested, so that a newer request does not extend the time of older versions.
+     * Returns the lowest version that may answer requests sent to an upstream now. The grace period
+     * of each version starts when that version was requested, so that a newer request does not
+     * extend the time of older versions.
      *
      * @param requested requested versions, newest last
+     * @param messageDelay time that messages to the upstream take
      * @param now present time
      * @return lowest version that may answer, empty if any may
      */
-    public OptionalInt lowestAllowed(List<RequestedVersion> requested, Instant now) {
+    public OptionalInt lowestAllowed(
+            List<RequestedVersion> requested, Duration messageDelay, Instant now) {
+        Duration gracePeriod = withdrawalAfter(messageDelay).minus(QUEUE_TIME);
         return requested.stream()
                 .filter(v -> !v.receivedAt().plus(gracePeriod).isAfter(now))
                 .mapToInt(RequestedVersion::number)
@@ -50,16 +54,23 @@
     }
 
     /**
-     * Returns by when a request must have begun at an upstream that serves a version.
+     * Returns when a request has to be withdrawn from an upstream if its response has not begun.
      *
      * @param requested requested versions, newest last
      * @param held version that the upstream serves
+     * @param messageDelay time that messages to the upstream take
      * @return time, empty if no newer version was requested
      */
-    public Optional<Instant> beginBy(List<RequestedVersion> requested, int held) {
+    public Optional<Instant> withdrawAt(
+            List<RequestedVersion> requested, int held, Duration messageDelay) {
         return requested.stream()
                 .filter(v -> v.number() > held)
-                .map(v -> v.receivedAt().plus(versionDeadline).minus(BEGIN_MARGIN))
+                .map(v -> v.receivedAt().plus(withdrawalAfter(messageDelay)))
                 .min(Instant::compareTo);
     }
+
+    // Returns the time from the request for a version to the withdrawal from older ones.
+    private Duration withdrawalAfter(Duration messageDelay) {
+        return versionDeadline.minus(TIMER_MARGIN).minus(messageDelay.multipliedBy(DELAY_GROWTH));
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.desired.RequestKind;
@@ -32,6 +33,10 @@
      */
     private static final int STALL_TIMEOUT_TARGETS = 2;
 
+    private static final Duration MIN_EXPIRY_CHECK_PAUSE = Duration.ofMillis(5);
+
+    private static final Duration MAX_EXPIRY_CHECK_PAUSE = Duration.ofMillis(500);
+
     /** Status of an upstream that is not the one addressed. */
     private static final int MISDIRECTED_REQUEST = 421;
 
@@ -63,6 +68,9 @@
     /** When the request was sent; null until then. */
     private Instant sentAt;
 
+    /** The request while its response has not begun; null before it is sent. */
+    private MessageDelays.Sent sent;
+
     /** When data was last received, or the request was sent. */
     private Instant lastProgressAt = Instant.MIN;
 
@@ -137,6 +145,7 @@
     public void onSent() {
         sentAt = entry.clock().instant();
         lastProgressAt = sentAt;
+        sent = entry.upstreams().delays().sent(candidate.upstream(), sentAt);
         entry.metrics().sent(service(), Duration.between(startedAt, sentAt));
     }
 
@@ -145,6 +154,7 @@
         Instant now = entry.clock().instant();
         lastProgressAt = now;
         head = response;
+        sent.responded(now);
         entry.metrics().responseBegan(service(), Duration.between(sentAt, now));
         metadata.load()
                 .ifPresentOrElse(
@@ -225,28 +235,42 @@
             newConnection.abandon();
             return;
         }
-        connection = newConnection;
         Instant now = entry.clock().instant();
+        if (!entry.upstreams().mayAnswer(candidate.upstream(), exchange.model(), now)) {
+            newConnection.abandon();
+            finish(AttemptResult.CANCELLED);
+            exchange.attemptFailed(
+                    false, false, candidate.upstream().id() + ": version expired before the send");
+            return;
+        }
+        connection = newConnection;
         newConnection.send(exchange.upstreamRequest(candidate, now), exchange.requestId(), this);
         if (!done && route().retryable()) {
             scheduleStallCheck();
-            entry.upstreams()
-                    .beginBy(candidate.upstream(), exchange.model())
-                    .filter(t -> t.isAfter(now))
-                    .ifPresent(t -> scheduleBeginCheck(Duration.between(now, t)));
         }
+        withdrawWhenVersionExpires();
     }
 
-    // Withdraws the request if it has not begun when the version of the upstream expires.
-    private void scheduleBeginCheck(Duration delay) {
+    // Withdraws the request if it has not begun when the version of the upstream expires. The time
+    // is looked at again and again: it becomes earlier while messages become slower, by at most 2 s
+    // a second, and a new version may be requested meanwhile.
+    private void withdrawWhenVersionExpires() {
+        if (done || head != null || exchange.model().isEmpty()) {
+            return;
+        }
+        Instant now = entry.clock().instant();
+        Optional<Instant> at =
+                entry.upstreams().withdrawAt(candidate.upstream(), exchange.model(), now);
+        Duration left = at.map(t -> Duration.between(now, t)).orElse(MAX_EXPIRY_CHECK_PAUSE);
+        if (left.isZero() || left.isNegative()) {
+            withdraw("not begun before the version of its weights expired");
+            return;
+        }
+        long pause = Math.min(left.toMillis() / 3, MAX_EXPIRY_CHECK_PAUSE.toMillis());
         entry.loop()
                 .schedule(
-                        () -> {
-                            if (!done && head == null) {
-                                withdraw("not begun before the version of its weights expired");
-                            }
-                        },
-                        Math.max(1, delay.toMillis()),
+                        this::withdrawWhenVersionExpires,
+                        Math.max(pause, MIN_EXPIRY_CHECK_PAUSE.toMillis()),
                         TimeUnit.MILLISECONDS);
     }
 
@@ -275,6 +299,9 @@
     private void finish(AttemptResult result) {
         done = true;
         endPrefill();
+        if (sent != null) {
+            sent.ended();
+        }
         candidate.load().ended(result, entry.clock().instant());
         entry.queue(exchange.authorized().service()).capacityAvailable();
     }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
@@ -16,6 +16,7 @@
 import org.papayawalk.core.id.UpstreamId;
 import org.papayawalk.core.place.MinimumVersionRule;
 import org.papayawalk.core.place.PlacementCandidate;
+import org.papayawalk.core.place.RequestedVersion;
 import org.papayawalk.core.place.UpstreamLoad;
 import org.papayawalk.core.upstream.UpstreamRegistration;
 import org.papayawalk.daemon.managed.PlatformSnapshot;
@@ -34,6 +35,8 @@
 
     private final MinimumVersionRule versionRule;
 
+    private final MessageDelays delays = new MessageDelays();
+
     private final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
 
     private final Map<ServiceId, List<Upstream>> byService = new HashMap<>();
@@ -115,7 +118,7 @@
             if (snapshot.loading().contains(u.registration().id())) {
                 continue;
             }
-            if (model.isEmpty() || holdsAllowedVersion(u.registration(), model.get(), now)) {
+            if (mayAnswer(u.registration(), model, now)) {
                 list.add(new PlacementCandidate(u.registration(), u.load()));
             }
         }
@@ -133,24 +136,28 @@
     boolean hasCandidate(ServiceId service, Optional<String> model, Instant now) {
         return byService.getOrDefault(service, List.of()).stream()
                 .map(Upstream::registration)
-                .anyMatch(
-                        r ->
-                                snapshot.loading().contains(r.id())
-                                        || model.isEmpty()
-                                        || holdsAllowedVersion(r, model.get(), now));
+                .anyMatch(r -> snapshot.loading().contains(r.id()) || mayAnswer(r, model, now));
     }
 
     /**
-     * Returns the lowest version of weights that may answer a request.
+     * Returns the measured delays of messages to the upstreams.
      *
+     * @return delays, updated by each attempt
+     */
+    MessageDelays delays() {
+        return delays;
+    }
+
+    /**
+     * Returns whether a request may be sent to an upstream now, regardless of its load.
+     *
+     * @param registration upstream
      * @param model model of the request, empty if it needs none
      * @param now present time
-     * @return version number, empty if any version may answer
+     * @return false if the upstream does not hold an allowed version of the model
      */
-    OptionalInt minimumVersion(Optional<String> model, Instant now) {
-        return model.map(m -> snapshot.versions().getOrDefault(m, List.of()))
-                .map(versions -> versionRule.lowestAllowed(versions, now))
-                .orElse(OptionalInt.empty());
+    boolean mayAnswer(UpstreamRegistration registration, Optional<String> model, Instant now) {
+        return model.isEmpty() || holdsAllowedVersion(registration, model.get(), now);
     }
 
     /**
@@ -166,24 +173,29 @@
     OptionalInt pinnedVersion(
             UpstreamRegistration registration, Optional<String> model, Instant now) {
         Integer held = model.map(registration.models()::get).orElse(null);
-        boolean anyVersion = held == null || minimumVersion(model, now).isEmpty();
+        boolean anyVersion =
+                held == null || minimumVersion(registration, model.get(), now).isEmpty();
         return anyVersion ? OptionalInt.empty() : OptionalInt.of(held);
     }
 
     /**
-     * Returns by when a request must have begun at an upstream, because the version of weights that
-     * it serves expires then.
+     * Returns when a request has to be withdrawn from an upstream if its response has not begun,
+     * because the version of weights that the upstream serves expires.
      *
      * @param registration upstream
      * @param model model of the request, empty if it needs none
-     * @return time, empty if the version does not expire
+     * @param now present time
+     * @return time, empty if the version does not expire; may change with the delay of messages
      */
-    Optional<Instant> beginBy(UpstreamRegistration registration, Optional<String> model) {
+    Optional<Instant> withdrawAt(
+            UpstreamRegistration registration, Optional<String> model, Instant now) {
         Integer held = model.map(registration.models()::get).orElse(null);
         return held == null
                 ? Optional.empty()
-                : versionRule.beginBy(
-                        snapshot.versions().getOrDefault(model.get(), List.of()), held);
+                : versionRule.withdrawAt(
+                        snapshot.versions().getOrDefault(model.get(), List.of()),
+                        held,
+                        delays.estimate(registration, now));
     }
 
     /**
@@ -233,7 +245,15 @@
         if (held == null) {
             return false;
         }
-        OptionalInt required = minimumVersion(Optional.of(model), now);
+        OptionalInt required = minimumVersion(registration, model, now);
         return required.isEmpty() || held >= required.getAsInt();
     }
+
+    private OptionalInt minimumVersion(
+            UpstreamRegistration registration, String model, Instant now) {
+        List<RequestedVersion> versions = snapshot.versions().getOrDefault(model, List.of());
+        return versions.isEmpty()
+                ? OptionalInt.empty()
+                : versionRule.lowestAllowed(versions, delays.estimate(registration, now), now);
+    }
 }
--- a/src/test/java/org/papayawalk/core/place/MinimumVersionRuleTest.java
+++ b/src/test/java/org/papayawalk/core/place/MinimumVersionRuleTest.java
@@ -20,8 +20,9 @@
     @Test
     public void olderVersionsStopBeforeTheDeadline() {
         List<RequestedVersion> requested = List.of(new RequestedVersion(2, T0));
-        assertTrue(rule.lowestAllowed(requested, T0.plusSeconds(6)).isEmpty());
-        assertEquals(rule.lowestAllowed(requested, T0.plusSeconds(8)), OptionalInt.of(2));
+        assertTrue(rule.lowestAllowed(requested, Duration.ZERO, T0.plusSeconds(6)).isEmpty());
+        assertEquals(
+                rule.lowestAllowed(requested, Duration.ZERO, T0.plusSeconds(8)), OptionalInt.of(2));
     }
 
     /** A request for a newer version does not extend the time of older versions. */
@@ -29,15 +30,18 @@
     public void gracePeriodStartsWithEachRequest() {
         List<RequestedVersion> requested =
                 List.of(new RequestedVersion(2, T0), new RequestedVersion(3, T0.plusSeconds(4)));
-        assertEquals(rule.lowestAllowed(requested, T0.plusSeconds(8)), OptionalInt.of(2));
-        assertEquals(rule.lowestAllowed(requested, T0.plusSeconds(12)), OptionalInt.of(3));
+        assertEquals(
+                rule.lowestAllowed(requested, Duration.ZERO, T0.plusSeconds(8)), OptionalInt.of(2));
+        assertEquals(
+                rule.lowestAllowed(requested, Duration.ZERO, T0.plusSeconds(12)),
+                OptionalInt.of(3));
     }
 
     /** A version that was requested before the daemon started has no grace period. */
     @Test
     public void versionFromBeforeTheStartHasNoGracePeriod() {
         List<RequestedVersion> requested = List.of(new RequestedVersion(5, Instant.MIN));
-        assertEquals(rule.lowestAllowed(requested, T0), OptionalInt.of(5));
+        assertEquals(rule.lowestAllowed(requested, Duration.ZERO, T0), OptionalInt.of(5));
     }
 
     /**
@@ -48,9 +52,28 @@
     public void requestMustHaveBegunBeforeTheNextVersionIsDue() {
         List<RequestedVersion> requested =
                 List.of(new RequestedVersion(2, T0), new RequestedVersion(3, T0.plusSeconds(4)));
-        assertTrue(rule.beginBy(requested, 1).orElseThrow().isBefore(T0.plusSeconds(8)));
-        assertTrue(rule.beginBy(requested, 1).orElseThrow().isAfter(T0.plusSeconds(7)));
-        assertTrue(rule.beginBy(requested, 2).orElseThrow().isAfter(T0.plusSeconds(11)));
-        assertTrue(rule.beginBy(requested, 3).isEmpty());
+        assertTrue(
+                rule.withdrawAt(requested, 1, Duration.ZERO)
+                        .orElseThrow()
+                        .isBefore(T0.plusSeconds(8)));
+        assertTrue(
+                rule.withdrawAt(requested, 1, Duration.ZERO)
+                        .orElseThrow()
+                        .isAfter(T0.plusSeconds(7)));
+        assertTrue(
+                rule.withdrawAt(requested, 2, Duration.ZERO)
+                        .orElseThrow()
+                        .isAfter(T0.plusSeconds(11)));
+        assertTrue(rule.withdrawAt(requested, 3, Duration.ZERO).isEmpty());
+    }
+
+    /** A withdrawal that was sent in time arrives before the deadline, also if it takes long. */
+    @Test
+    public void slowMessagesBringTheWithdrawalForward() {
+        List<RequestedVersion> requested = List.of(new RequestedVersion(2, T0));
+        Duration delay = Duration.ofSeconds(2);
+        Instant withdrawn = rule.withdrawAt(requested, 1, delay).orElseThrow();
+        assertTrue(withdrawn.plus(delay).isBefore(T0.plusSeconds(8)));
+        assertEquals(rule.lowestAllowed(requested, delay, withdrawn), OptionalInt.of(2));
     }
 }
