Date a new version by the store's clock when its answer comes late

Cause: the time of an old version was counted from when a daemon learned of the new one. Ruled out: a slow way to the upstream, which is direct in that test. The stand-in store gives its time. Conclusion: a bound counts from the confirmation. Versions learned from other daemons are still dated by their receipt.

--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -18,6 +18,7 @@
 import org.papayawalk.core.place.RequestedVersion;
 import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.core.upstream.EngineNotices;
+import org.papayawalk.core.upstream.StoreClock;
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableReplica;
 import org.papayawalk.core.upstream.TableUpdate;
@@ -53,6 +54,8 @@
 
     private final List<Consumer<PlatformSnapshot>> listeners = new ArrayList<>();
 
+    private final StoreClock storeClock = new StoreClock();
+
     private final InstantSource clock;
 
     private final ControlThread thread;
@@ -177,6 +180,11 @@
         if (replica == null) {
             return;
         }
+        Instant now = clock.instant();
+        Instant toldAt =
+                update.storeMillis().isPresent()
+                        ? storeClock.convert(update.storeMillis().getAsLong(), now)
+                        : now;
         TableVersion before = replica.version();
         boolean initial = before.isUnread();
         List<TableRecord> changed = replica.apply(update, after);
@@ -190,7 +198,7 @@
             if (table.equals(StoreCodec.SERVER_TABLE)) {
                 applyServerRow(r);
             } else {
-                applyOperatorRow(r, initial, source);
+                applyOperatorRow(r, initial ? Instant.MIN : toldAt, source);
             }
         }
         publishSnapshot();
@@ -260,8 +268,10 @@
         }
     }
 
-    // initial: whether the row existed when this daemon first read the table.
-    private void applyOperatorRow(TableRecord row, boolean initial, String source) {
+    // writtenBy: time by which the row was written, Instant.MIN if it existed when this daemon
+    // first
+    // read the table.
+    private void applyOperatorRow(TableRecord row, Instant writtenBy, String source) {
         if (row.removed()) {
             return;
         }
@@ -272,7 +282,7 @@
                 addVersion(
                         StoreCodec.modelOfVersionKey(row.key()),
                         StoreCodec.decodeVersionNumber(row.value()),
-                        initial,
+                        writtenBy,
                         source);
             }
         } catch (IOException e) {
@@ -306,21 +316,24 @@
     }
 
     // Ignores a version that is not newer than the last one requested.
-    private void addVersion(String model, int number, boolean initial, String source) {
+    private void addVersion(String model, int number, Instant requestedBy, String source) {
         List<RequestedVersion> known = versions.getOrDefault(model, List.of());
         if (!known.isEmpty() && known.get(known.size() - 1).number() >= number) {
             return;
         }
-        // Instant.MIN marks a version that was requested before this daemon started.
-        Instant at = initial ? Instant.MIN : clock.instant();
         List<RequestedVersion> requested = new ArrayList<>(known);
-        requested.add(new RequestedVersion(number, at));
+        requested.add(new RequestedVersion(number, requestedBy));
         int from = Math.max(0, requested.size() - MAX_VERSIONS_PER_MODEL);
         versions.put(model, List.copyOf(requested.subList(from, requested.size())));
         Event.named("weights-named")
                 .with("model", model)
                 .with("version", number)
                 .with("source", source)
+                .with(
+                        "late_ms",
+                        requestedBy.equals(Instant.MIN)
+                                ? "unknown"
+                                : Duration.between(requestedBy, clock.instant()).toMillis())
                 .info();
     }
 
--- a/src/main/java/org/papayawalk/platform/StoreCodec.java
+++ b/src/main/java/org/papayawalk/platform/StoreCodec.java
@@ -11,6 +11,7 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.regex.Pattern;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.upstream.TableRecord;
@@ -133,7 +134,10 @@
             }
         }
         TableVersion version = new TableVersion(era, root.path("ver").asLong());
-        return new TableUpdate(rows, version, snapshot);
+        JsonNode clock = root.path("nowMs");
+        OptionalLong storeMillis =
+                clock.isIntegralNumber() ? OptionalLong.of(clock.asLong()) : OptionalLong.empty();
+        return new TableUpdate(rows, version, snapshot, storeMillis);
     }
 
     /**
--- a/src/test/java/org/papayawalk/daemon/managed/FakeStore.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeStore.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Fake of the platform's store: HTTP on loopback, rows in memory. It can be restored from an older
@@ -330,7 +331,8 @@
     }
 
     private ObjectNode head() {
-        return mapper.createObjectNode().put("ver", version).put("nowMs", 1).put(ERA, era);
+        long nowMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        return mapper.createObjectNode().put("ver", version).put("nowMs", nowMillis).put(ERA, era);
     }
 
     private void answer(HttpExchange exchange, Call call) throws IOException {
--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -48,7 +48,10 @@
         LOST_ANSWER,
         /** Never answers; waits until the connection is closed. */
         MUTE,
-        /** Streams all events after 300 ms, unless the connection is closed before. */
+        /**
+         * Streams all events after {@link #queueMillis(int)}, unless the connection is closed
+         * before.
+         */
         QUEUED,
         /** Answers completely after {@link #release()}. */
         HELD,
@@ -71,9 +74,6 @@
      */
     public record Seen(String line, Map<String, String> headers, String body) {}
 
-    // Time that requests wait in mode QUEUED.
-    private static final int QUEUE_MILLIS = 300;
-
     private final ServerSocket listener;
 
     private final List<Seen> seen = new CopyOnWriteArrayList<>();
@@ -81,6 +81,9 @@
     // Ids of requests whose connection was closed before the answer.
     private final List<String> abandoned = new CopyOnWriteArrayList<>();
 
+    // Time that requests wait in mode QUEUED.
+    private volatile int queueMillis = 300;
+
     // When requests began in mode QUEUED, by System.nanoTime().
     private final List<Long> begunNanos = new CopyOnWriteArrayList<>();
 
@@ -131,6 +134,15 @@
         return abandoned;
     }
 
+    /**
+     * Changes how long requests wait in mode {@link Mode#QUEUED}.
+     *
+     * @param millis wait in milliseconds, at least 1
+     */
+    public void queueMillis(int millis) {
+        queueMillis = millis;
+    }
+
     /**
      * Returns when requests began in mode {@link Mode#QUEUED}.
      *
@@ -305,7 +317,7 @@
     private boolean streamAfterWait(Seen request, Socket socket, InputStream in)
             throws IOException {
         String id = request.headers().getOrDefault("x-request-id", "");
-        socket.setSoTimeout(QUEUE_MILLIS);
+        socket.setSoTimeout(queueMillis);
         try {
             in.read();
             abandoned.add(id);
--- a/src/test/java/org/papayawalk/daemon/managed/SlowLink.java
+++ b/src/test/java/org/papayawalk/daemon/managed/SlowLink.java
@@ -1,7 +1,6 @@
 package org.papayawalk.daemon.managed;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -11,10 +10,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
- * Forwards connections to an address and delays what is sent there, the end of a connection
- * included. What comes back is not delayed. Thread-safe.
+ * Forwards connections to an address and delays what is sent in each direction, the end of a
+ * connection included. Thread-safe.
  */
 public final class SlowLink implements AutoCloseable {
     private static final int BUFFER_BYTES = 8192;
@@ -23,18 +23,18 @@
 
     private final String target;
 
-    private volatile long delayMillis;
+    private volatile long delayThereMillis;
+
+    private volatile long delayBackMillis;
 
     /**
-     * Starts to forward.
+     * Starts to forward without a delay.
      *
      * @param target IP number and port to forward to
-     * @param delayMillis delay in milliseconds
      * @throws IOException if no port is free
      */
-    public SlowLink(String target, long delayMillis) throws IOException {
+    public SlowLink(String target) throws IOException {
         this.target = target;
-        this.delayMillis = delayMillis;
         listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
         start(this::accept);
     }
@@ -49,12 +49,21 @@
     }
 
     /**
-     * Changes the delay of what is sent from now on.
+     * Changes the delay of what is sent to the target from now on.
+     *
+     * @param millis delay in milliseconds
+     */
+    public void delayThere(long millis) {
+        delayThereMillis = millis;
+    }
+
+    /**
+     * Changes the delay of what the target sends from now on.
      *
      * @param millis delay in milliseconds
      */
-    public void delay(long millis) {
-        delayMillis = millis;
+    public void delayBack(long millis) {
+        delayBackMillis = millis;
     }
 
     @Override
@@ -77,17 +86,22 @@
                 to.connect(new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
                 from.setTcpNoDelay(true);
                 to.setTcpNoDelay(true);
-                BlockingQueue<Parcel> underway = new LinkedBlockingQueue<>();
-                start(() -> read(from, underway));
-                start(() -> deliver(underway, to));
-                start(() -> copy(to, from));
+                forward(from, to, () -> delayThereMillis);
+                forward(to, from, () -> delayBackMillis);
             }
         } catch (IOException e) {
             // The link was closed.
         }
     }
 
-    private void read(Socket from, BlockingQueue<Parcel> underway) {
+    private static void forward(Socket from, Socket to, LongSupplier delayMillis) {
+        BlockingQueue<Parcel> underway = new LinkedBlockingQueue<>();
+        start(() -> read(from, underway, delayMillis));
+        start(() -> deliver(underway, to));
+    }
+
+    private static void read(
+            Socket from, BlockingQueue<Parcel> underway, LongSupplier delayMillis) {
         byte[] buffer = new byte[BUFFER_BYTES];
         int n = 0;
         while (n >= 0) {
@@ -97,7 +111,7 @@
                 n = -1;
             }
             byte[] data = n < 0 ? null : Arrays.copyOf(buffer, n);
-            underway.add(new Parcel(System.nanoTime() + nanos(delayMillis), data));
+            underway.add(new Parcel(System.nanoTime() + nanos(delayMillis.getAsLong()), data));
         }
     }
 
@@ -120,15 +134,6 @@
         }
     }
 
-    private static void copy(Socket from, Socket to) {
-        try (to) {
-            InputStream in = from.getInputStream();
-            in.transferTo(to.getOutputStream());
-        } catch (IOException e) {
-            // One side closed the connection.
-        }
-    }
-
     private static long nanos(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/WeightExpiryTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/WeightExpiryTest.java
@@ -30,7 +30,9 @@
 
     private static final long VERSION_DEADLINE_MILLIS = 3000;
 
-    private static final long LINK_DELAY_MILLIS = 800;
+    private static final long SLOW_MILLIS = 800;
+
+    private static final long LATE_ANSWER_MILLIS = 1100;
 
     private static final int CALLERS = 12;
 
@@ -96,35 +98,62 @@
             throws IOException, InterruptedException {
         try (FakeStore store = new FakeStore();
                 FakeUpstream engine = new FakeUpstream(Mode.QUEUED);
-                SlowLink link = new SlowLink(engine.address(), LINK_DELAY_MILLIS)) {
-            store.put("op", "config", DESIRED);
+                SlowLink link = new SlowLink(engine.address())) {
+            link.delayThere(SLOW_MILLIS);
             store.put("servers", "i-1", ENGINE.formatted(link.address()));
-            int port = FreePort.find();
-            int readyPort = FreePort.find();
-            start(port, readyPort, store.address());
-            Await.within(
-                    TIMEOUT_MILLIS, () -> TestCaller.get(readyPort, "/readiness").status() == 200);
-            ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
-            for (int i = 0; i < CALLERS; i++) {
-                callers.execute(() -> sendRepeatedly(port));
-                TimeUnit.MILLISECONDS.sleep(CALLER_PAUSE_MILLIS);
-            }
-            Await.within(TIMEOUT_MILLIS, () -> engine.begunNanos().size() >= CALLERS);
-            store.put("op", "version/m", "{\"model\":\"m\",\"version\":2}");
-            long namedAt = System.nanoTime();
-            TimeUnit.MILLISECONDS.sleep(2 * VERSION_DEADLINE_MILLIS);
-            callers.shutdownNow();
-            List<Long> begunMillis =
-                    engine.begunNanos().stream()
-                            .map(t -> TimeUnit.NANOSECONDS.toMillis(t - namedAt))
-                            .filter(t -> t > 0)
-                            .toList();
-            assertTrue(begunMillis.size() > 0, "no request began on the old version");
-            assertTrue(
-                    Collections.max(begunMillis) <= VERSION_DEADLINE_MILLIS,
-                    "a request began %d ms after the new version was named"
-                            .formatted(Collections.max(begunMillis)));
+            assertNothingBeginsLate(store, store.address(), engine, () -> {});
+        }
+    }
+
+    /**
+     * The answer of the store that tells of the new version takes 1.1 s.
+     *
+     * @throws IOException if a port cannot be bound
+     * @throws InterruptedException if the test is interrupted
+     */
+    @Test
+    public void nothingBeginsOnAVersionWhoseExpiryWasLearnedLate()
+            throws IOException, InterruptedException {
+        try (FakeStore store = new FakeStore();
+                FakeUpstream engine = new FakeUpstream(Mode.QUEUED);
+                SlowLink link = new SlowLink(store.address())) {
+            store.put("servers", "i-1", ENGINE.formatted(engine.address()));
+            engine.queueMillis(1);
+            assertNothingBeginsLate(
+                    store, link.address(), engine, () -> link.delayBack(LATE_ANSWER_MILLIS));
+        }
+    }
+
+    // Names a version while callers send requests all the time, and checks when requests begin.
+    private static void assertNothingBeginsLate(
+            FakeStore store, String storeAddress, FakeUpstream engine, Runnable beforeNaming)
+            throws IOException, InterruptedException {
+        store.put("op", "config", DESIRED);
+        int port = FreePort.find();
+        int readyPort = FreePort.find();
+        start(port, readyPort, storeAddress);
+        Await.within(TIMEOUT_MILLIS, () -> TestCaller.get(readyPort, "/readiness").status() == 200);
+        ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+        for (int i = 0; i < CALLERS; i++) {
+            callers.execute(() -> sendRepeatedly(port));
+            TimeUnit.MILLISECONDS.sleep(CALLER_PAUSE_MILLIS);
         }
+        Await.within(TIMEOUT_MILLIS, () -> engine.begunNanos().size() >= CALLERS);
+        beforeNaming.run();
+        store.put("op", "version/m", "{\"model\":\"m\",\"version\":2}");
+        long namedAt = System.nanoTime();
+        TimeUnit.MILLISECONDS.sleep(2 * VERSION_DEADLINE_MILLIS);
+        callers.shutdownNow();
+        List<Long> begunMillis =
+                engine.begunNanos().stream()
+                        .map(t -> TimeUnit.NANOSECONDS.toMillis(t - namedAt))
+                        .filter(t -> t > 0)
+                        .toList();
+        assertTrue(begunMillis.size() > 0, "no request began on the old version");
+        assertTrue(
+                Collections.max(begunMillis) <= VERSION_DEADLINE_MILLIS,
+                "a request began %d ms after the new version was named"
+                        .formatted(Collections.max(begunMillis)));
     }
 
     private static void sendRepeatedly(int port) {
