Keep what waits and new connections tell of slow links

Cause: review of the withdrawal from expiring versions. (2) The estimate saw a jam up to 0.6 s late. (4) After a connection was opened only the version was looked at, not whether the upstream had left or was replaced. (5) One upstream with a long queue stopped its own requests far too early. Ruled out: withdrawing twice, leaks of ended attempts. Change: waits count until a later message is answered, for 10 s; opening a connection is a measurement; times are not negative; the host's own delay is bounded; the upstream is looked up again before sending, and a request that was not sent is queued again after the dispatch that chose it. (4) has no test of its own yet. Conclusion: jams that rise faster than twice the estimate remain possible.

--- a/src/main/java/org/papayawalk/core/place/MinimumVersionRule.java
+++ b/src/main/java/org/papayawalk/core/place/MinimumVersionRule.java
@@ -46,7 +46,7 @@
      */
     public OptionalInt lowestAllowed(
             List<RequestedVersion> requested, Duration messageDelay, Instant now) {
-        Duration gracePeriod = withdrawalAfter(messageDelay).minus(QUEUE_TIME);
+        Duration gracePeriod = notNegative(withdrawalAfter(messageDelay).minus(QUEUE_TIME));
         return requested.stream()
                 .filter(v -> !v.receivedAt().plus(gracePeriod).isAfter(now))
                 .mapToInt(RequestedVersion::number)
@@ -71,6 +71,11 @@
 
     // Returns the time from the request for a version to the withdrawal from older ones.
     private Duration withdrawalAfter(Duration messageDelay) {
-        return versionDeadline.minus(TIMER_MARGIN).minus(messageDelay.multipliedBy(DELAY_GROWTH));
+        return notNegative(
+                versionDeadline.minus(TIMER_MARGIN).minus(messageDelay.multipliedBy(DELAY_GROWTH)));
+    }
+
+    private static Duration notNegative(Duration d) {
+        return d.isNegative() ? Duration.ZERO : d;
     }
 }
--- a/src/main/java/org/papayawalk/core/place/ResponseDelays.java
+++ b/src/main/java/org/papayawalk/core/place/ResponseDelays.java
@@ -3,88 +3,104 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
- * Estimates how long a message takes to upstreams, from the time between sending a request and the
- * head of its response. A message needs less than the fastest of the recent responses did. If
- * responses fail to arrive, it may need as long as a request has waited for one.
+ * Estimates how long a message takes to upstreams, from the time between sending a message and the
+ * start of its answer. A message needs at most as long as the fastest of the recent answers did. If
+ * no answer to a later message has arrived, it may need as long as a message has waited for its
+ * answer, also if the sender has given that message up since.
  *
- * <p>Holds only requests of the last seconds. Not thread-safe.
+ * <p>Holds only what was sent in the last seconds. Not thread-safe.
  *
- * @param <K> what the requests are grouped by, such as an upstream or a failure domain
+ * @param <K> what the messages are grouped by, such as an upstream or a failure domain
  */
 public final class ResponseDelays<K> {
-    /** Time after which a response or an unanswered request no longer counts. */
-    private static final Duration RETENTION = Duration.ofSeconds(4);
+    /** Time after which an answer no longer counts. */
+    private static final Duration ANSWER_RETENTION = Duration.ofSeconds(4);
 
-    /** Time in which responses count as equally recent. */
+    /** Time after which a message without an answer no longer counts. */
+    private static final Duration WAIT_RETENTION = Duration.ofSeconds(10);
+
+    /** Answers of a group that are kept, and messages without an answer. */
+    private static final int MAX_PER_GROUP = 16;
+
+    private static final int MAX_GROUPS = 4096;
+
+    /** Time in which answers count as equally recent. */
     private final Duration recency;
 
     private final Map<K, Group> groups = new HashMap<>();
 
     /**
-     * Creates an estimator without requests.
+     * Creates an estimator without messages.
      *
-     * @param recency time in which responses count as equally recent, at most 4 s; several requests
+     * @param recency time in which answers count as equally recent, at most 4 s; several messages
      *     of a group should be answered within it
      */
     public ResponseDelays(Duration recency) {
         this.recency = recency;
     }
 
-    /** Request that was sent. Requests are told apart by identity. */
+    /** Message that was sent. Messages are told apart by identity. */
     public static final class Sent {
         private final Instant at;
 
+        /** When the sender gave up; null while it waits. */
+        private Instant endedAt;
+
         private Sent(Instant at) {
             this.at = at;
         }
+
+        private Duration waited(Instant now) {
+            return Duration.between(at, endedAt == null ? now : endedAt);
+        }
     }
 
     /**
-     * Records that a request is sent.
+     * Records that a message is sent.
      *
-     * @param key group of the request
+     * @param key group of the receiver
      * @param now present time
-     * @return request, for {@link #responded} and {@link #ended}
+     * @return message, for {@link #answered} and {@link #ended}
      */
     public Sent sent(K key, Instant now) {
-        Sent request = new Sent(now);
-        Group group = groups.computeIfAbsent(key, k -> new Group());
-        group.forget(now.minus(RETENTION));
-        group.unanswered.add(request);
-        return request;
+        Sent message = new Sent(now);
+        if (groups.size() >= MAX_GROUPS) {
+            groups.values().removeIf(g -> g.isEmpty(now));
+        }
+        groups.computeIfAbsent(key, k -> new Group()).add(message);
+        return message;
     }
 
     /**
-     * Records the head of a response.
+     * Records the start of an answer.
      *
-     * @param key group of the request
-     * @param request request
+     * @param key group of the receiver
+     * @param message message
      * @param now present time
      */
-    public void responded(K key, Sent request, Instant now) {
+    public void answered(K key, Sent message, Instant now) {
         Group group = groups.get(key);
-        if (group != null && group.unanswered.remove(request)) {
-            group.responses.addLast(new Response(now, Duration.between(request.at, now)));
+        if (group != null) {
+            group.answered(message, now);
         }
     }
 
     /**
-     * Records the end of a request. No effect if its response has begun.
+     * Records that the sender no longer waits for an answer. No effect after an answer.
      *
-     * @param key group of the request
-     * @param request request
+     * @param message message
+     * @param now present time
      */
-    public void ended(K key, Sent request) {
-        Group group = groups.get(key);
-        if (group != null) {
-            group.unanswered.remove(request);
+    public void ended(Sent message, Instant now) {
+        if (message.endedAt == null) {
+            message.endedAt = now;
         }
     }
 
@@ -97,57 +113,81 @@
      */
     public Duration estimate(K key, Instant now) {
         Group group = groups.get(key);
-        if (group == null) {
-            return Duration.ZERO;
-        }
-        group.forget(now.minus(RETENTION));
-        if (group.isEmpty()) {
-            groups.remove(key);
-            return Duration.ZERO;
-        }
-        Duration fastest = group.fastest(recency);
-        boolean answering =
-                !group.responses.isEmpty()
-                        && !group.responses.getLast().at.plus(recency).isBefore(now);
-        if (answering || group.unanswered.isEmpty()) {
-            return fastest;
-        }
-        Duration longestWait = Duration.between(group.unanswered.iterator().next().at, now);
-        return longestWait.compareTo(fastest) > 0 ? longestWait : fastest;
+        return group == null ? Duration.ZERO : group.estimate(recency, now);
     }
 
-    private record Response(Instant at, Duration delay) {}
+    private record Answer(Instant at, Duration delay) {}
 
-    /** Requests with the same key. */
+    /** Messages with the same key. */
     private static final class Group {
         /** Oldest first. */
-        private final Deque<Response> responses = new ArrayDeque<>();
+        private final Deque<Answer> answers = new ArrayDeque<>();
+
+        /** Messages that were sent after the last one that was answered; oldest first. */
+        private final List<Sent> unanswered = new ArrayList<>();
+
+        /** When the last of the answered messages was sent. */
+        private Instant lastAnsweredSentAt = Instant.MIN;
+
+        void add(Sent message) {
+            if (unanswered.size() < MAX_PER_GROUP) {
+                unanswered.add(message);
+            }
+        }
+
+        // The answer shows how long messages take that were sent at the same time or before.
+        void answered(Sent message, Instant now) {
+            answers.addLast(new Answer(now, Duration.between(message.at, now)));
+            if (answers.size() > MAX_PER_GROUP) {
+                answers.removeFirst();
+            }
+            unanswered.remove(message);
+            if (message.at.isAfter(lastAnsweredSentAt)) {
+                lastAnsweredSentAt = message.at;
+                unanswered.removeIf(s -> !s.at.isAfter(lastAnsweredSentAt));
+            }
+        }
 
-        /** Requests whose response has not begun, oldest first. */
-        private final Set<Sent> unanswered = new LinkedHashSet<>();
+        boolean isEmpty(Instant now) {
+            forget(now);
+            return answers.isEmpty() && unanswered.isEmpty();
+        }
 
-        boolean isEmpty() {
-            return responses.isEmpty() && unanswered.isEmpty();
+        Duration estimate(Duration recency, Instant now) {
+            forget(now);
+            Duration estimate = fastest(recency);
+            for (Sent s : unanswered) {
+                Duration waited = s.waited(now);
+                if (waited.compareTo(estimate) > 0) {
+                    estimate = waited;
+                }
+            }
+            return estimate;
         }
 
-        void forget(Instant before) {
-            while (!responses.isEmpty() && responses.getFirst().at.isBefore(before)) {
-                responses.removeFirst();
+        private void forget(Instant now) {
+            Instant answersFrom = now.minus(ANSWER_RETENTION);
+            while (!answers.isEmpty() && answers.getFirst().at.isBefore(answersFrom)) {
+                answers.removeFirst();
             }
-            unanswered.removeIf(s -> s.at.isBefore(before));
+            Instant waitsFrom = now.minus(WAIT_RETENTION);
+            unanswered.removeIf(s -> s.at.isBefore(waitsFrom));
         }
 
-        // Returns the shortest delay among the last response and those shortly before it.
-        Duration fastest(Duration recency) {
-            if (responses.isEmpty()) {
+        // Returns the shortest delay among the last answer and those shortly before it.
+        private Duration fastest(Duration recency) {
+            if (answers.isEmpty()) {
                 return Duration.ZERO;
             }
-            Instant from = responses.getLast().at.minus(recency);
-            return responses.stream()
-                    .filter(r -> !r.at.isBefore(from))
-                    .map(Response::delay)
-                    .min(Duration::compareTo)
-                    .orElseThrow();
+            Answer last = answers.getLast();
+            Duration fastest = last.delay;
+            for (Answer a : answers) {
+                boolean recent = !a.at.plus(recency).isBefore(last.at);
+                if (recent && a.delay.compareTo(fastest) < 0) {
+                    fastest = a.delay;
+                }
+            }
+            return fastest;
         }
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/MessageDelays.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/MessageDelays.java
@@ -8,8 +8,9 @@
 import org.papayawalk.core.upstream.UpstreamRegistration;
 
 /**
- * Delays of messages to upstreams. The link of a single host may be congested as well as the links
- * to its failure domain, so both are measured. Confined to the event loop thread.
+ * Delays of messages to upstreams, from requests and from connections that are opened. The link of
+ * a single host may be congested as well as the links to its failure domain, so both are measured.
+ * Confined to the event loop thread.
  */
 final class MessageDelays {
     /** An entry sends a single upstream about one request a second. */
@@ -17,11 +18,17 @@
 
     private static final Duration DOMAIN_RECENCY = Duration.ofMillis(600);
 
+    /**
+     * Bound on the delay by the link of a single host, which only its agent can congest. What is
+     * beyond it is a wait in the queue of the upstream.
+     */
+    private static final Duration MAX_HOST_DELAY = Duration.ofMillis(500);
+
     private final ResponseDelays<UpstreamId> byUpstream = new ResponseDelays<>(UPSTREAM_RECENCY);
 
     private final ResponseDelays<DomainId> byDomain = new ResponseDelays<>(DOMAIN_RECENCY);
 
-    /** Request that was sent to an upstream. Confined to the event loop thread. */
+    /** Message that was sent to an upstream. Confined to the event loop thread. */
     final class Sent {
         private final UpstreamRegistration upstream;
 
@@ -36,28 +43,32 @@
         }
 
         /**
-         * Records the head of the response.
+         * Records the start of the answer.
          *
          * @param now present time
          */
-        void responded(Instant now) {
-            byUpstream.responded(upstream.id(), toUpstream, now);
-            byDomain.responded(upstream.domain(), toDomain, now);
+        void answered(Instant now) {
+            byUpstream.answered(upstream.id(), toUpstream, now);
+            byDomain.answered(upstream.domain(), toDomain, now);
         }
 
-        /** Records the end of the request. No effect if its response has begun. */
-        void ended() {
-            byUpstream.ended(upstream.id(), toUpstream);
-            byDomain.ended(upstream.domain(), toDomain);
+        /**
+         * Records that no answer is waited for any more. No effect after an answer.
+         *
+         * @param now present time
+         */
+        void ended(Instant now) {
+            byUpstream.ended(toUpstream, now);
+            byDomain.ended(toDomain, now);
         }
     }
 
     /**
-     * Records that a request is sent.
+     * Records that a message is sent: a request, or the first packet of a connection.
      *
      * @param upstream upstream
      * @param now present time
-     * @return request
+     * @return message
      */
     Sent sent(UpstreamRegistration upstream, Instant now) {
         return new Sent(upstream, now);
@@ -71,8 +82,12 @@
      * @return zero if nothing is known of the last seconds
      */
     Duration estimate(UpstreamRegistration upstream, Instant now) {
-        Duration own = byUpstream.estimate(upstream.id(), now);
+        Duration own = shorter(byUpstream.estimate(upstream.id(), now), MAX_HOST_DELAY);
         Duration domain = byDomain.estimate(upstream.domain(), now);
         return own.compareTo(domain) > 0 ? own : domain;
     }
+
+    private static Duration shorter(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -68,8 +68,11 @@
     /** When the request was sent; null until then. */
     private Instant sentAt;
 
-    /** The request while its response has not begun; null before it is sent. */
-    private MessageDelays.Sent sent;
+    /** Whether a connection is being taken from the pool, so that it is not a new one. */
+    private boolean acquiring;
+
+    /** Last message to the upstream: the opening of the connection, later the request. */
+    private MessageDelays.Sent message;
 
     /** When data was last received, or the request was sent. */
     private Instant lastProgressAt = Instant.MIN;
@@ -105,14 +108,20 @@
         UpstreamTable.Upstream upstream =
                 entry.upstreams().find(candidate.upstream().id()).orElse(null);
         if (upstream == null) {
-            onFailure("upstream is no longer in the upstream list", false);
+            finish(AttemptResult.UNREACHABLE);
+            reportNotSent("no longer in the upstream list");
             return;
         }
+        acquiring = true;
         upstream.pool()
                 .acquire(
                         !route().retryable(),
                         this::sendOn,
                         reason -> onFailure("cannot connect: " + reason, false));
+        acquiring = false;
+        if (sentAt == null && !done) {
+            message = entry.upstreams().delays().sent(candidate.upstream(), startedAt);
+        }
     }
 
     /**
@@ -145,7 +154,7 @@
     public void onSent() {
         sentAt = entry.clock().instant();
         lastProgressAt = sentAt;
-        sent = entry.upstreams().delays().sent(candidate.upstream(), sentAt);
+        message = entry.upstreams().delays().sent(candidate.upstream(), sentAt);
         entry.metrics().sent(service(), Duration.between(startedAt, sentAt));
     }
 
@@ -154,7 +163,7 @@
         Instant now = entry.clock().instant();
         lastProgressAt = now;
         head = response;
-        sent.responded(now);
+        message.answered(now);
         entry.metrics().responseBegan(service(), Duration.between(sentAt, now));
         metadata.load()
                 .ifPresentOrElse(
@@ -236,11 +245,13 @@
             return;
         }
         Instant now = entry.clock().instant();
-        if (!entry.upstreams().mayAnswer(candidate.upstream(), exchange.model(), now)) {
+        if (message != null) {
+            message.answered(now);
+        }
+        if (!entry.upstreams().mayReceive(candidate.upstream(), exchange.model(), now)) {
             newConnection.abandon();
             finish(AttemptResult.CANCELLED);
-            exchange.attemptFailed(
-                    false, false, candidate.upstream().id() + ": version expired before the send");
+            reportNotSent("takes the request no longer");
             return;
         }
         connection = newConnection;
@@ -251,6 +262,18 @@
         withdrawWhenVersionExpires();
     }
 
+    // Reports later, because the exchange must not be queued again while it is being dispatched.
+    private void reportNotSent(String reason) {
+        String text = candidate.upstream().id() + ": " + reason;
+        entry.loop()
+                .execute(
+                        () -> {
+                            if (!exchange.isCompleted()) {
+                                exchange.attemptFailed(false, false, text);
+                            }
+                        });
+    }
+
     // Withdraws the request if it has not begun when the version of the upstream expires. The time
     // is looked at again and again: it becomes earlier while messages become slower, by at most 2 s
     // a second, and a new version may be requested meanwhile.
@@ -299,8 +322,8 @@
     private void finish(AttemptResult result) {
         done = true;
         endPrefill();
-        if (sent != null) {
-            sent.ended();
+        if (message != null) {
+            message.ended(entry.clock().instant());
         }
         candidate.load().ended(result, entry.clock().instant());
         entry.queue(exchange.authorized().service()).capacityAvailable();
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
@@ -160,6 +160,23 @@
         return model.isEmpty() || holdsAllowedVersion(registration, model.get(), now);
     }
 
+    /**
+     * Returns whether a request may still be sent to an upstream that was chosen for it.
+     *
+     * @param registration upstream when it was chosen
+     * @param model model of the request, empty if it needs none
+     * @param now present time
+     * @return false if the upstream leaves or is gone, if another process has its id, or if it does
+     *     not hold an allowed version of the model
+     */
+    boolean mayReceive(UpstreamRegistration registration, Optional<String> model, Instant now) {
+        return find(registration.id())
+                .map(Upstream::registration)
+                .filter(r -> r.sameProcess(registration))
+                .filter(r -> mayAnswer(r, model, now))
+                .isPresent();
+    }
+
     /**
      * Returns the version of weights that the upstream is required to answer with. While older
      * versions may still answer, none is required; afterwards it is the version that the upstream
@@ -245,6 +262,11 @@
         if (held == null) {
             return false;
         }
+        List<RequestedVersion> versions = snapshot.versions().getOrDefault(model, List.of());
+        boolean newest = versions.isEmpty() || versions.get(versions.size() - 1).number() <= held;
+        if (newest) {
+            return true;
+        }
         OptionalInt required = minimumVersion(registration, model, now);
         return required.isEmpty() || held >= required.getAsInt();
     }
--- a/src/test/java/org/papayawalk/core/place/MinimumVersionRuleTest.java
+++ b/src/test/java/org/papayawalk/core/place/MinimumVersionRuleTest.java
@@ -76,4 +76,16 @@
         assertTrue(withdrawn.plus(delay).isBefore(T0.plusSeconds(8)));
         assertEquals(rule.lowestAllowed(requested, delay, withdrawn), OptionalInt.of(2));
     }
+
+    /** Messages that take longer than a version has end its time at once. */
+    @Test
+    public void delayBeyondTheDeadlineEndsOlderVersionsAtOnce() {
+        Duration delay = Duration.ofSeconds(10);
+        List<RequestedVersion> early = List.of(new RequestedVersion(2, Instant.MIN));
+        assertEquals(rule.lowestAllowed(early, delay, T0), OptionalInt.of(2));
+        assertTrue(rule.withdrawAt(early, 1, delay).orElseThrow().isBefore(T0));
+        List<RequestedVersion> requested = List.of(new RequestedVersion(2, T0));
+        assertEquals(rule.lowestAllowed(requested, delay, T0), OptionalInt.of(2));
+        assertTrue(rule.lowestAllowed(requested, delay, T0.minusMillis(1)).isEmpty());
+    }
 }
--- a/src/test/java/org/papayawalk/core/place/ResponseDelaysTest.java
+++ b/src/test/java/org/papayawalk/core/place/ResponseDelaysTest.java
@@ -23,31 +23,43 @@
 
     /** A response that waited in a queue says nothing of the link if a faster one came too. */
     @Test
-    public void fastestRecentResponseCounts() {
+    public void fastestRecentAnswerCounts() {
         answer(T0, 900);
         answer(T0.plusMillis(850), 100);
         assertEquals(estimate(1000), Duration.ofMillis(100));
     }
 
-    /** While responses fail to arrive, the delay is taken to be that of the longest wait. */
+    /** While answers fail to arrive, the delay is at least the longest wait. */
     @Test
-    public void unansweredRequestsCountOnceNoResponseArrives() {
+    public void waitForAnAnswerCounts() {
         answer(T0, 100);
         delays.sent(KEY, T0.plusMillis(100));
-        assertEquals(estimate(600), Duration.ofMillis(100));
+        assertEquals(estimate(150), Duration.ofMillis(100));
         assertEquals(estimate(1500), Duration.ofMillis(1400));
     }
 
-    /** A request that ended without a response no longer counts. */
+    /** A request that was given up shows as before that messages take at least as long. */
     @Test
-    public void endedRequestDoesNotCount() {
-        delays.ended(KEY, delays.sent(KEY, T0));
-        assertEquals(estimate(2000), Duration.ZERO);
+    public void endOfTheWaitDoesNotLowerTheEstimate() {
+        ResponseDelays.Sent message = delays.sent(KEY, T0);
+        delays.ended(message, T0.plusMillis(900));
+        assertEquals(estimate(2000), Duration.ofMillis(900));
+        assertEquals(estimate(9000), Duration.ofMillis(900));
+        answer(T0.plusMillis(9000), 50);
+        assertEquals(estimate(9060), Duration.ofMillis(50));
+    }
+
+    /** One silent upstream does not slow down a failure domain whose others answer. */
+    @Test
+    public void answerToALaterMessageEndsAnEarlierWait() {
+        delays.sent(KEY, T0);
+        answer(T0.plusMillis(1000), 80);
+        assertEquals(estimate(3000), Duration.ofMillis(80));
     }
 
     /** A delay that has become longer replaces the shorter ones of earlier responses. */
     @Test
-    public void laterResponsesReplaceEarlierOnes() {
+    public void laterAnswersReplaceEarlierOnes() {
         answer(T0, 100);
         answer(T0.plusMillis(100), 900);
         assertEquals(estimate(1100), Duration.ofMillis(900));
@@ -55,13 +67,13 @@
 
     /** Nothing is known of a group some seconds after its last response. */
     @Test
-    public void responsesAreForgotten() {
+    public void answersAreForgotten() {
         answer(T0, 900);
         assertEquals(estimate(5000), Duration.ZERO);
     }
 
     private void answer(Instant sentAt, long delayMillis) {
-        delays.responded(KEY, delays.sent(KEY, sentAt), sentAt.plusMillis(delayMillis));
+        delays.answered(KEY, delays.sent(KEY, sentAt), sentAt.plusMillis(delayMillis));
     }
 
     private Duration estimate(long millis) {
