Keep most queries between entries in their region

Cause: entries queried two random entries of any region every 0.4 s. Ruled out: no queries to other regions at all, as a region that the store turns away would learn nothing, and evidence and limits would stay in their region. Change: `QueryRound`. In a region of more than three entries one query in three rounds goes to another region. It asks for rows only while the store does not answer this entry. In smaller regions nothing changes. Every entry still follows the store itself.

--- a/src/main/java/org/papayawalk/daemon/managed/EntryDirectory.java
+++ b/src/main/java/org/papayawalk/daemon/managed/EntryDirectory.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 import org.papayawalk.core.id.DomainId;
 
@@ -149,6 +150,16 @@
         return selected;
     }
 
+    /**
+     * Returns the failure domain of an entry.
+     *
+     * @param address address of the entry
+     * @return failure domain, empty if the address is unknown
+     */
+    Optional<DomainId> domain(String address) {
+        return Optional.ofNullable(entries.get(address)).map(k -> k.domain);
+    }
+
     /**
      * Returns whether an entry is known to be in a failure domain.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -288,7 +288,9 @@
                 thread,
                 clock,
                 settings.peerAddress(),
-                settings.domain());
+                settings.domain(),
+                settings::region,
+                () -> watchers.stream().allMatch(TableWatcher::isInContact));
     }
 
     private void listen(String address, MessageHandler handler) throws IOException {
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
@@ -5,14 +5,20 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.RegionId;
+import org.papayawalk.core.upstream.QueryRound;
+import org.papayawalk.core.upstream.QueryRound.Query;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.wire.PeerClient;
 import org.papayawalk.wire.TrafficClass;
@@ -22,16 +28,13 @@
 import org.papayawalk.wire.proto.ViewReply;
 
 /**
- * Fetches table rows, addresses of entries and evidence from entries. An entry queries a few random
- * entries per round; an agent keeps one long poll open at one entry. Confined to the control
- * thread.
+ * Fetches table rows, addresses of entries and evidence from entries. An entry queries a few
+ * entries per round, see {@link QueryRound}; an agent keeps one long poll open at one entry.
+ * Confined to the control thread.
  */
 final class StateSyncClient {
     private static final Duration ROUND_INTERVAL = Duration.ofMillis(400);
 
-    // Entries that an entry queries per round.
-    private static final int FANOUT = 2;
-
     // Longest time for which an entry holds an agent's query while there are no newer rows.
     private static final Duration AGENT_POLL_WAIT = Duration.ofMillis(1000);
 
@@ -62,6 +65,14 @@
 
     private final String self;
 
+    private final Function<DomainId, RegionId> regions;
+
+    // Whether the store answers this entry.
+    private final BooleanSupplier storeContact;
+
+    // Number of the present round of an entry.
+    private int round;
+
     // Receives true after a query of an agent that was answered, false after one that failed.
     private Consumer<Boolean> outcomeListener = answered -> {};
 
@@ -80,6 +91,8 @@
      * @param clock monotonic clock
      * @param self address of this daemon
      * @param domain failure domain of this daemon
+     * @param regions region of each failure domain
+     * @param storeContact whether the store answers this daemon; asked on the control thread
      */
     StateSyncClient(
             PlatformState state,
@@ -90,7 +103,9 @@
             ControlThread thread,
             InstantSource clock,
             String self,
-            DomainId domain) {
+            DomainId domain,
+            Function<DomainId, RegionId> regions,
+            BooleanSupplier storeContact) {
         this.state = state;
         this.entries = entries;
         this.seeds = seeds;
@@ -100,12 +115,14 @@
         this.clock = clock;
         this.self = self;
         this.domain = domain;
+        this.regions = regions;
+        this.storeContact = storeContact;
     }
 
     /** Starts the query rounds of an entry. */
     void runAsEntry() {
-        queryRandomEntries();
-        thread.scheduleRepeatedly(ROUND_INTERVAL, this::queryRandomEntries);
+        queryEntries();
+        thread.scheduleRepeatedly(ROUND_INTERVAL, this::queryEntries);
     }
 
     /**
@@ -118,19 +135,38 @@
         pollEntry();
     }
 
-    private void queryRandomEntries() {
-        List<String> targets = new ArrayList<>(entries.queryable(clock.instant()));
-        if (targets.isEmpty()) {
-            targets.addAll(seeds);
-        }
-        Collections.shuffle(targets, ThreadLocalRandom.current());
-        for (String t : targets.subList(0, Math.min(FANOUT, targets.size()))) {
+    private void queryEntries() {
+        round++;
+        for (Query q : queriesOfRound()) {
             ViewQuery.Builder query =
                     ViewQuery.newBuilder().setEntry(StateSyncMessages.entryAddress(self, domain));
             query.addAllLostRuns(StateSyncMessages.lostRuns(evidence.suspects(), clock.instant()));
             query.addAllLimits(StateSyncMessages.limits(evidence.limits(), clock.instant()));
-            sendQuery(t, query, Duration.ZERO, r -> {});
+            if (q.rows()) {
+                StateSyncMessages.addMarks(query, state);
+            }
+            sendQuery(q.target(), query, Duration.ZERO, r -> {});
+        }
+    }
+
+    // The seeds are queried while no entry is known.
+    private List<Query> queriesOfRound() {
+        Map<Boolean, List<String>> targets =
+                entries.queryable(clock.instant()).stream()
+                        .collect(Collectors.partitioningBy(this::inOwnRegion));
+        List<String> own = targets.get(true);
+        List<String> others = targets.get(false);
+        if (own.isEmpty() && others.isEmpty()) {
+            others = seeds;
         }
+        boolean inContact = storeContact.getAsBoolean();
+        return QueryRound.choose(own, others, round, inContact, ThreadLocalRandom.current());
+    }
+
+    private boolean inOwnRegion(String address) {
+        return entries.domain(address)
+                .map(d -> regions.apply(d).equals(regions.apply(domain)))
+                .orElse(false);
     }
 
     private void pollEntry() {
@@ -143,9 +179,12 @@
             thread.schedule(AGENT_RETRY_PAUSE, this::pollEntry);
             return;
         }
+        ViewQuery.Builder query =
+                ViewQuery.newBuilder().setWaitMillis((int) AGENT_POLL_WAIT.toMillis());
+        StateSyncMessages.addMarks(query, state);
         sendQuery(
                 target,
-                ViewQuery.newBuilder().setWaitMillis((int) AGENT_POLL_WAIT.toMillis()),
+                query,
                 AGENT_POLL_WAIT,
                 answered -> {
                     outcomeListener.accept(answered);
@@ -186,7 +225,6 @@
 
     private void sendQuery(
             String target, ViewQuery.Builder query, Duration wait, Consumer<Boolean> done) {
-        StateSyncMessages.addMarks(query, state);
         Envelope.Builder message = Envelope.newBuilder().setViewQuery(query);
         client.request(target, TrafficClass.LIVE, message, wait.plus(RESPONSE_TIMEOUT))
                 .thenAccept(reply -> thread.execute(() -> done.accept(handleReply(target, reply))));
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -146,6 +146,15 @@
         running = false;
     }
 
+    /**
+     * Returns whether the store answered the last call that ended.
+     *
+     * @return false also before the table was read
+     */
+    boolean isInContact() {
+        return consecutiveFailures == 0 && !receiver.version().isUnread();
+    }
+
     private void sendNextRequest(int callGeneration) {
         if (!running || callGeneration != generation) {
             return;
