--- a/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
+++ b/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
@@ -29,6 +29,8 @@
 
     private final Duration longestPause;
 
+    private final Duration checkInterval;
+
     /**
      * Creates a schedule.
      *
@@ -36,9 +38,22 @@
      *     its changes
      */
     public PollSchedule(Duration maxStaleness) {
+        this(maxStaleness, maxStaleness);
+    }
+
+    /**
+     * Creates a schedule with a bound on the time until a change is in force.
+     *
+     * @param maxStaleness longest time from the end of trouble of the store until the daemon has
+     *     its changes
+     * @param maxDelay longest time from a change until the daemon has it, while the store serves
+     */
+    public PollSchedule(Duration maxStaleness, Duration maxDelay) {
         Duration spare = maxStaleness.minus(RESPONSE_TIMEOUT).minus(RESERVE);
         longPollWait = clamp(spare.minus(MIN_PAUSE), MIN_WAIT, MAX_WAIT);
         longestPause = clamp(spare, MIN_PAUSE, MAX_PAUSE);
+        // The other half is left for the call itself.
+        checkInterval = clamp(maxDelay.dividedBy(2), MIN_WAIT, longPollWait);
     }
 
     /**
@@ -74,6 +89,55 @@
         return Duration.ofMillis((long) (bound * (1 + draw) / 2));
     }
 
+    /**
+     * Returns the longest time between two calls of a daemon that gets changes from another daemon
+     * and only checks whether the store has newer ones. So a change is read in time whatever the
+     * other daemon does.
+     *
+     * @return time from sending one call to sending the next
+     */
+    public Duration checkInterval() {
+        return checkInterval;
+    }
+
+    /**
+     * Returns the time between two calls after which such a daemon checks as soon as the other one
+     * has sent rows, because the store probably has no newer ones then and answers without rows.
+     *
+     * @return time from sending one call
+     */
+    public Duration earliestCheck() {
+        return checkInterval.dividedBy(2);
+    }
+
+    /**
+     * Returns how long another daemon may hold a query while it has nothing newer.
+     *
+     * @return time
+     */
+    public Duration sourceWait() {
+        return checkInterval.dividedBy(2);
+    }
+
+    /**
+     * Returns how long to wait for an answer of another daemon beyond the time for which it may
+     * hold the query.
+     *
+     * @return time
+     */
+    public Duration sourceTimeout() {
+        return checkInterval.dividedBy(2);
+    }
+
+    /**
+     * Returns the age of the last answer of another daemon from which on it counts as silent.
+     *
+     * @return time for which it may hold a query, and the time for the answer
+     */
+    public Duration sourceSilence() {
+        return sourceWait().plus(sourceTimeout());
+    }
+
     private static Duration clamp(Duration value, Duration min, Duration max) {
         if (value.compareTo(min) < 0) {
             return min;
--- /dev/null
+++ b/src/test/java/org/papayawalk/core/upstream/FeedRoleTest.java
@@ -0,0 +1,137 @@
+package org.papayawalk.core.upstream;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+/** Choice of sources, and when a follower turns to the store. */
+public final class FeedRoleTest {
+    private static final Instant START = Instant.EPOCH;
+
+    private static final PollSchedule SCHEDULE =
+            new PollSchedule(Duration.ofSeconds(3), Duration.ofSeconds(2));
+
+    private final List<String> region =
+            IntStream.range(0, 12).mapToObj(i -> "10.0.0." + i + ":7000").toList();
+
+    /** Up to three entries of a region all follow the store. */
+    @Test
+    public void smallRegionsFollowTheStore() {
+        for (int i = 0; i < 3; i++) {
+            FeedRole role = role(i, region.subList(0, 3));
+            assertTrue(role.source(START).isEmpty());
+            assertTrue(role.followsStore(START));
+        }
+    }
+
+    /** All entries of a region agree on two sources, and the others follow one of these. */
+    @Test
+    public void entriesAgreeOnTheSources() {
+        List<String> sources = new ArrayList<>();
+        List<String> followed = new ArrayList<>();
+        for (int i = 0; i < region.size(); i++) {
+            role(i, region)
+                    .source(START)
+                    .ifPresentOrElse(followed::add, addTo(sources, region.get(i)));
+        }
+        assertEquals(sources.size(), FeedRole.SOURCES);
+        assertTrue(sources.containsAll(followed));
+        assertTrue(followed.containsAll(sources), "all follow " + followed.get(0));
+    }
+
+    /** A follower turns to the store until its source has answered, and when that fails. */
+    @Test
+    public void followerWithoutAnswerFollowsTheStore() {
+        FeedRole role = follower();
+        assertTrue(role.followsStore(START));
+        String source = role.source(START).orElseThrow();
+        assertEquals(role.sourceWait(), Duration.ZERO);
+        role.answered(source, START);
+        assertFalse(role.followsStore(START));
+        assertEquals(role.sourceWait(), SCHEDULE.sourceWait());
+        role.failed(source);
+        assertTrue(role.followsStore(START));
+        assertEquals(role.sourceWait(), Duration.ZERO);
+    }
+
+    /** An answer counts for as long as the next one may take. */
+    @Test
+    public void silentSourceIsNoSource() {
+        FeedRole role = follower();
+        role.answered(role.source(START).orElseThrow(), START);
+        Instant last = START.plus(SCHEDULE.sourceSilence());
+        assertFalse(role.followsStore(last));
+        assertTrue(role.followsStore(last.plusMillis(1)));
+    }
+
+    /** Another source takes the place of one that failed, and late news of that are ignored. */
+    @Test
+    public void failedSourceIsReplaced() {
+        FeedRole role = follower();
+        String failed = role.source(START).orElseThrow();
+        role.failed(failed);
+        List<String> rest = new ArrayList<>(region);
+        rest.remove(failed);
+        role.update(rest);
+        String next = role.source(START).orElseThrow();
+        assertNotEquals(next, failed);
+        role.answered(failed, START);
+        assertTrue(role.followsStore(START));
+        role.answered(next, START);
+        role.failed(failed);
+        assertFalse(role.followsStore(START));
+    }
+
+    /** A source that answers is kept for a while although a better one is back. */
+    @Test
+    public void answeringSourceIsKept() {
+        FeedRole role = follower();
+        String best = role.source(START).orElseThrow();
+        List<String> rest = new ArrayList<>(region);
+        rest.remove(best);
+        role.failed(best);
+        role.update(rest);
+        String second = role.source(START).orElseThrow();
+        role.update(region);
+        assertEquals(role.source(START.plusSeconds(9)).orElseThrow(), second);
+        assertEquals(role.source(START.plusSeconds(10)).orElseThrow(), best);
+        assertTrue(role.followsStore(START.plusSeconds(10)));
+    }
+
+    /** An entry that becomes a source follows the store. */
+    @Test
+    public void followerBecomesSource() {
+        FeedRole role = follower();
+        role.answered(role.source(START).orElseThrow(), START);
+        role.update(List.of());
+        assertTrue(role.followsStore(START));
+        assertTrue(role.source(START).isEmpty());
+    }
+
+    private FeedRole follower() {
+        return IntStream.range(0, region.size())
+                .mapToObj(i -> role(i, region))
+                .filter(r -> r.source(START).isPresent())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static FeedRole role(int index, List<String> addresses) {
+        List<String> others = new ArrayList<>(addresses);
+        FeedRole role = new FeedRole(others.remove(index), SCHEDULE);
+        role.update(others);
+        return role;
+    }
+
+    private static Runnable addTo(List<String> list, String element) {
+        return () -> list.add(element);
+    }
+}
--- a/src/test/java/org/papayawalk/core/upstream/PollScheduleProperties.java
+++ b/src/test/java/org/papayawalk/core/upstream/PollScheduleProperties.java
@@ -33,7 +33,28 @@
     @Property(tries = 400, seed = "23")
     void changesAreReadInTimeAfterEachOutage(
             @ForAll @IntRange(min = 2100, max = 8000) int bound, @ForAll @LongRange long seed) {
-        PollSchedule schedule = new PollSchedule(Duration.ofMillis(bound));
+        play(new PollSchedule(Duration.ofMillis(bound)), bound, seed, false);
+    }
+
+    /**
+     * A daemon that only checks has the changes in time after each outage too.
+     *
+     * @param bound longest time from the end of an outage
+     * @param delay longest time from a change while the store serves
+     * @param seed seed of the outages, delays and pauses
+     */
+    @Property(tries = 400, seed = "24")
+    void checksAreInTimeAfterEachOutage(
+            @ForAll @IntRange(min = 2100, max = 8000) int bound,
+            @ForAll @IntRange(min = 500, max = 8000) int delay,
+            @ForAll @LongRange long seed) {
+        PollSchedule schedule =
+                new PollSchedule(Duration.ofMillis(bound), Duration.ofMillis(delay));
+        assertTrue(schedule.checkInterval().toMillis() <= delay / 2);
+        play(schedule, bound, seed, true);
+    }
+
+    private static void play(PollSchedule schedule, int bound, long seed, boolean checks) {
         SplittableRandom random = new SplittableRandom(seed);
         long now = 0;
         int failures = 0;
@@ -44,7 +65,7 @@
             outageEnds = outageBegins + random.nextInt(LONGEST_OUTAGE);
             long readAt = 0;
             while (readAt < outageEnds) {
-                Duration wait = schedule.wait(failures);
+                Duration wait = checks ? Duration.ZERO : schedule.wait(failures);
                 long heldUntil = now + wait.toMillis();
                 boolean lost = heldUntil >= outageBegins && now <= outageEnds;
                 if (lost) {
@@ -55,7 +76,7 @@
                     failures = 0;
                     // After an outage there are changes, so that the call is not held.
                     readAt = now > outageEnds ? now + random.nextInt(LONGEST_DELAY) : heldUntil;
-                    now = readAt;
+                    now = checks ? now + schedule.checkInterval().toMillis() : readAt;
                 }
             }
             long late = readAt - outageEnds;
