Follow the desired state at two entries of the region

Ruled out: the same for table `servers`, whose rows are small and change seldom, and whose delay would come on top of the time for a drain; a message by which sources tell how well they reach the store, as followers check the store themselves whatever their source says. Change: `SourceFollower` keeps a long poll of table `op` open at a source; `TableWatcher` then checks at the store at least every half of `configApplyMs`, ahead of time after a delivery, and follows the store as before at once when no source answers, after a failed call, and when an answer states a later era. Agents and entries of regions with three entries or fewer do as before. Conclusion: two copies of a change for a region in place of one for each entry.

--- a/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
+++ b/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
@@ -85,6 +85,8 @@
      *
      * @param maxStaleness longest time from the end of trouble of the store until a daemon has its
      *     changes
+     * @param maxDelay longest time from the confirmation of a desired state until a daemon has it,
+     *     while the store serves
      * @param grace time between SIGTERM and SIGKILL
      * @param versionDeadline time after which a newly requested version of weights must be served
      *     everywhere
@@ -94,6 +96,7 @@
      */
     public record OperatorLimits(
             Duration maxStaleness,
+            Duration maxDelay,
             Duration grace,
             Duration versionDeadline,
             double retryRatio,
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,12 +21,14 @@
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.upstream.EngineNotice;
+import org.papayawalk.core.upstream.FeedRole;
 import org.papayawalk.core.upstream.PollSchedule;
 import org.papayawalk.core.upstream.TableUpdate;
 import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.http.AsyncHttpClient;
 import org.papayawalk.log.Event;
+import org.papayawalk.platform.StoreCodec;
 import org.papayawalk.wire.EventLoops;
 import org.papayawalk.wire.MessageHandler;
 import org.papayawalk.wire.PeerClient;
@@ -67,7 +70,12 @@
 
     private final EntryRegistry registry;
 
-    private final List<TableWatcher> watchers = new ArrayList<>();
+    private final Map<String, TableWatcher> watchers = new HashMap<>();
+
+    private final PollSchedule schedule;
+
+    // Confined to the control thread.
+    private final FeedRole role;
 
     private final List<PeerServer> servers = new ArrayList<>();
 
@@ -90,9 +98,14 @@
         directory = new EntryDirectory(settings.peerAddress());
         registry = new EntryRegistry(settings, http, directory, thread, clock);
         lastEntryReplyAt = clock.instant();
-        PollSchedule schedule = new PollSchedule(settings.limits().maxStaleness());
+        ManagedSettings.OperatorLimits limits = settings.limits();
+        schedule = new PollSchedule(limits.maxStaleness(), limits.maxDelay());
+        role = new FeedRole(settings.peerAddress(), schedule);
         for (String table : state.tableNames()) {
-            watchers.add(
+            // Only the operator's rows are large; those of servers are read at the store.
+            boolean shared = table.equals(StoreCodec.OPERATOR_TABLE);
+            watchers.put(
+                    table,
                     new TableWatcher(
                             http,
                             settings.storeAddress(),
@@ -100,6 +113,7 @@
                             thread,
                             receiver(table),
                             schedule,
+                            () -> !shared || role.followsStore(clock.instant()),
                             clock));
         }
     }
@@ -130,8 +144,9 @@
         StateSyncClient client = client(evidence);
         thread.execute(
                 () -> {
-                    watchers.forEach(TableWatcher::start);
+                    watchers.values().forEach(TableWatcher::start);
                     client.runAsEntry();
+                    follower(client).run();
                     registry.register();
                     registry.pollRows();
                 });
@@ -151,7 +166,7 @@
         StateSyncClient client = client(SharedEvidence.none());
         thread.execute(
                 () -> {
-                    watchers.forEach(TableWatcher::start);
+                    watchers.values().forEach(TableWatcher::start);
                     client.runAsAgent(this::recordEntryOutcome);
                 });
         thread.scheduleRepeatedly(ENTRY_COUNT_INTERVAL, this::refreshLiveEntries);
@@ -290,7 +305,13 @@
                 settings.peerAddress(),
                 settings.domain(),
                 settings::region,
-                () -> watchers.stream().allMatch(TableWatcher::isInContact));
+                () -> watchers.values().stream().allMatch(TableWatcher::isInContact));
+    }
+
+    private SourceFollower follower(StateSyncClient client) {
+        String table = StoreCodec.OPERATOR_TABLE;
+        TableWatcher watcher = watchers.get(table);
+        return new SourceFollower(table, state, role, schedule, client, watcher, thread, clock);
     }
 
     private void listen(String address, MessageHandler handler) throws IOException {
@@ -301,9 +322,9 @@
         Instant now = clock.instant();
         if (answered) {
             lastEntryReplyAt = now;
-            watchers.forEach(TableWatcher::stop);
+            watchers.values().forEach(TableWatcher::stop);
         } else if (lastEntryReplyAt.plus(ENTRY_TIMEOUT).isBefore(now)) {
-            watchers.forEach(TableWatcher::start);
+            watchers.values().forEach(TableWatcher::start);
         }
     }
 
@@ -333,6 +354,7 @@
             @Override
             public void eraSeen(StoreEra era) {
                 registry.eraSeen(era);
+                watchers.values().forEach(w -> w.recordEra(era));
             }
 
             @Override
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
@@ -145,7 +145,7 @@
             if (q.rows()) {
                 StateSyncMessages.addMarks(query, state);
             }
-            sendQuery(q.target(), query, Duration.ZERO, r -> {});
+            sendQuery(q.target(), query, RESPONSE_TIMEOUT, r -> {});
         }
     }
 
@@ -163,6 +163,36 @@
         return QueryRound.choose(own, others, round, inContact, ThreadLocalRandom.current());
     }
 
+    /**
+     * Returns the other live entries of the own region that may be queried.
+     *
+     * @return addresses
+     */
+    List<String> regionEntries() {
+        Set<String> alive = entries.alive(clock.instant()).keySet();
+        return entries.queryable(clock.instant()).stream()
+                .filter(alive::contains)
+                .filter(this::inOwnRegion)
+                .toList();
+    }
+
+    /**
+     * Queries an entry for newer rows of one table.
+     *
+     * @param target address of the entry
+     * @param table name of the table
+     * @param wait time for which it may hold the query while there are none
+     * @param timeout time from now for the answer
+     * @param done receives on the control thread whether there was an answer, after its rows were
+     *     applied
+     */
+    void queryRows(
+            String target, String table, Duration wait, Duration timeout, Consumer<Boolean> done) {
+        ViewQuery.Builder query = ViewQuery.newBuilder().setWaitMillis((int) wait.toMillis());
+        StateSyncMessages.addMark(query, state, table);
+        sendQuery(target, query, timeout, done);
+    }
+
     private boolean inOwnRegion(String address) {
         return entries.domain(address)
                 .map(d -> regions.apply(d).equals(regions.apply(domain)))
@@ -185,7 +215,7 @@
         sendQuery(
                 target,
                 query,
-                AGENT_POLL_WAIT,
+                AGENT_POLL_WAIT.plus(RESPONSE_TIMEOUT),
                 answered -> {
                     outcomeListener.accept(answered);
                     boolean localAvailable =
@@ -224,9 +254,9 @@
     }
 
     private void sendQuery(
-            String target, ViewQuery.Builder query, Duration wait, Consumer<Boolean> done) {
+            String target, ViewQuery.Builder query, Duration timeout, Consumer<Boolean> done) {
         Envelope.Builder message = Envelope.newBuilder().setViewQuery(query);
-        client.request(target, TrafficClass.LIVE, message, wait.plus(RESPONSE_TIMEOUT))
+        client.request(target, TrafficClass.LIVE, message, timeout)
                 .thenAccept(reply -> thread.execute(() -> done.accept(handleReply(target, reply))));
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
@@ -46,15 +46,26 @@
      */
     static void addMarks(ViewQuery.Builder query, PlatformState state) {
         for (String table : state.tableNames()) {
-            TableVersion version = state.table(table).version();
-            query.addMarks(
-                    TableMark.newBuilder()
-                            .setTable(table)
-                            .setEra(version.era().number())
-                            .setVersion(version.number()));
+            addMark(query, state, table);
         }
     }
 
+    /**
+     * Adds the version of one local table replica to a query.
+     *
+     * @param query query under construction
+     * @param state state of this daemon
+     * @param table name of the table
+     */
+    static void addMark(ViewQuery.Builder query, PlatformState state, String table) {
+        TableVersion version = state.table(table).version();
+        query.addMarks(
+                TableMark.newBuilder()
+                        .setTable(table)
+                        .setEra(version.era().number())
+                        .setVersion(version.number()));
+    }
+
     /**
      * Adds the rows that are newer than the marks of a query to a reply.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.id.StoreEra;
@@ -26,7 +27,8 @@
 /**
  * Watches one table of the store: reads it in full, then polls for changes. Reads it in full again
  * if the store has dropped the history since the last known version, or if an answer states a later
- * era than that of the last known version. Confined to the control thread.
+ * era than that of the last known version. While another daemon delivers the rows, it only checks
+ * at intervals whether the store has newer ones. Confined to the control thread.
  */
 final class TableWatcher {
     // Pause after an answer with changes, so that the next answer covers several changes.
@@ -84,6 +86,9 @@
 
     private final PollSchedule schedule;
 
+    // False while another daemon delivers the rows.
+    private final BooleanSupplier followsStore;
+
     private final InstantSource clock;
 
     private int consecutiveFailures;
@@ -99,6 +104,15 @@
 
     private boolean running;
 
+    // Time of the last call for changes.
+    private Instant calledAt = Instant.MIN;
+
+    // Whether the next check waits for its time.
+    private boolean awaitingCheck;
+
+    // Number of the present wait; a timer of an earlier one has no effect.
+    private int checkNumber;
+
     // Number of the present start; calls of earlier starts are not continued.
     private int generation;
 
@@ -111,6 +125,8 @@
      * @param thread control thread
      * @param receiver receives what is read
      * @param schedule times of the calls
+     * @param followsStore false while another daemon delivers the rows, so that checks suffice;
+     *     asked on the control thread
      * @param clock monotonic clock
      */
     TableWatcher(
@@ -120,6 +136,7 @@
             ControlThread thread,
             Receiver receiver,
             PollSchedule schedule,
+            BooleanSupplier followsStore,
             InstantSource clock) {
         this.http = http;
         this.storeAddress = storeAddress;
@@ -127,6 +144,7 @@
         this.thread = thread;
         this.receiver = receiver;
         this.schedule = schedule;
+        this.followsStore = followsStore;
         this.clock = clock;
         this.lastSuccessAt = clock.instant();
     }
@@ -138,9 +156,39 @@
         }
         running = true;
         generation++;
+        awaitingCheck = false;
         sendNextRequest(generation);
     }
 
+    /** Follows the store from now on if no other daemon delivers the rows any more. */
+    void reconsider() {
+        if (awaitingCheck && followsStore.getAsBoolean()) {
+            endWait(generation);
+        }
+    }
+
+    /**
+     * Checks ahead of time, when the store probably has nothing newer than what another daemon just
+     * delivered, and so answers without rows. No effect soon after the last check.
+     */
+    void recordDelivery() {
+        Instant due = calledAt.plus(schedule.earliestCheck());
+        if (awaitingCheck && !due.isAfter(clock.instant())) {
+            endWait(generation);
+        }
+    }
+
+    /**
+     * Checks at once if the store states a later era than that of the known version.
+     *
+     * @param era era that any answer of the store states
+     */
+    void recordEra(StoreEra era) {
+        if (awaitingCheck && era.isAfter(receiver.version().era())) {
+            endWait(generation);
+        }
+    }
+
     /** Stops watching the table; {@link #start()} continues from the last known version. */
     void stop() {
         running = false;
@@ -164,7 +212,9 @@
             return;
         }
         long after = receiver.version().number();
-        Duration wait = schedule.wait(consecutiveFailures);
+        boolean direct = followsStore.getAsBoolean();
+        Duration wait = direct ? schedule.wait(consecutiveFailures) : Duration.ZERO;
+        calledAt = clock.instant();
         String target = StoreCodec.changesTarget(table, after, wait);
         http.send(AsyncHttpRequest.get(storeAddress, target, schedule.timeout(wait)))
                 .thenAccept(r -> thread.execute(() -> handleChanges(r, after, callGeneration)));
@@ -195,13 +245,37 @@
             recordSuccess();
             consecutiveDrops = 0;
             receiver.apply(update, after);
-            Duration pause = update.rows().isEmpty() ? Duration.ZERO : COALESCE_PAUSE;
-            thread.schedule(pause, () -> sendNextRequest(callGeneration));
+            continueAfter(update, callGeneration);
         } catch (IOException e) {
             retryAfterMalformedAnswer(e, callGeneration);
         }
     }
 
+    private void continueAfter(TableUpdate update, int callGeneration) {
+        if (followsStore.getAsBoolean()) {
+            Duration pause = update.rows().isEmpty() ? Duration.ZERO : COALESCE_PAUSE;
+            thread.schedule(pause, () -> sendNextRequest(callGeneration));
+            return;
+        }
+        awaitingCheck = true;
+        checkNumber++;
+        int number = checkNumber;
+        Instant due = calledAt.plus(schedule.checkInterval());
+        Duration left = Duration.between(clock.instant(), due);
+        thread.schedule(
+                left.isNegative() ? Duration.ZERO : left,
+                () -> {
+                    if (awaitingCheck && number == checkNumber) {
+                        endWait(callGeneration);
+                    }
+                });
+    }
+
+    private void endWait(int callGeneration) {
+        awaitingCheck = false;
+        sendNextRequest(callGeneration);
+    }
+
     // Changes of a later era cannot follow the known version, which the store may have given out
     // again.
     private void readFullyInNewEra(int callGeneration) {
--- a/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
+++ b/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
@@ -25,6 +25,9 @@
     /** Default time from the end of trouble until a daemon has the changes of the store. */
     private static final long DEFAULT_MAX_STALENESS_MILLIS = 3000;
 
+    /** Default time from the confirmation of a desired state until a daemon has it. */
+    private static final long DEFAULT_MAX_DELAY_MILLIS = 2000;
+
     /** Default time between SIGTERM and SIGKILL. */
     private static final long DEFAULT_GRACE_SECONDS = 8;
 
@@ -112,6 +115,7 @@
     private static OperatorLimits operatorLimits(JsonNode node) {
         return new OperatorLimits(
                 Duration.ofMillis(node.path("contactMs").asLong(DEFAULT_MAX_STALENESS_MILLIS)),
+                Duration.ofMillis(node.path("configApplyMs").asLong(DEFAULT_MAX_DELAY_MILLIS)),
                 Duration.ofSeconds(node.path("graceS").asLong(DEFAULT_GRACE_SECONDS)),
                 Duration.ofMillis(node.path("version_ms").asLong(DEFAULT_VERSION_MILLIS)),
                 node.path("retryBudgetRatio").asDouble(DEFAULT_RETRY_RATIO),
--- a/src/test/java/org/papayawalk/daemon/managed/FakeStore.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeStore.java
@@ -52,6 +52,8 @@
 
     private int fullReads;
 
+    private final PollCounts polls = new PollCounts();
+
     // Whether calls stay without an answer.
     private boolean silent;
 
@@ -207,6 +209,15 @@
         return fullReads;
     }
 
+    /**
+     * Returns how many polls for changes arrived, and the rows that they returned.
+     *
+     * @return counts, kept up to date
+     */
+    public PollCounts polls() {
+        return polls;
+    }
+
     /**
      * Refuses every call from now on.
      *
@@ -277,6 +288,7 @@
 
     private synchronized ObjectNode longPoll(Map<String, String> query, byte[] body)
             throws InterruptedException {
+        polls.addPoll(query.get("table"));
         long after = Long.parseLong(query.get("after"));
         long wait = Math.min(MAX_WAIT_MILLIS, Long.parseLong(query.get("waitMs")));
         long until = System.nanoTime() + wait * 1_000_000;
@@ -297,7 +309,9 @@
             return null;
         }
         ObjectNode answer = head();
-        answer.set("rows", changes(query, after));
+        ArrayNode changes = changes(query, after);
+        polls.addRows(query.get("table"), changes.size());
+        answer.set("rows", changes);
         return answer;
     }
 
--- a/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
@@ -86,6 +86,7 @@
                         thread,
                         receiver,
                         new PollSchedule(MAX_STALENESS),
+                        () -> true,
                         new MonotonicClock());
         thread.execute(watcher::start);
         Await.within(TIMEOUT_MILLIS, () -> rows() == 1);
