Emulate entries that disagree on the sources

Cause: entries know of each other by contact, so their choices of sources may differ; the emulator let them agree. Change: a design in which each entry knows a random half of its region. An emulated pause after changes is no longer ended by a delivery, as in the daemon, where only the wait for a check is.

--- a/src/test/java/org/papayawalk/core/upstream/EmulatedEntry.java
+++ b/src/test/java/org/papayawalk/core/upstream/EmulatedEntry.java
@@ -19,6 +19,8 @@
         STORE_ONLY,
         /** A few entries of each region poll the store, the others follow these and check. */
         SOURCES,
+        /** As SOURCES, but each entry knows half of its region only, so that they disagree. */
+        DISAGREEMENT,
         /** As SOURCES, but nobody checks: wrong, as outdated sources go unnoticed. */
         SOURCES_WITHOUT_CHECKS
     }
@@ -79,6 +81,9 @@
 
     private boolean pausing;
 
+    // Whether the pause lasts until the next check.
+    private boolean awaitingCheck;
+
     private int round;
 
     /**
@@ -173,6 +178,7 @@
 
     private void sendCall() {
         pausing = false;
+        awaitingCheck = false;
         call++;
         int number = call;
         calledAt = network().now();
@@ -197,9 +203,10 @@
         failures = 0;
         boolean news = read > version;
         adopt(read);
-        if (followsStore()) {
+        awaitingCheck = !followsStore();
+        if (!awaitingCheck) {
             pause(news ? COALESCE_PAUSE : 0);
-        } else if (design == Design.SOURCES) {
+        } else if (design != Design.SOURCES_WITHOUT_CHECKS) {
             pause(Math.max(0, calledAt + schedule.checkInterval().toMillis() - network().now()));
         } else {
             pausing = true;
@@ -220,20 +227,20 @@
 
     // A follower that lost its source does not wait for its next check.
     private void reconsider() {
-        if (pausing && failures == 0 && followsStore()) {
+        if (awaitingCheck && followsStore()) {
             sendCall();
         }
     }
 
     private void rowsArrived() {
         boolean due = network().now() - calledAt >= schedule.earliestCheck().toMillis();
-        if (design == Design.SOURCES && pausing && failures == 0 && due) {
+        if (design != Design.SOURCES_WITHOUT_CHECKS && awaitingCheck && due) {
             sendCall();
         }
     }
 
     private void follow() {
-        role.update(queryable(true));
+        role.update(known());
         Optional<String> source = role.source(network().instant());
         reconsider();
         if (source.isEmpty()) {
@@ -339,6 +346,17 @@
         ready.forEach(this::reply);
     }
 
+    // The entries of the region from which this one chooses sources.
+    private List<String> known() {
+        return queryable(true).stream()
+                .filter(a -> design != Design.DISAGREEMENT || knows(Integer.parseInt(a)))
+                .toList();
+    }
+
+    private boolean knows(int other) {
+        return new SplittableRandom(id * 1_000L + other).nextBoolean();
+    }
+
     private List<String> queryable(boolean own) {
         long now = network().now();
         return entries.stream()
--- a/src/test/java/org/papayawalk/core/upstream/StateFeedEmulationTest.java
+++ b/src/test/java/org/papayawalk/core/upstream/StateFeedEmulationTest.java
@@ -73,25 +73,32 @@
     /** All sources of a region are killed at the same moment, again and again. */
     @Test
     public void changesAreInTimeAfterAllSourcesWereKilled() {
-        checkLosses((e, at) -> e.killSources(at, 1, LOSS));
+        checkLosses(Design.SOURCES, (e, at) -> e.killSources(at, 1, LOSS));
     }
 
     /** All sources of a region freeze at the same moment. */
     @Test
     public void changesAreInTimeWhileAllSourcesAreFrozen() {
-        checkLosses((e, at) -> e.freezeSources(at, 1, LOSS));
+        checkLosses(Design.SOURCES, (e, at) -> e.freezeSources(at, 1, LOSS));
     }
 
     /** All sources of a region lose the store without a sign of it, and go on answering. */
     @Test
     public void changesAreInTimeWhileAllSourcesAreCutOff() {
-        checkLosses((e, at) -> e.cutSources(at, 1, LOSS));
+        checkLosses(Design.SOURCES, (e, at) -> e.cutSources(at, 1, LOSS));
     }
 
     /** After the store was silent, all entries have its changes in time. */
     @Test
     public void changesAreInTimeAfterOutages() {
-        checkLosses((e, at) -> e.silenceStore(at, LOSS / 2));
+        checkLosses(Design.SOURCES, (e, at) -> e.silenceStore(at, LOSS / 2));
+    }
+
+    /** Entries that disagree on the sources have changes in time too, with troubles as before. */
+    @Test
+    public void changesAreInTimeWithoutAgreement() {
+        checkLosses(Design.DISAGREEMENT, (e, at) -> e.cutSources(at, 1, LOSS));
+        checkLosses(Design.DISAGREEMENT, (e, at) -> e.freezeSources(at, 1, LOSS));
     }
 
     /** The emulator finds it if followers rely on their sources. */
@@ -111,10 +118,10 @@
         assertTrue(late > 0);
     }
 
-    private static void checkLosses(Trouble trouble) {
+    private static void checkLosses(Design design, Trouble trouble) {
         for (long bound : BOUNDS) {
             for (int seed = 0; seed < SEEDS; seed++) {
-                StateFeedEmulator e = lose(Design.SOURCES, bound, seed, trouble);
+                StateFeedEmulator e = lose(design, bound, seed, trouble);
                 assertEquals(e.late(), List.of(), "bound " + bound + ", seed " + seed);
                 assertTrue(e.delays() > 0);
             }
