Describe the sources of a region

A source serves all followers of its region directly; at the target's size that is too much, and said so.

--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -119,8 +119,9 @@
     }
 
     /**
-     * Starts as an entry: watches the tables of the store, exchanges state with other entries and
-     * answers the state queries of agents. Returns once it listens.
+     * Starts as an entry: watches the tables of the store, or gets the operator's table from a
+     * source in its region and checks at the store, see {@link FeedRole}; exchanges state with
+     * other entries and answers the state queries of agents. Returns once it listens.
      *
      * @param evidence what this entry observes, exchanged with the other entries
      * @param weights handles all messages except state queries
