--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,12 +21,14 @@
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.upstream.EngineNotice;
+import org.papayawalk.core.upstream.FeedRole;
 import org.papayawalk.core.upstream.PollSchedule;
 import org.papayawalk.core.upstream.TableUpdate;
 import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.http.AsyncHttpClient;
 import org.papayawalk.log.Event;
+import org.papayawalk.platform.StoreCodec;
 import org.papayawalk.wire.EventLoops;
 import org.papayawalk.wire.MessageHandler;
 import org.papayawalk.wire.PeerClient;
@@ -67,7 +70,12 @@
 
     private final EntryRegistry registry;
 
-    private final List<TableWatcher> watchers = new ArrayList<>();
+    private final Map<String, TableWatcher> watchers = new HashMap<>();
+
+    private final PollSchedule schedule;
+
+    // Confined to the control thread.
+    private final FeedRole role;
 
     private final List<PeerServer> servers = new ArrayList<>();
 
@@ -90,9 +98,14 @@
         directory = new EntryDirectory(settings.peerAddress());
         registry = new EntryRegistry(settings, http, directory, thread, clock);
         lastEntryReplyAt = clock.instant();
-        PollSchedule schedule = new PollSchedule(settings.limits().maxStaleness());
+        ManagedSettings.OperatorLimits limits = settings.limits();
+        schedule = new PollSchedule(limits.maxStaleness(), limits.maxDelay());
+        role = new FeedRole(settings.peerAddress(), schedule);
         for (String table : state.tableNames()) {
-            watchers.add(
+            // Only the operator's rows are large; those of servers are read at the store.
+            boolean shared = table.equals(StoreCodec.OPERATOR_TABLE);
+            watchers.put(
+                    table,
                     new TableWatcher(
                             http,
                             settings.storeAddress(),
@@ -100,13 +113,15 @@
                             thread,
                             receiver(table),
                             schedule,
+                            () -> !shared || role.followsStore(clock.instant()),
                             clock));
         }
     }
 
     /**
-     * Starts as an entry: watches the tables of the store, exchanges state with other entries and
-     * answers the state queries of agents. Returns once it listens.
+     * Starts as an entry: watches the tables of the store, or gets the operator's table from a
+     * source in its region and checks at the store, see {@link FeedRole}; exchanges state with
+     * other entries and answers the state queries of agents. Returns once it listens.
      *
      * @param evidence what this entry observes, exchanged with the other entries
      * @param weights handles all messages except state queries
@@ -130,8 +145,9 @@
         StateSyncClient client = client(evidence);
         thread.execute(
                 () -> {
-                    watchers.forEach(TableWatcher::start);
+                    watchers.values().forEach(TableWatcher::start);
                     client.runAsEntry();
+                    follower(client).run();
                     registry.register();
                     registry.pollRows();
                 });
@@ -151,7 +167,7 @@
         StateSyncClient client = client(SharedEvidence.none());
         thread.execute(
                 () -> {
-                    watchers.forEach(TableWatcher::start);
+                    watchers.values().forEach(TableWatcher::start);
                     client.runAsAgent(this::recordEntryOutcome);
                 });
         thread.scheduleRepeatedly(ENTRY_COUNT_INTERVAL, this::refreshLiveEntries);
@@ -288,7 +304,15 @@
                 thread,
                 clock,
                 settings.peerAddress(),
-                settings.domain());
+                settings.domain(),
+                settings::region,
+                () -> watchers.values().stream().allMatch(TableWatcher::isInContact));
+    }
+
+    private SourceFollower follower(StateSyncClient client) {
+        String table = StoreCodec.OPERATOR_TABLE;
+        TableWatcher watcher = watchers.get(table);
+        return new SourceFollower(table, state, role, schedule, client, watcher, thread, clock);
     }
 
     private void listen(String address, MessageHandler handler) throws IOException {
@@ -299,9 +323,9 @@
         Instant now = clock.instant();
         if (answered) {
             lastEntryReplyAt = now;
-            watchers.forEach(TableWatcher::stop);
+            watchers.values().forEach(TableWatcher::stop);
         } else if (lastEntryReplyAt.plus(ENTRY_TIMEOUT).isBefore(now)) {
-            watchers.forEach(TableWatcher::start);
+            watchers.values().forEach(TableWatcher::start);
         }
     }
 
@@ -331,6 +355,7 @@
             @Override
             public void eraSeen(StoreEra era) {
                 registry.eraSeen(era);
+                watchers.values().forEach(w -> w.recordEra(era));
             }
 
             @Override
