Tell other daemons how long ago a version of weights was requested

Cause: a version learned from a peer was dated by its receipt, up to 0.4 s late between two entries and more on a slow link. It is the fault of the late answer of the store, on the second way by which versions travel. Change: replies carry the age of the versions of the last minute (ViewReply.requested_weights); the receiver keeps the earliest time that it is told. A version from before the start stays without a time. Conclusion: the deadline of a version is the same at all daemons, up to the way of one message.

--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -337,6 +337,27 @@
                 .info();
     }
 
+    /**
+     * Records that the operator requested a known version of weights earlier than this daemon
+     * assumes. No effect on a version that was requested before this daemon started.
+     *
+     * @param model name of the model
+     * @param number number of the version
+     * @param requestedBy time by which it was requested
+     */
+    void recordRequestedBy(String model, int number, Instant requestedBy) {
+        List<RequestedVersion> known = versions.getOrDefault(model, List.of());
+        List<RequestedVersion> dated = new ArrayList<>();
+        for (RequestedVersion v : known) {
+            boolean earlier = v.number() == number && requestedBy.isBefore(v.receivedAt());
+            dated.add(earlier ? new RequestedVersion(number, requestedBy) : v);
+        }
+        if (!dated.equals(known)) {
+            versions.put(model, List.copyOf(dated));
+            publishSnapshot();
+        }
+    }
+
     private void publishSnapshot() {
         boolean serversRead = !tables.get(StoreCodec.SERVER_TABLE).version().isUnread();
         Map<ServiceId, List<UpstreamRegistration>> byService = new HashMap<>();
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
@@ -256,11 +256,22 @@
     private void sendQuery(
             String target, ViewQuery.Builder query, Duration timeout, Consumer<Boolean> done) {
         Envelope.Builder message = Envelope.newBuilder().setViewQuery(query);
+        Instant sentAt = clock.instant();
+        boolean answeredAtOnce = query.getWaitMillis() == 0;
         client.request(target, TrafficClass.LIVE, message, timeout)
-                .thenAccept(reply -> thread.execute(() -> done.accept(handleReply(target, reply))));
+                .thenAccept(
+                        reply ->
+                                thread.execute(
+                                        () -> {
+                                            Instant toldAt =
+                                                    answeredAtOnce ? sentAt : clock.instant();
+                                            done.accept(handleReply(target, reply, toldAt));
+                                        }));
     }
 
-    private boolean handleReply(String target, Either<Fault, Envelope> result) {
+    // toldAt: earliest time at which the reply may have been sent; the time of its receipt if the
+    // peer may have held it back.
+    private boolean handleReply(String target, Either<Fault, Envelope> result, Instant toldAt) {
         Instant now = clock.instant();
         if (result.isLeft() || !result.get().hasViewReply()) {
             entries.recordFailure(target, now);
@@ -281,6 +292,7 @@
         StateSyncMessages.apply(reply.getLostRunsList(), evidence.suspects(), now);
         StateSyncMessages.apply(reply.getLimitsList(), evidence.limits(), now);
         StateSyncMessages.apply(reply, state, target);
+        StateSyncMessages.apply(reply.getRequestedWeightsList(), state, toldAt);
         return true;
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -13,6 +14,7 @@
 import org.papayawalk.core.id.UpstreamProcess;
 import org.papayawalk.core.limit.LimitNotice;
 import org.papayawalk.core.limit.UpstreamLimits;
+import org.papayawalk.core.place.RequestedVersion;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.core.upstream.TableRecord;
@@ -22,6 +24,7 @@
 import org.papayawalk.wire.proto.EntryAddress;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.LostRun;
+import org.papayawalk.wire.proto.RequestedWeights;
 import org.papayawalk.wire.proto.TableChanges;
 import org.papayawalk.wire.proto.TableMark;
 import org.papayawalk.wire.proto.TableRow;
@@ -34,6 +37,8 @@
  * crash evidence and limits of upstreams. Stateless.
  */
 final class StateSyncMessages {
+    /** Age from which a requested version no longer matters to the versions before it. */
+    private static final Duration MAX_REQUEST_AGE = Duration.ofMinutes(1);
 
     private StateSyncMessages() {}
 
@@ -122,6 +127,51 @@
         }
     }
 
+    /**
+     * Encodes when the operator requested the versions of weights, so that a daemon that learns of
+     * them late counts their deadlines from the same time. Versions whose time is unknown or long
+     * past are left out.
+     *
+     * @param snapshot snapshot of this daemon
+     * @param now present time
+     * @return one message per version
+     */
+    static List<RequestedWeights> requestedWeights(PlatformSnapshot snapshot, Instant now) {
+        Instant from = now.minus(MAX_REQUEST_AGE);
+        List<RequestedWeights> messages = new ArrayList<>();
+        snapshot.versions()
+                .forEach(
+                        (model, versions) ->
+                                versions.stream()
+                                        .filter(v -> v.receivedAt().isAfter(from))
+                                        .map(v -> requestedWeights(model, v, now))
+                                        .forEach(messages::add));
+        return messages;
+    }
+
+    /**
+     * Applies when the operator requested the versions of weights, as a peer tells it.
+     *
+     * @param messages messages
+     * @param state state of this daemon
+     * @param toldAt earliest time at which the peer may have sent them
+     */
+    static void apply(List<RequestedWeights> messages, PlatformState state, Instant toldAt) {
+        for (RequestedWeights w : messages) {
+            state.recordRequestedBy(
+                    w.getModel(), w.getNumber(), toldAt.minusMillis(w.getAgeMillis()));
+        }
+    }
+
+    private static RequestedWeights requestedWeights(
+            String model, RequestedVersion version, Instant now) {
+        return RequestedWeights.newBuilder()
+                .setModel(model)
+                .setNumber(version.number())
+                .setAgeMillis((int) Duration.between(version.receivedAt(), now).toMillis())
+                .build();
+    }
+
     /**
      * Encodes the address and failure domain of an entry.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
@@ -118,6 +118,7 @@
             reply.addEntries(StateSyncMessages.entryAddress(e.getKey(), e.getValue()));
         }
         reply.setStoreWellMillis(state.millisSinceStoreFailure());
+        reply.addAllRequestedWeights(StateSyncMessages.requestedWeights(state.snapshot(), now));
         if (pendingQuery.query.hasEntry()) {
             reply.addAllLostRuns(StateSyncMessages.lostRuns(evidence.suspects(), now));
             reply.addAllLimits(StateSyncMessages.limits(evidence.limits(), now));
--- a/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.id.HostId;
@@ -31,6 +33,12 @@
 public final class ManagedNodeTest {
     private static final long TIMEOUT_MILLIS = 15_000;
 
+    private static final int WEIGHT_VERSIONS = 5;
+
+    private static final long AGE_TIMEOUT_MILLIS = 2000;
+
+    private static final long MAX_AGE_DIFFERENCE_MILLIS = 50;
+
     private static final ServiceId DESK = new ServiceId("desk");
 
     private static final ServiceId HELPER = new ServiceId("helper");
@@ -165,6 +173,22 @@
         assertTrue(isolated.state().snapshot().loading().isEmpty());
     }
 
+    /**
+     * An entry that learns of a version of weights from another one, up to 0.4 s later, counts its
+     * age from the same time.
+     */
+    @Test(dependsOnMethods = "desiredStateReachesDaemonsWithoutStoreAccess")
+    public void ageOfRequestedWeightsReachesOtherEntries() {
+        for (int i = 2; i <= 1 + WEIGHT_VERSIONS; i++) {
+            int number = i;
+            store.put("op", "version/w", "{\"model\":\"w\",\"version\":%d}".formatted(number));
+            Await.within(TIMEOUT_MILLIS, () -> age(isolated, number).isPresent());
+            Await.within(
+                    AGE_TIMEOUT_MILLIS,
+                    () -> ageDifferenceMillis(number) <= MAX_AGE_DIFFERENCE_MILLIS);
+        }
+    }
+
     /** The entries count each other, as they divide budgets among them. */
     @Test(dependsOnMethods = "desiredStateReachesDaemonsWithoutStoreAccess")
     public void entriesCountEachOther() {
@@ -177,6 +201,19 @@
         return node.state().snapshot().desired().map(DesiredState::version).orElse(0L);
     }
 
+    private long ageDifferenceMillis(int number) {
+        Duration here = age(connected, number).orElseThrow();
+        return here.minus(age(isolated, number).orElseThrow()).abs().toMillis();
+    }
+
+    // Returns the time since version of model "w" was requested, as a daemon has it.
+    private static Optional<Duration> age(ManagedNode node, int number) {
+        return node.state().snapshot().versions().getOrDefault("w", List.of()).stream()
+                .filter(v -> v.number() == number)
+                .map(v -> Duration.between(v.receivedAt(), node.clock().instant()))
+                .findFirst();
+    }
+
     // Returns the row of the server in a state.
     private static String server(String state) {
         return """
