--- a/src/main/java/org/papayawalk/daemon/managed/entry/MessageDelays.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/MessageDelays.java
@@ -16,7 +16,7 @@
     /** An entry sends a single upstream about one request a second. */
     private static final Duration UPSTREAM_RECENCY = Duration.ofSeconds(2);
 
-    private static final Duration DOMAIN_RECENCY = Duration.ofMillis(600);
+    private static final Duration DOMAIN_RECENCY = Duration.ofMillis(300);
 
     /**
      * Bound on the delay by the link of a single host, which only its agent can congest. What is
