Bound the bytes of an upstream's response besides its body

Cause: only one head or one line was bounded. 1xx heads in a row, a response to another request without end, and chunk extensions kept a connection busy until the deadline. On an idle connection, part of a head or blank lines waited for the next request. Ruled out: a longer status line, header section, chunk size or trailer section; the decoder bounds these (the cases passed before). The connection closes at the bound, and at any byte while it is idle. Conclusion: the attempt fails at once, and an idempotent request is answered by the other upstream.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package org.papayawalk.daemon.managed.entry;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,8 +18,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.papayawalk.core.call.ResponseMetadata;
+import org.papayawalk.http.ResponseOverhead;
 import org.papayawalk.platform.HeaderCodec;
 
 /**
@@ -39,6 +42,9 @@
 
     private final Decoder decoder = new Decoder();
 
+    /** Bytes of the request in flight that are not part of the response's body. */
+    private final ResponseOverhead overhead = new ResponseOverhead();
+
     private final InstantSource clock;
 
     private final Consumer<UpstreamConnection> releaseToPool;
@@ -98,6 +104,7 @@
         requestWritten = false;
         keepAlive = false;
         decoder.method = request.method();
+        overhead.reset();
         newListener.onSent();
         channel.writeAndFlush(request)
                 .addListener(
@@ -209,11 +216,14 @@
 
     private void readBody(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
+        int length = content.content().readableBytes();
         if (skippingResponse) {
+            overhead.skipped(length);
             skippingResponse = !last;
             return;
         }
-        if (listener != null && content.content().isReadable()) {
+        overhead.body(length);
+        if (listener != null && length > 0) {
             listener.onData(content.content());
         }
         if (!last || listener == null) {
@@ -231,6 +241,16 @@
         finished.onComplete();
     }
 
+    // Ends a response whose bytes never become an answer.
+    private void checkOverhead() {
+        Optional<String> violation = overhead.violation();
+        if (listener == null || violation.isEmpty()) {
+            return;
+        }
+        channel.close();
+        fail(violation.get());
+    }
+
     // Reports once that no complete response will be received.
     private void fail(String reason) {
         UpstreamListener failed = listener;
@@ -246,10 +266,26 @@
                 || HttpUtil.isTransferEncodingChunked(response);
     }
 
-    /** Decoder that uses the method of the request: a response to HEAD has no body. */
-    private static final class Decoder extends HttpResponseDecoder {
+    /**
+     * Decoder that uses the method of the request: a response to HEAD has no body. It counts the
+     * bytes of each response, and closes the connection at the first byte that comes while no
+     * request is in flight.
+     */
+    private final class Decoder extends HttpResponseDecoder {
         private HttpMethod method = HttpMethod.GET;
 
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+            if (listener == null) {
+                ReferenceCountUtil.release(message);
+                context.close();
+                return;
+            }
+            overhead.received(((ByteBuf) message).readableBytes());
+            super.channelRead(context, message);
+            checkOverhead();
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             return method.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Fake server behind an entry. The mode decides what it does with requests. Thread-safe. */
 public final class FakeUpstream implements AutoCloseable {
@@ -27,6 +28,9 @@
      */
     public static final String POISON = "poison";
 
+    /** Pause between the bytes of an answer in mode {@link Mode#SLOW}. */
+    private static final long SLOW_PAUSE_MILLIS = 6;
+
     /** What the server does with a request. */
     public enum Mode {
         /** Answers completely. */
@@ -56,7 +60,11 @@
         /** Streams three events and part of a fourth, then closes the connection. */
         CUT_STREAM,
         /** Streams all events. */
-        STREAM
+        STREAM,
+        /** Answers completely, byte by byte with pauses. */
+        SLOW,
+        /** Sends the bytes of {@link #endless} until the connection is closed. */
+        ENDLESS
     }
 
     /**
@@ -79,6 +87,16 @@
 
     private volatile Mode mode;
 
+    // What mode ENDLESS sends.
+    private volatile EndlessBytes endlessBytes;
+
+    // Answers without end that are left before modeAfterEndless begins.
+    private volatile AtomicInteger endlessAnswers;
+
+    private volatile Mode modeAfterEndless;
+
+    private final AtomicInteger endlessConnections = new AtomicInteger();
+
     // Header by which answers state a limit, empty if they state none.
     private volatile String limitHeader = "";
 
@@ -131,6 +149,29 @@
         mode = newMode;
     }
 
+    /**
+     * Sends bytes without end to the next requests.
+     *
+     * @param bytes bytes to send
+     * @param answers number of such answers; may be shared by several servers
+     * @param then what the server does with further requests
+     */
+    public void endless(EndlessBytes bytes, AtomicInteger answers, Mode then) {
+        endlessBytes = bytes;
+        endlessAnswers = answers;
+        modeAfterEndless = then;
+        mode = Mode.ENDLESS;
+    }
+
+    /**
+     * Returns the connections over which bytes are sent without end at present.
+     *
+     * @return number of connections that the peer has not closed
+     */
+    public int endlessConnections() {
+        return endlessConnections.get();
+    }
+
     /**
      * Makes all answers with a stamp state a limit from now on.
      *
@@ -233,7 +274,11 @@
         OutputStream out = socket.getOutputStream();
         String id = request.headers().getOrDefault("x-request-id", "");
         String body = "answer to " + id;
-        switch (mode) {
+        Mode present = mode;
+        if (present == Mode.ENDLESS && endlessAnswers.getAndDecrement() <= 0) {
+            present = modeAfterEndless;
+        }
+        switch (present) {
             case WHOLE -> write(out, response(200, id, body, ""));
             case DIES_OF_POISON -> {
                 if (request.line().contains(POISON)) {
@@ -276,6 +321,8 @@
                 }
                 return false;
             }
+            case SLOW -> writeSlowly(out, response(200, id, body, ""));
+            case ENDLESS -> writeEndlessly(out, id);
             default -> {
                 return false;
             }
@@ -283,6 +330,29 @@
         return true;
     }
 
+    // Returns only with an exception, when the connection is closed.
+    private void writeEndlessly(OutputStream out, String id) throws IOException {
+        endlessConnections.incrementAndGet();
+        try {
+            endlessBytes.writeTo(out, id);
+        } finally {
+            endlessConnections.decrementAndGet();
+        }
+    }
+
+    // Takes less than 1 s: the answers are a good hundred bytes long.
+    private static void writeSlowly(OutputStream out, String text) throws IOException {
+        for (String c : text.split("")) {
+            write(out, c);
+            try {
+                Thread.sleep(SLOW_PAUSE_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException(e);
+            }
+        }
+    }
+
     private static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.UTF_8));
         out.flush();
