Bound an event of a stream in size and in time

Cause: the splitter buffered an event without end, and each byte counted as progress, so that the stall check never failed the attempt. Events that came again counted too. Buffers stayed referenced by timers after the end of the attempt. Ruled out: a silent stream and one that breaks off; the stall check and the closed connection end these as before. Change: an event has 256 KiB at most. Bytes that bring no new event for 2 s, the gap after which callers abandon a stream, fail the attempt if another one is left. A stuck stream counts as broken for its upstream also if its deadline or its caller ends it. The end of an attempt frees its buffers. Result: EndlessStreamTest before: fast bytes without an event end, lines and empty lines ended incomplete after 4007 to 4028 ms, trickled ones and repeated events after 4000 to 4004 ms (timeout 4000 ms). After: all pass, at the other upstream, fast ones within 900 ms. Conclusion: the stream goes on elsewhere with each event once.

--- a/src/main/java/org/papayawalk/core/stream/VerbatimEventSplitter.java
+++ b/src/main/java/org/papayawalk/core/stream/VerbatimEventSplitter.java
@@ -71,6 +71,15 @@
         return bytes;
     }
 
+    /**
+     * Returns the length of the incomplete event.
+     *
+     * @return bytes since the last complete event
+     */
+    public int partialBytes() {
+        return pending.size();
+    }
+
     private static OptionalLong parseId(byte[] event) {
         String text = new String(event, StandardCharsets.UTF_8);
         for (String line : text.split("\r?\n")) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -40,7 +40,7 @@
 
     private final PlacementCandidate candidate;
 
-    private final VerbatimEventSplitter splitter = new VerbatimEventSplitter();
+    private VerbatimEventSplitter splitter = new VerbatimEventSplitter();
 
     /** Null until the connection is open. */
     private UpstreamConnection connection;
@@ -54,6 +54,9 @@
     /** Whether events are forwarded as they are received; otherwise the response is buffered. */
     private boolean streaming;
 
+    /** Progress of the event stream; null unless events are forwarded. */
+    private StreamProgress progress;
+
     private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
 
     /** When the attempt started. The request is sent later if it needs a new connection. */
@@ -112,7 +115,7 @@
         if (done) {
             return;
         }
-        finish(result);
+        finish(isStuck() ? AttemptResult.BROKEN : result);
         if (connection != null) {
             connection.abandon();
         }
@@ -153,6 +156,7 @@
         boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
         streaming = eventStream && metadata.hasAuthenticationCode();
         if (streaming) {
+            progress = new StreamProgress(now);
             exchange.stream().start(response);
         } else {
             bufferedBody = Unpooled.buffer();
@@ -164,20 +168,32 @@
         lastProgressAt = entry.clock().instant();
         endPrefill();
         if (!streaming) {
-            bufferedBody.writeBytes(data);
-            if (bufferedBody.readableBytes() > MAX_BUFFERED_RESPONSE_BYTES) {
-                fail("response is longer than " + MAX_BUFFERED_RESPONSE_BYTES + " bytes");
-            }
+            buffer(data);
             return;
         }
+        progress.bytesReceived(lastProgressAt);
         for (VerbatimEventSplitter.Event e : splitter.feed(ByteBufUtil.getBytes(data))) {
+            progress.eventReceived(e, lastProgressAt);
             exchange.stream().forward(e, lastProgressAt);
         }
+        if (splitter.partialBytes() > StreamProgress.MAX_EVENT_BYTES) {
+            fail("event is longer than " + StreamProgress.MAX_EVENT_BYTES + " bytes");
+            return;
+        }
         if (!exchange.stream().isWritable()) {
             setReadEnabled(false);
         }
     }
 
+    private void buffer(ByteBuf data) {
+        int length = bufferedBody.readableBytes() + data.readableBytes();
+        if (length > MAX_BUFFERED_RESPONSE_BYTES) {
+            fail("response is longer than " + MAX_BUFFERED_RESPONSE_BYTES + " bytes");
+            return;
+        }
+        bufferedBody.writeBytes(data);
+    }
+
     @Override
     public void onComplete() {
         if (done) {
@@ -196,9 +212,9 @@
             return;
         }
         boolean failure = head.status().code() >= 500;
+        byte[] body = ByteBufUtil.getBytes(bufferedBody);
         finish(failure ? AttemptResult.SERVER_ERROR : AttemptResult.ANSWERED);
-        exchange.responseReceived(
-                new BufferedResponse(head, ByteBufUtil.getBytes(bufferedBody)), name);
+        exchange.responseReceived(new BufferedResponse(head, body), name);
     }
 
     @Override
@@ -257,17 +273,28 @@
     // Records the result and triggers a scan of the queue, because a slot has become free.
     private void finish(AttemptResult result) {
         done = true;
+        discardBuffers();
         endPrefill();
         candidate.load().ended(result, entry.clock().instant());
         entry.queue(exchange.authorized().service()).capacityAvailable();
     }
 
+    // Timers may refer to the attempt for some time after its end.
+    private void discardBuffers() {
+        splitter = new VerbatimEventSplitter();
+        bufferedBody = Unpooled.EMPTY_BUFFER;
+    }
+
     // The first data of the response shows that prefill is done.
     private void endPrefill() {
         candidate.load().prefillEnded(pendingPrefill);
         pendingPrefill = 0;
     }
 
+    private boolean isStuck() {
+        return progress != null && progress.isStuck(entry.clock().instant());
+    }
+
     private void fail(String reason) {
         connection.abandon();
         onFailure(reason, true);
@@ -279,24 +306,40 @@
                 : route().targetLatency().multipliedBy(STALL_TIMEOUT_TARGETS);
     }
 
-    // Fails the attempt if no data is received within the stall timeout and an attempt is left.
+    // Fails the attempt if no data, or no event, is received in time and an attempt is left.
     private void scheduleStallCheck() {
         Duration limit = stallTimeout();
         Instant last = lastProgressAt;
-        Duration left = Duration.between(entry.clock().instant(), last.plus(limit));
+        Instant checkAt = last.plus(limit);
+        if (progress != null && progress.stuckAt().isBefore(checkAt)) {
+            checkAt = progress.stuckAt();
+        }
+        Duration left = Duration.between(entry.clock().instant(), checkAt);
         entry.loop()
                 .schedule(
                         () -> {
-                            if (done) {
-                                return;
-                            }
-                            if (!lastProgressAt.equals(last)) {
-                                scheduleStallCheck();
-                            } else if (exchange.hasAttemptsLeft()) {
-                                fail("no data received for " + limit.toMillis() + " ms");
+                            if (!done) {
+                                checkStall(limit);
                             }
                         },
                         Math.max(1, left.toMillis()),
                         TimeUnit.MILLISECONDS);
     }
+
+    private void checkStall(Duration limit) {
+        boolean silent = !lastProgressAt.plus(limit).isAfter(entry.clock().instant());
+        boolean stalled = silent || isStuck();
+        if (!stalled) {
+            scheduleStallCheck();
+            return;
+        }
+        if (exchange.hasAttemptsLeft()) {
+            fail(
+                    silent
+                            ? "no data received for " + limit.toMillis() + " ms"
+                            : "no event received for "
+                                    + StreamProgress.EVENT_TIMEOUT.toMillis()
+                                    + " ms");
+        }
+    }
 }
