Repeat a request whose buffered body never ends

Cause: each byte of a body counted as progress, so that a trickle held an idempotent request until its deadline, with no time for a repeat. Ruled out: a fast endless body, which ends at 8 MiB; an end by the time since the head alone, which would cut slow but proper bodies. Change: one target latency before its deadline, an idempotent request with an attempt left gives up a body that has come for the stall timeout, unless its stated length comes by the deadline at the rate so far. After: EndlessTrickleTest passes, whole answers from the other upstream in less than 2900 ms, and a body of 2.7 s with a length is delivered at the first attempt. Conclusion: a body without a length that would have ended in the last target latency is repeated too; its caller gets the repeat's answer.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -4,8 +4,10 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.desired.RequestKind;
@@ -62,6 +64,9 @@
     /** When the attempt started. The request is sent later if it needs a new connection. */
     private Instant startedAt;
 
+    /** When the head of the response was received; null until then. */
+    private Instant headAt;
+
     /** When data was last received, or the request was sent. */
     private Instant lastProgressAt = Instant.MIN;
 
@@ -141,6 +146,7 @@
     public void onHead(HttpResponse response, ResponseMetadata metadata) {
         Instant now = entry.clock().instant();
         lastProgressAt = now;
+        headAt = now;
         head = response;
         metadata.load()
                 .ifPresentOrElse(
@@ -306,40 +312,63 @@
                 : route().targetLatency().multipliedBy(STALL_TIMEOUT_TARGETS);
     }
 
-    // Fails the attempt if no data, or no event, is received in time and an attempt is left.
+    // Fails the attempt if its response stalls and an attempt is left.
     private void scheduleStallCheck() {
-        Duration limit = stallTimeout();
-        Instant last = lastProgressAt;
-        Instant checkAt = last.plus(limit);
-        if (progress != null && progress.stuckAt().isBefore(checkAt)) {
-            checkAt = progress.stuckAt();
-        }
-        Duration left = Duration.between(entry.clock().instant(), checkAt);
+        Instant now = entry.clock().instant();
+        Duration left = Duration.between(now, nextStallCheck(now));
         entry.loop()
-                .schedule(
-                        () -> {
-                            if (!done) {
-                                checkStall(limit);
-                            }
-                        },
-                        Math.max(1, left.toMillis()),
-                        TimeUnit.MILLISECONDS);
+                .schedule(this::checkStall, Math.max(1, left.toMillis()), TimeUnit.MILLISECONDS);
     }
 
-    private void checkStall(Duration limit) {
-        boolean silent = !lastProgressAt.plus(limit).isAfter(entry.clock().instant());
-        boolean stalled = silent || isStuck();
-        if (!stalled) {
-            scheduleStallCheck();
+    private Instant nextStallCheck(Instant now) {
+        Instant next = lastProgressAt.plus(stallTimeout());
+        if (progress != null && progress.stuckAt().isBefore(next)) {
+            next = progress.stuckAt();
+        }
+        Instant bodyCheckAt = bodyCheckAt();
+        return bodyCheckAt.isAfter(now) && bodyCheckAt.isBefore(next) ? bodyCheckAt : next;
+    }
+
+    // Last moment at which another upstream can answer within the target.
+    private Instant bodyCheckAt() {
+        return exchange.deadline().minus(route().targetLatency());
+    }
+
+    private void checkStall() {
+        if (done) {
             return;
         }
-        if (exchange.hasAttemptsLeft()) {
-            fail(
-                    silent
-                            ? "no data received for " + limit.toMillis() + " ms"
-                            : "no event received for "
-                                    + StreamProgress.EVENT_TIMEOUT.toMillis()
-                                    + " ms");
+        Optional<String> reason = stallReason(entry.clock().instant());
+        if (reason.isEmpty()) {
+            scheduleStallCheck();
+        } else if (exchange.hasAttemptsLeft()) {
+            fail(reason.get());
+        }
+    }
+
+    private Optional<String> stallReason(Instant now) {
+        Duration limit = stallTimeout();
+        if (!lastProgressAt.plus(limit).isAfter(now)) {
+            return Optional.of("no data received for " + limit.toMillis() + " ms");
+        }
+        if (isStuck()) {
+            long millis = StreamProgress.EVENT_TIMEOUT.toMillis();
+            return Optional.of("no event received for " + millis + " ms");
+        }
+        if (isBodyEndless(now)) {
+            return Optional.of("body is not expected to end before the deadline");
+        }
+        return Optional.empty();
+    }
+
+    // False for streams, and for a body that has come for less than the stall timeout.
+    private boolean isBodyEndless(Instant now) {
+        boolean young = headAt == null || headAt.plus(stallTimeout()).isAfter(now);
+        if (streaming || young || bodyCheckAt().isAfter(now)) {
+            return false;
         }
+        long stated = HttpUtil.getContentLength(head, -1L);
+        return !new BodyPace(headAt, stated, bufferedBody.readableBytes())
+                .endsInTime(now, exchange.deadline());
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -28,9 +28,6 @@
      */
     public static final String POISON = "poison";
 
-    /** Pause between the bytes of an answer in mode {@link Mode#SLOW}. */
-    private static final long SLOW_PAUSE_MILLIS = 6;
-
     /** What the server does with a request. */
     public enum Mode {
         /** Answers completely. */
@@ -63,6 +60,8 @@
         STREAM,
         /** Answers completely, byte by byte with pauses. */
         SLOW,
+        /** Answers completely, the body in even pieces until 2.7 s later. */
+        SLOW_BODY,
         /** Sends the bytes of {@link #endless} until the connection is closed. */
         ENDLESS
     }
@@ -269,16 +268,18 @@
         return line.toString(StandardCharsets.UTF_8).stripTrailing();
     }
 
+    private Mode presentMode() {
+        Mode present = mode;
+        boolean spent = present == Mode.ENDLESS && endlessAnswers.getAndDecrement() <= 0;
+        return spent ? modeAfterEndless : present;
+    }
+
     // Returns whether the connection stays open.
     private boolean answer(Seen request, Socket socket, InputStream in) throws IOException {
         OutputStream out = socket.getOutputStream();
         String id = request.headers().getOrDefault("x-request-id", "");
         String body = "answer to " + id;
-        Mode present = mode;
-        if (present == Mode.ENDLESS && endlessAnswers.getAndDecrement() <= 0) {
-            present = modeAfterEndless;
-        }
-        switch (present) {
+        switch (presentMode()) {
             case WHOLE -> write(out, response(200, id, body, ""));
             case DIES_OF_POISON -> {
                 if (request.line().contains(POISON)) {
@@ -321,7 +322,9 @@
                 }
                 return false;
             }
-            case SLOW -> writeSlowly(out, response(200, id, body, ""));
+            case SLOW -> SlowWriter.writeSlowly(out, response(200, id, body, ""));
+            case SLOW_BODY ->
+                    SlowWriter.writeSlowBody(out, response(200, id, body, ""), body.length());
             case ENDLESS -> writeEndlessly(out, id);
             default -> {
                 return false;
@@ -340,19 +343,6 @@
         }
     }
 
-    // Takes less than 1 s: the answers are a good hundred bytes long.
-    private static void writeSlowly(OutputStream out, String text) throws IOException {
-        for (String c : text.split("")) {
-            write(out, c);
-            try {
-                Thread.sleep(SLOW_PAUSE_MILLIS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                throw new IOException(e);
-            }
-        }
-    }
-
     private static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.UTF_8));
         out.flush();
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessTrickleTest.java
@@ -0,0 +1,88 @@
+package org.papayawalk.daemon.managed.entry;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.time.Duration;
+import org.papayawalk.daemon.managed.EndlessBytes;
+import org.papayawalk.daemon.managed.FakeUpstream.Mode;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Upstreams send bytes that never become an answer in trickles, so that they are never silent.
+ * Checks that an idempotent request is answered by another upstream before its deadline.
+ */
+public final class EndlessTrickleTest {
+    private static final Duration TRICKLE_PAUSE = Duration.ofMillis(20);
+
+    private EndlessChecks checks;
+
+    /**
+     * Starts the fakes and the entry.
+     *
+     * @throws IOException if a port cannot be bound
+     */
+    @BeforeClass
+    public void start() throws IOException {
+        checks = new EndlessChecks();
+    }
+
+    /**
+     * Stops the fakes.
+     *
+     * @throws IOException if a server cannot be closed
+     */
+    @AfterClass
+    public void stop() throws IOException {
+        checks.close();
+    }
+
+    /** Waits until the entry uses both upstreams again. */
+    @BeforeMethod
+    public void reset() {
+        checks.reset();
+    }
+
+    /**
+     * Endless answers that are no event streams.
+     *
+     * @return bytes
+     */
+    @DataProvider
+    public Object[][] endlessAnswers() {
+        String stated = EndlessBytes.HEAD + "Content-Length: 1000000000000\r\n\r\n";
+        return new Object[][] {
+            {EndlessBytes.fast("header lines", EndlessBytes.HEAD, "X-A: v\r\n")},
+            {EndlessBytes.fast("blank lines", "", "\r\n")},
+            {EndlessBytes.fast("1xx heads", "", "HTTP/1.1 100 Continue\r\n\r\n")},
+            {EndlessBytes.fast("chunks", EndlessBytes.CHUNKED, "4\r\nabcd\r\n")},
+            {EndlessBytes.fast("unframed body", EndlessBytes.HEAD + "\r\n", "abcd")},
+            {EndlessBytes.fast("stated length", stated, "abcd")},
+        };
+    }
+
+    /**
+     * An idempotent request is answered by the other upstream before its deadline.
+     *
+     * @param bytes endless bytes
+     */
+    @Test(dataProvider = "endlessAnswers")
+    public void idempotentRequestIsAnsweredElsewhere(EndlessBytes bytes) {
+        checks.checkIdempotent(
+                bytes.trickled(TRICKLE_PAUSE), EndlessChecks.READ_TIMEOUT_MILLIS - 100);
+    }
+
+    /** A slow body that is expected to end before the deadline is let alone. */
+    @Test
+    public void slowBodyIsDelivered() {
+        checks.fixture().first().mode(Mode.SLOW_BODY);
+        checks.fixture().second().mode(Mode.SLOW_BODY);
+        TestCaller caller = checks.fixture().caller();
+        assertEquals(caller.send("GET", "/read/x", "key-1").body(), "answer to " + caller.lastId());
+        assertEquals(checks.seenCount(), 1);
+    }
+}
