Bound the memory of all responses that an entry buffers

Cause: each response may have 8 MiB, but nothing bounded their sum; a dozen endless bodies at once exceed the heap of an entry (96 MB), and its process exits. Ruled out: a smaller limit per response, which would refuse proper ones. Change: BufferBudget bounds the buffers of an entry to 24 MiB together, counted by capacity, and discards the largest ones beyond it; their attempts fail as broken. Conclusion: proper responses are smaller than endless ones and stay.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -23,13 +23,14 @@
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.UpstreamRegistration;
+import org.papayawalk.http.BufferBudget;
 import org.papayawalk.http.ConnectFailures;
 import org.papayawalk.http.Connector;
 import org.papayawalk.log.Event;
 
 /**
  * State and services that all exchanges of one entry share. Confined to the event loop thread,
- * except {@link #suspects()} and {@link #limits()}, which are thread-safe.
+ * except {@link #suspects()}, {@link #limits()} and {@link #bufferBudget()}, which are thread-safe.
  */
 final class EntryContext {
     private static final int CRASHES_BEFORE_REFUSAL = 3;
@@ -39,6 +40,9 @@
 
     private static final int CRASH_CHECK_TIMEOUT_MILLIS = 300;
 
+    /** Bound of all responses that are buffered at the same time, in bytes. */
+    private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
+
     private final ManagedSettings settings;
 
     private final EventLoop loop;
@@ -63,6 +67,8 @@
 
     private final Map<ServiceId, DispatchQueue> queues = new HashMap<>();
 
+    private final BufferBudget bufferBudget = new BufferBudget(MAX_BUFFERED_BYTES);
+
     private final Set<CallerHandler> callers = new HashSet<>();
 
     private final PlacementRules placementRules;
@@ -117,6 +123,15 @@
         return clock;
     }
 
+    /**
+     * Returns the bound of the responses that are being buffered.
+     *
+     * @return thread-safe budget
+     */
+    BufferBudget bufferBudget() {
+        return bufferBudget;
+    }
+
     /**
      * Returns the upstreams that requests may be sent to.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -131,6 +131,15 @@
         Event.named("stopped").info();
     }
 
+    /**
+     * Returns the memory of the responses that are being buffered.
+     *
+     * @return bytes
+     */
+    long bufferedBytes() {
+        return entry.bufferBudget().heldBytes();
+    }
+
     // The limits are those in force when the connection opens.
     private void initCallerChannel(Channel channel) {
         CallerLimits limits =
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -15,6 +15,7 @@
 import org.papayawalk.core.place.AttemptResult;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
+import org.papayawalk.http.BufferBudget;
 
 /**
  * One attempt to serve a request at one upstream. It reports its end to its exchange once. Confined
@@ -59,6 +60,9 @@
     /** Progress of the event stream; null unless events are forwarded. */
     private StreamProgress progress;
 
+    /** This attempt in the budget of the entry's buffers. */
+    private final BufferBudget.Buffer bufferHandle = this::fail;
+
     private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
 
     /** When the attempt started. The request is sent later if it needs a new connection. */
@@ -186,6 +190,7 @@
             fail("event is longer than " + StreamProgress.MAX_EVENT_BYTES + " bytes");
             return;
         }
+        entry.bufferBudget().resize(bufferHandle, splitter.partialBytes());
         if (!exchange.stream().isWritable()) {
             setReadEnabled(false);
         }
@@ -198,6 +203,7 @@
             return;
         }
         bufferedBody.writeBytes(data);
+        entry.bufferBudget().resize(bufferHandle, bufferedBody.capacity());
     }
 
     @Override
@@ -289,6 +295,7 @@
     private void discardBuffers() {
         splitter = new VerbatimEventSplitter();
         bufferedBody = Unpooled.EMPTY_BUFFER;
+        entry.bufferBudget().release(bufferHandle);
     }
 
     // The first data of the response shows that prefill is done.
--- a/src/test/java/org/papayawalk/daemon/managed/entry/TestCaller.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/TestCaller.java
@@ -41,6 +41,15 @@
         }
     }
 
+    /**
+     * Returns another caller of the same entry, for another thread.
+     *
+     * @return caller
+     */
+    TestCaller another() {
+        return new TestCaller(port);
+    }
+
     /**
      * Returns the id of the last request.
      *
