Decide on a stall and its next check at one time

Cause: the check read the clock twice. If the last moment for a repeat fell between the two, the body was not given up and the next check came after the deadline. Ruled out: a paused other upstream; the test waits for both before. Change: the present time is an argument of the decision and of the next check. Conclusion: a check that comes a moment early is repeated a moment later.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -124,7 +124,7 @@
         if (done) {
             return;
         }
-        finish(isStuck() ? AttemptResult.BROKEN : result);
+        finish(isStuck(entry.clock().instant()) ? AttemptResult.BROKEN : result);
         if (connection != null) {
             connection.abandon();
         }
@@ -250,7 +250,7 @@
         Instant now = entry.clock().instant();
         newConnection.send(exchange.upstreamRequest(candidate, now), exchange.requestId(), this);
         if (!done && route().retryable()) {
-            scheduleStallCheck();
+            scheduleStallCheck(now);
             entry.upstreams()
                     .beginBy(candidate.upstream(), exchange.model())
                     .filter(t -> t.isAfter(now))
@@ -304,8 +304,8 @@
         pendingPrefill = 0;
     }
 
-    private boolean isStuck() {
-        return progress != null && progress.isStuck(entry.clock().instant());
+    private boolean isStuck(Instant now) {
+        return progress != null && progress.isStuck(now);
     }
 
     private void fail(String reason) {
@@ -320,8 +320,7 @@
     }
 
     // Fails the attempt if its response stalls and an attempt is left.
-    private void scheduleStallCheck() {
-        Instant now = entry.clock().instant();
+    private void scheduleStallCheck(Instant now) {
         Duration left = Duration.between(now, nextStallCheck(now));
         entry.loop()
                 .schedule(this::checkStall, Math.max(1, left.toMillis()), TimeUnit.MILLISECONDS);
@@ -345,9 +344,10 @@
         if (done) {
             return;
         }
-        Optional<String> reason = stallReason(entry.clock().instant());
+        Instant now = entry.clock().instant();
+        Optional<String> reason = stallReason(now);
         if (reason.isEmpty()) {
-            scheduleStallCheck();
+            scheduleStallCheck(now);
         } else if (exchange.hasAttemptsLeft()) {
             fail(reason.get());
         }
@@ -358,7 +358,7 @@
         if (!lastProgressAt.plus(limit).isAfter(now)) {
             return Optional.of("no data received for " + limit.toMillis() + " ms");
         }
-        if (isStuck()) {
+        if (isStuck(now)) {
             long millis = StreamProgress.EVENT_TIMEOUT.toMillis();
             return Optional.of("no event received for " + millis + " ms");
         }
