Bound what the HTTP client receives, also while it is idle

Cause: a response had 16 MiB of body and no bound of its framing, and nothing bounded the sum over connections, in daemons with heaps of 40 and 96 MB. An informational head passed as the response. An idle connection collected whatever came. Ruled out: time; each request has a timeout that closes its connection. Change: a response has 8 MiB with heads and framing, all responses of a client have 12 MiB together (BufferBudget), 1xx heads are skipped, and a byte on an idle connection closes it. The entry's upstream connections get a test of the latter.

--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
@@ -35,13 +36,19 @@
 public final class AsyncHttpClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
-    private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+    /** Bound of one response in bytes, with its heads and framing. */
+    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+
+    /** Bound of all responses that are received at the same time, in bytes. */
+    private static final long MAX_BUFFERED_BYTES = 12 * 1024 * 1024;
 
     /** Time after which an idle connection is not reused. */
     private static final long IDLE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     private final EventLoopGroup group;
 
+    private final BufferBudget budget = new BufferBudget(MAX_BUFFERED_BYTES);
+
     /** Idle connections by address; each deque is guarded by its own monitor. */
     private final Map<String, Deque<Connection>> idle = new ConcurrentHashMap<>();
 
@@ -73,6 +80,15 @@
                 .handle((a, e) -> toResult(request, sentNanos, a, e));
     }
 
+    /**
+     * Returns the memory of the responses that are being received.
+     *
+     * @return bytes
+     */
+    public long bufferedBytes() {
+        return budget.heldBytes();
+    }
+
     // The response is null if the request failed, otherwise the failure is.
     private Either<Fault, AsyncHttpResponse> toResult(
             AsyncHttpRequest request,
@@ -134,6 +150,7 @@
                 CONNECT_TIMEOUT_MILLIS,
                 channel -> connection.send(request, response),
                 response::completeExceptionally,
+                new ReceivedBytesHandler(connection::accepts),
                 new HttpClientCodec(),
                 new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                 connection);
@@ -158,6 +175,12 @@
         /** Response to the request in progress, null if there is none. */
         private volatile CompletableFuture<AsyncHttpResponse> pendingResponse;
 
+        /** Bytes received since the request was sent. */
+        private int receivedBytes;
+
+        /** This connection in the budget of the client. */
+        private final BufferBudget.Buffer bufferHandle = r -> failPending(new IOException(r));
+
         /** End of the last request, as {@link System#nanoTime()}. */
         private volatile long idleSinceNanos;
 
@@ -177,6 +200,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            budget.release(bufferHandle);
             failPending(new IOException("connection closed before the response was complete"));
         }
 
@@ -188,6 +212,11 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (informational && response.decoderResult().isSuccess()) {
+                return;
+            }
+            budget.release(bufferHandle);
             CompletableFuture<AsyncHttpResponse> pending = pendingResponse;
             pendingResponse = null;
             boolean malformed = response.decoderResult().isFailure();
@@ -216,6 +245,7 @@
          * @param response completed with the response or the cause of the failure
          */
         void send(AsyncHttpRequest request, CompletableFuture<AsyncHttpResponse> response) {
+            receivedBytes = 0;
             pendingResponse = response;
             response.whenComplete(
                     (a, e) -> {
@@ -252,6 +282,21 @@
             channel.close();
         }
 
+        // Accepts no bytes while no request is in progress, and none beyond the bounds.
+        private boolean accepts(int bytes) {
+            if (pendingResponse == null) {
+                return false;
+            }
+            receivedBytes += bytes;
+            if (receivedBytes > MAX_RESPONSE_BYTES) {
+                String reason = "response is longer than " + MAX_RESPONSE_BYTES + " bytes";
+                failPending(new IOException(reason));
+                return false;
+            }
+            budget.resize(bufferHandle, receivedBytes);
+            return pendingResponse != null;
+        }
+
         private void failPending(Throwable cause) {
             CompletableFuture<AsyncHttpResponse> pending = pendingResponse;
             pendingResponse = null;
--- a/src/test/java/org/papayawalk/daemon/managed/EndlessBytes.java
+++ b/src/test/java/org/papayawalk/daemon/managed/EndlessBytes.java
@@ -26,6 +26,9 @@
     /** Head of a successful response with a chunked body. */
     public static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
 
+    /** Complete successful response without a body. */
+    public static final String EMPTY = HEAD + "Content-Length: 0\r\n\r\n";
+
     /** Minimum size of a write without a pause, in bytes. */
     private static final int BURST_BYTES = 16 * 1024;
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EndlessTrickleTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessTrickleTest.java
@@ -85,4 +85,14 @@
         assertEquals(caller.send("GET", "/read/x", "key-1").body(), "answer to " + caller.lastId());
         assertEquals(checks.seenCount(), 1);
     }
+
+    /** A connection that gets bytes while it is idle is closed, whatever they are. */
+    @Test
+    public void idleConnectionIsClosedAtFirstByte() {
+        EndlessBytes extra = EndlessBytes.fast("extra bytes", EndlessBytes.EMPTY, "\r\n");
+        checks.setEndless(extra.trickled(TRICKLE_PAUSE), 1, Mode.WHOLE);
+        TestCaller caller = checks.fixture().caller();
+        assertEquals(caller.send("GET", "/read/x", "key-1").status(), 200);
+        checks.awaitClosed();
+    }
 }
