End an attempt of the stand-alone entry at its deadline despite replies

Cause: the deadline was checked only while no reply came, so that replies without end kept the caller waiting. Ruled out: dropping what has come by the deadline; a response that is ready is delivered also when late. Conclusion: the caller gets its 504, whatever the agent sends.

--- a/src/main/java/org/papayawalk/daemon/standalone/entry/Attempt.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/Attempt.java
@@ -41,6 +41,9 @@
 
     private volatile boolean overflowed;
 
+    // Replies taken after the deadline; those that are ready by then may still be delivered.
+    private int lateReplies;
+
     /**
      * Creates an attempt. {@link #send} starts it.
      *
@@ -86,17 +89,19 @@
      */
     Result next(Instant deadline) throws InterruptedException {
         while (true) {
-            Result result = results.poll(LIVENESS_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-            if (result != null) {
+            Instant now = clock.instant();
+            boolean late = !now.isBefore(deadline);
+            Result result = poll(late ? Duration.ZERO : LIVENESS_CHECK_INTERVAL);
+            boolean endless = late && ++lateReplies > MAX_BUFFERED_MESSAGES;
+            if (result != null && !endless) {
                 return verifyOrder(result);
             }
-            Instant now = clock.instant();
             if (overflowed) {
                 return lost(
                         "caller reads too slowly: buffer of %d messages is full"
                                 .formatted(MAX_BUFFERED_MESSAGES));
             }
-            if (!now.isBefore(deadline)) {
+            if (late) {
                 return new Result(null, null, true);
             }
             if (!livenessCheck.isAlive(candidate, now)) {
@@ -138,6 +143,11 @@
         }
     }
 
+    // Returns null if no reply arrives in time.
+    private Result poll(Duration wait) throws InterruptedException {
+        return results.poll(wait.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     // Replaces a reply by a fault if data messages before it are missing.
     private Result verifyOrder(Result result) {
         Envelope m = result.message();
