Move the stall decisions of an attempt to a class of their own

ResponseProgress keeps the times of a response and decides when it has stalled; no behavior changes.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -25,15 +24,6 @@
     /** Size limit of a response that is buffered before it is forwarded. */
     private static final int MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
 
-    /** Time without data after which a stream resumes at another upstream. */
-    private static final Duration STREAM_STALL_TIMEOUT = Duration.ofMillis(1100);
-
-    /**
-     * Time without data, in multiples of the route's latency target, after which a request with a
-     * buffered response is sent to another upstream.
-     */
-    private static final int STALL_TIMEOUT_TARGETS = 2;
-
     /** Status of an upstream that is not the one addressed. */
     private static final int MISDIRECTED_REQUEST = 421;
 
@@ -45,6 +35,8 @@
 
     private VerbatimEventSplitter splitter = new VerbatimEventSplitter();
 
+    private final ResponseProgress progress;
+
     /** Null until the connection is open. */
     private UpstreamConnection connection;
 
@@ -57,9 +49,6 @@
     /** Whether events are forwarded as they are received; otherwise the response is buffered. */
     private boolean streaming;
 
-    /** Progress of the event stream; null unless events are forwarded. */
-    private StreamProgress progress;
-
     /** This attempt in the budget of the entry's buffers. */
     private final BufferBudget.Buffer bufferHandle = this::fail;
 
@@ -68,12 +57,6 @@
     /** When the attempt started. The request is sent later if it needs a new connection. */
     private Instant startedAt;
 
-    /** When the head of the response was received; null until then. */
-    private Instant headAt;
-
-    /** When data was last received, or the request was sent. */
-    private Instant lastProgressAt = Instant.MIN;
-
     /**
      * Length of the prompt while it is in prefill, relative to the mean prompt; 0 after prefill.
      */
@@ -92,6 +75,7 @@
         this.entry = entry;
         this.exchange = exchange;
         this.candidate = candidate;
+        this.progress = new ResponseProgress(route(), exchange.deadline());
     }
 
     /** Opens a connection and sends the request. */
@@ -124,7 +108,7 @@
         if (done) {
             return;
         }
-        finish(isStuck(entry.clock().instant()) ? AttemptResult.BROKEN : result);
+        finish(progress.isStuck(entry.clock().instant()) ? AttemptResult.BROKEN : result);
         if (connection != null) {
             connection.abandon();
         }
@@ -143,14 +127,12 @@
 
     @Override
     public void onSent() {
-        lastProgressAt = entry.clock().instant();
+        progress.sent(entry.clock().instant());
     }
 
     @Override
     public void onHead(HttpResponse response, ResponseMetadata metadata) {
         Instant now = entry.clock().instant();
-        lastProgressAt = now;
-        headAt = now;
         head = response;
         metadata.load()
                 .ifPresentOrElse(
@@ -165,8 +147,8 @@
         }
         boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
         streaming = eventStream && metadata.hasAuthenticationCode();
+        progress.headReceived(response, streaming, now);
         if (streaming) {
-            progress = new StreamProgress(now);
             exchange.stream().start(response);
         } else {
             bufferedBody = Unpooled.buffer();
@@ -175,16 +157,16 @@
 
     @Override
     public void onData(ByteBuf data) {
-        lastProgressAt = entry.clock().instant();
+        Instant now = entry.clock().instant();
+        progress.dataReceived(data.readableBytes(), now);
         endPrefill();
         if (!streaming) {
             buffer(data);
             return;
         }
-        progress.bytesReceived(lastProgressAt);
         for (VerbatimEventSplitter.Event e : splitter.feed(ByteBufUtil.getBytes(data))) {
-            progress.eventReceived(e, lastProgressAt);
-            exchange.stream().forward(e, lastProgressAt);
+            progress.stream().eventReceived(e, now);
+            exchange.stream().forward(e, now);
         }
         if (splitter.partialBytes() > StreamProgress.MAX_EVENT_BYTES) {
             fail("event is longer than " + StreamProgress.MAX_EVENT_BYTES + " bytes");
@@ -304,78 +286,28 @@
         pendingPrefill = 0;
     }
 
-    private boolean isStuck(Instant now) {
-        return progress != null && progress.isStuck(now);
-    }
-
     private void fail(String reason) {
         connection.abandon();
         onFailure(reason, true);
     }
 
-    private Duration stallTimeout() {
-        return route().kind() == RequestKind.STREAMING
-                ? STREAM_STALL_TIMEOUT
-                : route().targetLatency().multipliedBy(STALL_TIMEOUT_TARGETS);
-    }
-
     // Fails the attempt if its response stalls and an attempt is left.
     private void scheduleStallCheck(Instant now) {
-        Duration left = Duration.between(now, nextStallCheck(now));
+        Duration left = Duration.between(now, progress.nextCheck(now));
         entry.loop()
                 .schedule(this::checkStall, Math.max(1, left.toMillis()), TimeUnit.MILLISECONDS);
     }
 
-    private Instant nextStallCheck(Instant now) {
-        Instant next = lastProgressAt.plus(stallTimeout());
-        if (progress != null && progress.stuckAt().isBefore(next)) {
-            next = progress.stuckAt();
-        }
-        Instant bodyCheckAt = bodyCheckAt();
-        return bodyCheckAt.isAfter(now) && bodyCheckAt.isBefore(next) ? bodyCheckAt : next;
-    }
-
-    // Last moment at which another upstream can answer within the target.
-    private Instant bodyCheckAt() {
-        return exchange.deadline().minus(route().targetLatency());
-    }
-
     private void checkStall() {
         if (done) {
             return;
         }
         Instant now = entry.clock().instant();
-        Optional<String> reason = stallReason(now);
+        Optional<String> reason = progress.stallReason(now);
         if (reason.isEmpty()) {
             scheduleStallCheck(now);
         } else if (exchange.hasAttemptsLeft()) {
             fail(reason.get());
         }
     }
-
-    private Optional<String> stallReason(Instant now) {
-        Duration limit = stallTimeout();
-        if (!lastProgressAt.plus(limit).isAfter(now)) {
-            return Optional.of("no data received for " + limit.toMillis() + " ms");
-        }
-        if (isStuck(now)) {
-            long millis = StreamProgress.EVENT_TIMEOUT.toMillis();
-            return Optional.of("no event received for " + millis + " ms");
-        }
-        if (isBodyEndless(now)) {
-            return Optional.of("body is not expected to end before the deadline");
-        }
-        return Optional.empty();
-    }
-
-    // False for streams, and for a body that has come for less than the stall timeout.
-    private boolean isBodyEndless(Instant now) {
-        boolean young = headAt == null || headAt.plus(stallTimeout()).isAfter(now);
-        if (streaming || young || bodyCheckAt().isAfter(now)) {
-            return false;
-        }
-        long stated = HttpUtil.getContentLength(head, -1L);
-        return !new BodyPace(headAt, stated, bufferedBody.readableBytes())
-                .endsInTime(now, exchange.deadline());
-    }
 }
