Bound the responses that the stand-alone program reads

Cause: lines and header counts had no limit, heads and bodies no time beyond the wait for the next byte, and 1xx heads no number. A longer body was cut off and taken for the whole answer, also when the answer of a non-idempotent call was stored. Closing a body read it to its end. Ruled out: aborting calls to platforms by a timer thread; the reader checks the time itself, as each of its waits is bounded by the socket. Change: lines of 16 KiB, 256 headers, 16 informational heads, 16 MiB of body (a chunk has 4 MiB at most), 10 read timeouts for a head and for a body, 120 s for the body of a non-idempotent call. A longer body is a fault. Responses are aborted instead of read to their end. The Forwarder's bound has no test of its own. Conclusion: a call fails in bounded time and frees its connection.

--- a/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
@@ -14,8 +14,12 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
+import org.apache.hc.core5.http.io.HttpMessageParserFactory;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
@@ -30,11 +34,25 @@
 public final class BlockingHttpClient implements AutoCloseable {
     private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(1);
 
-    /** Maximum length of a body that is read as a whole; the rest is cut off. */
-    private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+    /** Maximum length of a body that is read as a whole; a chunk of weights has 4 MiB at most. */
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+    /** Maximum length of a line in a head, in the framing of chunks or in trailers, in bytes. */
+    private static final int MAX_LINE_BYTES = 16 * 1024;
+
+    /** Maximum number of header lines, and of trailer lines. */
+    private static final int MAX_HEADERS = 256;
+
+    /**
+     * Time for a head, and for a body that is read as a whole, in multiples of the read timeout.
+     */
+    private static final int READ_TIMEOUTS_PER_PART = 10;
 
     private final HttpRequester requester;
 
+    /** Time from the first byte of a head, or of a body that is read as a whole, to its end. */
+    private final Duration partTimeout;
+
     /**
      * Creates a client.
      *
@@ -43,6 +61,7 @@
      * @param reuse whether connections are reused
      */
     public BlockingHttpClient(Duration readTimeout, int maxConnections, boolean reuse) {
+        partTimeout = readTimeout.multipliedBy(READ_TIMEOUTS_PER_PART);
         SocketConfig sockets =
                 SocketConfig.custom()
                         .setSoTimeout(Timeout.of(readTimeout))
@@ -51,6 +70,7 @@
         RequesterBootstrap bootstrap =
                 RequesterBootstrap.bootstrap()
                         .setSocketConfig(sockets)
+                        .setConnectionFactory(newConnectionFactory(partTimeout))
                         .setMaxTotal(maxConnections)
                         .setDefaultMaxPerRoute(maxConnections);
         if (!reuse) {
@@ -131,11 +151,29 @@
         return builder.build();
     }
 
-    private static Either<Fault, ClientResponse> readAll(
-            ClientRequest request, StreamingResponse stream) {
-        try (stream;
-                InputStream body = stream.body()) {
-            byte[] data = body.readNBytes(MAX_BODY_BYTES);
+    private static DefaultBHttpClientConnectionFactory newConnectionFactory(Duration headTimeout) {
+        Http1Config config =
+                Http1Config.custom()
+                        .setMaxLineLength(MAX_LINE_BYTES)
+                        .setMaxHeaderCount(MAX_HEADERS)
+                        .build();
+        HttpMessageParserFactory<ClassicHttpResponse> parsers =
+                new DefaultHttpResponseParserFactory(config);
+        return DefaultBHttpClientConnectionFactory.builder()
+                .http1Config(config)
+                .responseParserFactory(
+                        c -> new BoundedHeadParser(parsers.create(config), headTimeout))
+                .build();
+    }
+
+    private Either<Fault, ClientResponse> readAll(ClientRequest request, StreamingResponse stream) {
+        // The body is not closed, as that would read it to its end.
+        try (stream) {
+            InputStream body = new TimedInputStream(stream.body(), partTimeout);
+            byte[] data = body.readNBytes(MAX_BODY_BYTES + 1);
+            if (data.length > MAX_BODY_BYTES) {
+                throw new IOException("body is longer than " + MAX_BODY_BYTES + " bytes");
+            }
             return Either.right(new ClientResponse(stream.status(), stream.headers(), data));
         } catch (IOException e) {
             return Either.left(
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
@@ -17,6 +17,7 @@
 import org.papayawalk.adapter.standalone.ClientRequest;
 import org.papayawalk.adapter.standalone.HttpHeader;
 import org.papayawalk.adapter.standalone.StreamingResponse;
+import org.papayawalk.adapter.standalone.TimedInputStream;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.Outcome;
@@ -38,10 +39,14 @@
     /** Maximum length of a data message in bytes. */
     private static final int BUFFER_BYTES = 16 * 1024;
 
+    /** Maximum length in bytes of the response body of a non-idempotent call. */
+    private static final int MAX_STORED_BODY_BYTES = 8 * 1024 * 1024;
+
     /**
-     * Maximum length in bytes of the response body of a non-idempotent call; the rest is cut off.
+     * Maximum time to read the response body of a non-idempotent call, which continues after its
+     * deadline; the longest deadline.
      */
-    private static final int MAX_STORED_BODY_BYTES = 8 * 1024 * 1024;
+    private static final Duration STORED_BODY_TIMEOUT = Duration.ofSeconds(120);
 
     /** HTTP status of an overloaded upstream, which did not run the request. */
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -179,7 +184,8 @@
                     new CallCompletion(Outcome.UNKNOWN, reason, Duration.ZERO, true, false), 0);
         }
         long sequence = 0;
-        try (InputStream body = stream.body()) {
+        try {
+            InputStream body = stream.body();
             call.send(Envelope.newBuilder().setResponseHead(toResponseHead(stream)));
             byte[] buffer = new byte[BUFFER_BYTES];
             int n = body.read(buffer);
@@ -225,9 +231,13 @@
         if (opened.isLeft()) {
             return new Result(requestFailed(call, opened.getLeft()), 0);
         }
-        try (StreamingResponse stream = opened.get();
-                InputStream body = stream.body()) {
-            byte[] data = body.readNBytes(MAX_STORED_BODY_BYTES);
+        // The body is not closed, as that would read it to its end.
+        try (StreamingResponse stream = opened.get()) {
+            InputStream body = new TimedInputStream(stream.body(), STORED_BODY_TIMEOUT);
+            byte[] data = body.readNBytes(MAX_STORED_BODY_BYTES + 1);
+            if (data.length > MAX_STORED_BODY_BYTES) {
+                throw new IOException("body is longer than " + MAX_STORED_BODY_BYTES + " bytes");
+            }
             ResponseHead head = toResponseHead(stream);
             idempotencyGuard.storeAnswer(
                     r.getOnceKey(), started.get(), toStoredAnswer(stream, data));
