Bound an event in the stand-alone entry, and repeat endless responses

Cause: the splitter buffered an event without end, and a response over the size limit was not sent to another host even if it is idempotent. Ruled out: a larger buffer for events; engines send tokens. Change: an event has 256 KiB at most. An event or response beyond its limit fails the attempt, counts against its host, and is repeated if the request may be. Result: no test of its own; ProxiedCall has none so far. Conclusion: open until a test of ProxiedCall with a stand-in agent.

--- a/src/main/java/org/papayawalk/core/stream/NormalizingEventSplitter.java
+++ b/src/main/java/org/papayawalk/core/stream/NormalizingEventSplitter.java
@@ -52,6 +52,15 @@
         return events;
     }
 
+    /**
+     * Returns the length of the incomplete event.
+     *
+     * @return bytes since the last complete event, without CR bytes
+     */
+    public int partialBytes() {
+        return pending.size();
+    }
+
     /** Discards the incomplete event, for example because the upstream was lost. */
     public void discardPartial() {
         pending.reset();
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
@@ -1,5 +1,6 @@
 package org.papayawalk.daemon.standalone.entry;
 
+import com.google.protobuf.ByteString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
@@ -31,6 +32,9 @@
     /** Maximum size of a response that is not streamed. */
     private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
+    /** Maximum length of an event in bytes. */
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
+
     /** Delay for the caller if the agent names none. */
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -105,10 +109,12 @@
                 }
                 continue;
             }
-            message.getResponseData().getData().forEach(body::write);
-            if (body.size() > MAX_BUFFERED_BYTES) {
-                failWithoutRetry("response exceeds %d bytes".formatted(MAX_BUFFERED_BYTES));
+            ByteString data = message.getResponseData().getData();
+            if (body.size() + data.size() > MAX_BUFFERED_BYTES) {
+                failOversized("response exceeds %d bytes".formatted(MAX_BUFFERED_BYTES));
+                continue;
             }
+            data.forEach(body::write);
         }
         return new CallerResponse.Failed(lastError);
     }
@@ -135,6 +141,9 @@
                 for (byte[] event : events.feed(data)) {
                     out.writeEvent(event);
                 }
+                if (events.partialBytes() > MAX_EVENT_BYTES) {
+                    failOversized("event exceeds %d bytes".formatted(MAX_EVENT_BYTES));
+                }
             }
         } catch (IOException e) {
             abandon(false);
@@ -250,10 +259,11 @@
         attempt = null;
     }
 
-    private void failWithoutRetry(String reason) {
-        mayRetry = false;
-        setError(reason, Duration.ZERO);
-        abandon(false);
+    // An endless response is a failure of its host.
+    private void failOversized(String reason) {
+        mayRetry = request.retryable();
+        setError("host " + attempt.candidate().host() + ": " + reason, RETRY_AFTER);
+        abandon(true);
     }
 
     private void setError(String reason, Duration retryAfter) {
