--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -15,6 +15,7 @@
 import org.papayawalk.core.place.AttemptResult;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
+import org.papayawalk.http.BufferBudget;
 
 /**
  * One attempt to serve a request at one upstream. It reports its end to its exchange once. Confined
@@ -24,15 +25,6 @@
     /** Size limit of a response that is buffered before it is forwarded. */
     private static final int MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
 
-    /** Time without data after which a stream resumes at another upstream. */
-    private static final Duration STREAM_STALL_TIMEOUT = Duration.ofMillis(1100);
-
-    /**
-     * Time without data, in multiples of the route's latency target, after which a request with a
-     * buffered response is sent to another upstream.
-     */
-    private static final int STALL_TIMEOUT_TARGETS = 2;
-
     private static final Duration MIN_EXPIRY_CHECK_PAUSE = Duration.ofMillis(5);
 
     private static final Duration MAX_EXPIRY_CHECK_PAUSE = Duration.ofMillis(500);
@@ -46,7 +38,9 @@
 
     private final PlacementCandidate candidate;
 
-    private final VerbatimEventSplitter splitter = new VerbatimEventSplitter();
+    private VerbatimEventSplitter splitter = new VerbatimEventSplitter();
+
+    private final ResponseProgress progress;
 
     /** Null until the connection is open. */
     private UpstreamConnection connection;
@@ -60,6 +54,9 @@
     /** Whether events are forwarded as they are received; otherwise the response is buffered. */
     private boolean streaming;
 
+    /** This attempt in the budget of the entry's buffers. */
+    private final BufferBudget.Buffer bufferHandle = this::fail;
+
     private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
 
     /** When the attempt started. The request is sent later if it needs a new connection. */
@@ -74,9 +71,6 @@
     /** Last message to the upstream: the opening of the connection, later the request. */
     private MessageDelays.Sent message;
 
-    /** When data was last received, or the request was sent. */
-    private Instant lastProgressAt = Instant.MIN;
-
     /**
      * Length of the prompt while it is in prefill, relative to the mean prompt; 0 after prefill.
      */
@@ -95,6 +89,7 @@
         this.entry = entry;
         this.exchange = exchange;
         this.candidate = candidate;
+        this.progress = new ResponseProgress(route(), exchange.deadline());
     }
 
     /** Opens a connection and sends the request. */
@@ -133,7 +128,7 @@
         if (done) {
             return;
         }
-        finish(result);
+        finish(progress.isStuck(entry.clock().instant()) ? AttemptResult.BROKEN : result);
         if (connection != null) {
             connection.abandon();
         }
@@ -153,7 +148,7 @@
     @Override
     public void onSent() {
         sentAt = entry.clock().instant();
-        lastProgressAt = sentAt;
+        progress.sent(sentAt);
         message = entry.upstreams().delays().sent(candidate.upstream(), sentAt);
         entry.metrics().sent(service(), Duration.between(startedAt, sentAt));
     }
@@ -161,7 +156,6 @@
     @Override
     public void onHead(HttpResponse response, ResponseMetadata metadata) {
         Instant now = entry.clock().instant();
-        lastProgressAt = now;
         head = response;
         message.answered(now);
         entry.metrics().responseBegan(service(), Duration.between(sentAt, now));
@@ -178,6 +172,7 @@
         }
         boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
         streaming = eventStream && metadata.hasAuthenticationCode();
+        progress.headReceived(response, streaming, now);
         if (streaming) {
             exchange.stream().start(response);
         } else {
@@ -187,23 +182,37 @@
 
     @Override
     public void onData(ByteBuf data) {
-        lastProgressAt = entry.clock().instant();
+        Instant now = entry.clock().instant();
+        progress.dataReceived(data.readableBytes(), now);
         endPrefill();
         if (!streaming) {
-            bufferedBody.writeBytes(data);
-            if (bufferedBody.readableBytes() > MAX_BUFFERED_RESPONSE_BYTES) {
-                fail("response is longer than " + MAX_BUFFERED_RESPONSE_BYTES + " bytes");
-            }
+            buffer(data);
             return;
         }
         for (VerbatimEventSplitter.Event e : splitter.feed(ByteBufUtil.getBytes(data))) {
-            exchange.stream().forward(e, lastProgressAt);
+            progress.stream().eventReceived(e, now);
+            exchange.stream().forward(e, now);
+        }
+        if (splitter.partialBytes() > StreamProgress.MAX_EVENT_BYTES) {
+            fail("event is longer than " + StreamProgress.MAX_EVENT_BYTES + " bytes");
+            return;
         }
+        entry.bufferBudget().resize(bufferHandle, splitter.partialBytes());
         if (!exchange.stream().isWritable()) {
             setReadEnabled(false);
         }
     }
 
+    private void buffer(ByteBuf data) {
+        int length = bufferedBody.readableBytes() + data.readableBytes();
+        if (length > MAX_BUFFERED_RESPONSE_BYTES) {
+            fail("response is longer than " + MAX_BUFFERED_RESPONSE_BYTES + " bytes");
+            return;
+        }
+        bufferedBody.writeBytes(data);
+        entry.bufferBudget().resize(bufferHandle, bufferedBody.capacity());
+    }
+
     @Override
     public void onComplete() {
         if (done) {
@@ -222,9 +231,9 @@
             return;
         }
         boolean failure = head.status().code() >= 500;
+        byte[] body = ByteBufUtil.getBytes(bufferedBody);
         finish(failure ? AttemptResult.SERVER_ERROR : AttemptResult.ANSWERED);
-        exchange.responseReceived(
-                new BufferedResponse(head, ByteBufUtil.getBytes(bufferedBody)), name);
+        exchange.responseReceived(new BufferedResponse(head, body), name);
     }
 
     @Override
@@ -257,7 +266,7 @@
         connection = newConnection;
         newConnection.send(exchange.upstreamRequest(candidate, now), exchange.requestId(), this);
         if (!done && route().retryable()) {
-            scheduleStallCheck();
+            scheduleStallCheck(now);
         }
         withdrawWhenVersionExpires();
     }
@@ -321,6 +330,7 @@
     // Records the result and triggers a scan of the queue, because a slot has become free.
     private void finish(AttemptResult result) {
         done = true;
+        discardBuffers();
         endPrefill();
         if (message != null) {
             message.ended(entry.clock().instant());
@@ -329,6 +339,13 @@
         entry.queue(exchange.authorized().service()).capacityAvailable();
     }
 
+    // Timers may refer to the attempt for some time after its end.
+    private void discardBuffers() {
+        splitter = new VerbatimEventSplitter();
+        bufferedBody = Unpooled.EMPTY_BUFFER;
+        entry.bufferBudget().release(bufferHandle);
+    }
+
     // The first data of the response shows that prefill is done.
     private void endPrefill() {
         candidate.load().prefillEnded(pendingPrefill);
@@ -340,30 +357,23 @@
         onFailure(reason, true);
     }
 
-    private Duration stallTimeout() {
-        return route().kind() == RequestKind.STREAMING
-                ? STREAM_STALL_TIMEOUT
-                : route().targetLatency().multipliedBy(STALL_TIMEOUT_TARGETS);
+    // Fails the attempt if its response stalls and an attempt is left.
+    private void scheduleStallCheck(Instant now) {
+        Duration left = Duration.between(now, progress.nextCheck(now));
+        entry.loop()
+                .schedule(this::checkStall, Math.max(1, left.toMillis()), TimeUnit.MILLISECONDS);
     }
 
-    // Fails the attempt if no data is received within the stall timeout and an attempt is left.
-    private void scheduleStallCheck() {
-        Duration limit = stallTimeout();
-        Instant last = lastProgressAt;
-        Duration left = Duration.between(entry.clock().instant(), last.plus(limit));
-        entry.loop()
-                .schedule(
-                        () -> {
-                            if (done) {
-                                return;
-                            }
-                            if (!lastProgressAt.equals(last)) {
-                                scheduleStallCheck();
-                            } else if (exchange.hasAttemptsLeft()) {
-                                fail("no data received for " + limit.toMillis() + " ms");
-                            }
-                        },
-                        Math.max(1, left.toMillis()),
-                        TimeUnit.MILLISECONDS);
+    private void checkStall() {
+        if (done) {
+            return;
+        }
+        Instant now = entry.clock().instant();
+        Optional<String> reason = progress.stallReason(now);
+        if (reason.isEmpty()) {
+            scheduleStallCheck(now);
+        } else if (exchange.hasAttemptsLeft()) {
+            fail(reason.get());
+        }
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -1,7 +1,6 @@
 package org.papayawalk.daemon.managed;
 
 import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -10,12 +9,11 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Fake server behind an entry. The mode decides what it does with requests. Thread-safe. */
 public final class FakeUpstream implements AutoCloseable {
@@ -62,7 +60,13 @@
         /** Streams three events and part of a fourth, then closes the connection. */
         CUT_STREAM,
         /** Streams all events. */
-        STREAM
+        STREAM,
+        /** Answers completely, byte by byte with pauses. */
+        SLOW,
+        /** Answers completely, the body in even pieces until 2.7 s later. */
+        SLOW_BODY,
+        /** Sends the bytes of {@link #endless} until the connection is closed. */
+        ENDLESS
     }
 
     /**
@@ -91,6 +95,16 @@
 
     private volatile Mode mode;
 
+    // What mode ENDLESS sends.
+    private volatile EndlessBytes endlessBytes;
+
+    // Answers without end that are left before modeAfterEndless begins.
+    private volatile AtomicInteger endlessAnswers;
+
+    private volatile Mode modeAfterEndless;
+
+    private final AtomicInteger endlessConnections = new AtomicInteger();
+
     // Header by which answers state a limit, empty if they state none.
     private volatile String limitHeader = "";
 
@@ -161,6 +175,29 @@
         mode = newMode;
     }
 
+    /**
+     * Sends bytes without end to the next requests.
+     *
+     * @param bytes bytes to send
+     * @param answers number of such answers; may be shared by several servers
+     * @param then what the server does with further requests
+     */
+    public void endless(EndlessBytes bytes, AtomicInteger answers, Mode then) {
+        endlessBytes = bytes;
+        endlessAnswers = answers;
+        modeAfterEndless = then;
+        mode = Mode.ENDLESS;
+    }
+
+    /**
+     * Returns the connections over which bytes are sent without end at present.
+     *
+     * @return number of connections that the peer has not closed
+     */
+    public int endlessConnections() {
+        return endlessConnections.get();
+    }
+
     /**
      * Makes all answers with a stamp state a limit from now on.
      *
@@ -217,7 +254,7 @@
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             while (true) {
-                Seen request = read(in);
+                Seen request = RequestReader.read(in);
                 if (request == null) {
                     return;
                 }
@@ -231,32 +268,10 @@
         }
     }
 
-    // Returns null at the end of the connection.
-    private static Seen read(InputStream in) throws IOException {
-        String line = line(in);
-        if (line == null) {
-            return null;
-        }
-        Map<String, String> headers = new HashMap<>();
-        for (String h = line(in); h != null && !h.isEmpty(); h = line(in)) {
-            int colon = h.indexOf(':');
-            String name = h.substring(0, colon).toLowerCase(Locale.ROOT);
-            headers.put(name, h.substring(colon + 1).strip());
-        }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        return new Seen(line, headers, new String(in.readNBytes(length), StandardCharsets.UTF_8));
-    }
-
-    // Returns a line without its end, null at the end of the connection.
-    private static String line(InputStream in) throws IOException {
-        ByteArrayOutputStream line = new ByteArrayOutputStream();
-        for (int b = in.read(); b != '\n'; b = in.read()) {
-            if (b < 0) {
-                return null;
-            }
-            line.write(b);
-        }
-        return line.toString(StandardCharsets.UTF_8).stripTrailing();
+    private Mode presentMode() {
+        Mode present = mode;
+        boolean spent = present == Mode.ENDLESS && endlessAnswers.getAndDecrement() <= 0;
+        return spent ? modeAfterEndless : present;
     }
 
     // Returns whether the connection stays open.
@@ -264,7 +279,7 @@
         OutputStream out = socket.getOutputStream();
         String id = request.headers().getOrDefault("x-request-id", "");
         String body = "answer to " + id;
-        switch (mode) {
+        switch (presentMode()) {
             case WHOLE -> write(out, response(200, id, body, ""));
             case DIES_OF_POISON -> {
                 if (request.line().contains(POISON)) {
@@ -307,6 +322,10 @@
                 }
                 return false;
             }
+            case SLOW -> SlowWriter.writeSlowly(out, response(200, id, body, ""));
+            case SLOW_BODY ->
+                    SlowWriter.writeSlowBody(out, response(200, id, body, ""), body.length());
+            case ENDLESS -> writeEndlessly(out, id);
             default -> {
                 return false;
             }
@@ -330,6 +349,16 @@
         return true;
     }
 
+    // Returns only with an exception, when the connection is closed.
+    private void writeEndlessly(OutputStream out, String id) throws IOException {
+        endlessConnections.incrementAndGet();
+        try {
+            endlessBytes.writeTo(out, id);
+        } finally {
+            endlessConnections.decrementAndGet();
+        }
+    }
+
     private static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.UTF_8));
         out.flush();
