Test that endless answers leave other requests alone

Result: beside a trickle, 20 other requests are answered and the first one ends with 504 at its timeout; of 40 requests less than a quarter reach an upstream that answers without end.

--- a/src/test/java/org/papayawalk/daemon/managed/entry/EndlessResponseTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessResponseTest.java
@@ -1,10 +1,13 @@
 package org.papayawalk.daemon.managed.entry;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.papayawalk.daemon.managed.EndlessBytes;
+import org.papayawalk.daemon.managed.FakeUpstream;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -22,6 +25,8 @@
 
     private static final int RANDOM_ANSWERS = 12;
 
+    private static final int MANY_REQUESTS = 40;
+
     /** Time after a timeout within which the caller must have its answer. */
     private static final long TIMEOUT_SLACK_MILLIS = 400;
 
@@ -123,4 +128,22 @@
         }
         assertEquals(checks.seenCount(), 2);
     }
+
+    /** An upstream that answers without end is avoided after a few requests. */
+    @Test
+    public void endlessUpstreamIsAvoided() {
+        FakeUpstream endless = checks.fixture().first();
+        endless.endless(
+                EndlessBytes.fast("1xx heads", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+                new AtomicInteger(Integer.MAX_VALUE),
+                Mode.WHOLE);
+        TestCaller caller = checks.fixture().caller();
+        for (int i = 0; i < MANY_REQUESTS; i++) {
+            assertEquals(caller.send("GET", "/read/x", "key-1").status(), 200);
+        }
+        assertTrue(
+                endless.seen().size() < MANY_REQUESTS / 4,
+                endless.seen().size() + " requests sent to the endless upstream");
+        checks.awaitClosed();
+    }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EndlessTrickleTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessTrickleTest.java
@@ -1,9 +1,11 @@
 package org.papayawalk.daemon.managed.entry;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import org.papayawalk.daemon.managed.EndlessBytes;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
 import org.testng.annotations.AfterClass;
@@ -19,6 +21,8 @@
 public final class EndlessTrickleTest {
     private static final Duration TRICKLE_PAUSE = Duration.ofMillis(20);
 
+    private static final int OTHER_REQUESTS = 20;
+
     private EndlessChecks checks;
 
     /**
@@ -95,4 +99,22 @@
         assertEquals(caller.send("GET", "/read/x", "key-1").status(), 200);
         checks.awaitClosed();
     }
+
+    /** Other requests are answered while bytes trickle over the connection of one. */
+    @Test
+    public void othersAreServedMeanwhile() {
+        EndlessBytes blank = EndlessBytes.fast("blank lines", "", "\r\n");
+        checks.setEndless(blank.trickled(TRICKLE_PAUSE), 1, Mode.WHOLE);
+        TestCaller waiting = checks.fixture().caller().another();
+        CompletableFuture<TestCaller.Response> pay =
+                CompletableFuture.supplyAsync(() -> waiting.send("POST", "/pay/x", "key-1"));
+        ManagedEntryFixture.await(() -> checks.seenCount() == 1);
+        TestCaller caller = checks.fixture().caller();
+        for (int i = 0; i < OTHER_REQUESTS; i++) {
+            assertEquals(caller.send("GET", "/read/x", "key-1").status(), 200);
+        }
+        assertFalse(pay.isDone());
+        assertEquals(pay.join().status(), 504);
+        checks.awaitClosed();
+    }
 }
