Send nothing new to an upstream that states that it leaves

Cause: no code read the header Server-Leaving. An entry learned of a leaving upstream only from its row, so one whose row was late, lost or still ready kept getting requests. Class of fault: a statement in an answer that is passed on to callers but not obeyed. Ruled out: the drain of the row (UpstreamTracker), which the test's row does not state; pooled connections alone, as POST requests open one each. Change: HeaderCodec reads the header into ResponseMetadata. WithheldUpstreams (core.place) knows which processes get nothing new; UpstreamTable leaves them out of placing, whatever their row says. A statement outlives the row, as a row may come back for the same process after an outage of the store; memory is bounded by number. Opening a connection takes up to 600 ms, so UpstreamAttempt looks again right before it writes: then the connection is closed and the request placed anew, without a failure of the upstream, a run or a use of the retry budget. recordLimit moved from EntryContext to UpstreamStatements unchanged.

--- a/src/main/java/org/papayawalk/core/call/ResponseMetadata.java
+++ b/src/main/java/org/papayawalk/core/call/ResponseMetadata.java
@@ -14,6 +14,7 @@
  * @param load load report, empty if the response carries none
  * @param limitPerSecond requests per second that the upstream takes from all entries together,
  *     empty if it states no limit
+ * @param leaving whether the upstream states that it leaves and takes no new requests
  * @param weightVersion version of the weights that produced the response, empty if not stated
  * @param keepAliveSeconds time for which the upstream keeps an idle connection open, in seconds;
  *     empty if not stated
@@ -24,5 +25,6 @@
         boolean hasAuthenticationCode,
         Optional<ReportedLoad> load,
         OptionalDouble limitPerSecond,
+        boolean leaving,
         OptionalInt weightVersion,
         OptionalInt keepAliveSeconds) {}
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -12,7 +12,6 @@
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.desired.EngineSpec;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.ServiceId;
@@ -20,6 +19,7 @@
 import org.papayawalk.core.place.MinimumVersionRule;
 import org.papayawalk.core.place.PlacementRule;
 import org.papayawalk.core.place.WindowedRetryBudget;
+import org.papayawalk.core.place.WithheldUpstreams;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.UpstreamRegistration;
@@ -59,6 +59,10 @@
 
     private final UpstreamLimits limits;
 
+    private final WithheldUpstreams withheld = new WithheldUpstreams();
+
+    private final UpstreamStatements statements;
+
     private final Map<ServiceId, WindowedRetryBudget> retryBudgets = new HashMap<>();
 
     private final Map<ServiceId, DispatchQueue> queues = new HashMap<>();
@@ -93,10 +97,14 @@
         this.otherEntries = otherEntries;
         this.metrics = metrics;
         this.limits = new UpstreamLimits(new HostId(settings.ip()), otherEntries);
+        this.statements = new UpstreamStatements(limits, withheld);
         this.placementRules = new PlacementRules(settings, otherEntries, limits, random);
         this.upstreams =
                 new UpstreamTable(
-                        loop, clock, new MinimumVersionRule(settings.limits().versionDeadline()));
+                        loop,
+                        clock,
+                        new MinimumVersionRule(settings.limits().versionDeadline()),
+                        withheld);
     }
 
     /**
@@ -145,25 +153,21 @@
     }
 
     /**
-     * Records what an answer states of the limit of its upstream.
+     * Returns the upstreams that have stated that they take no new requests.
      *
-     * @param upstream upstream that answered
-     * @param answer metadata of the answer
-     * @param sentAt when the request was sent
+     * @return registry for use on the event loop thread only
      */
-    void recordLimit(UpstreamRegistration upstream, ResponseMetadata answer, Instant sentAt) {
-        Instant now = clock.instant();
-        if (answer.limitPerSecond().isPresent()) {
-            double perSecond = answer.limitPerSecond().getAsDouble();
-            if (limits.stated(upstream.process(), perSecond, now)) {
-                Event.named("upstream-limited")
-                        .with("upstream", upstream.process())
-                        .with("per_second", perSecond)
-                        .info();
-            }
-        } else if (answer.hasAuthenticationCode() && limits.notStated(upstream.process(), sentAt)) {
-            Event.named("upstream-unlimited").with("upstream", upstream.process()).info();
-        }
+    WithheldUpstreams withheld() {
+        return withheld;
+    }
+
+    /**
+     * Returns the recorder of what answers state of their upstreams.
+     *
+     * @return recorder for use on the event loop thread only
+     */
+    UpstreamStatements statements() {
+        return statements;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -148,8 +148,10 @@
         if (status == MISDIRECTED_REQUEST) {
             entry.upstreams().pauseMisdirected(candidate.upstream().id(), now);
         } else {
-            entry.recordLimit(candidate.upstream(), metadata, startedAt);
+            entry.statements()
+                    .recordLimit(candidate.upstream().process(), metadata, startedAt, now);
         }
+        entry.statements().recordWithheld(candidate.upstream().process(), metadata);
         boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
         streaming = eventStream && metadata.hasAuthenticationCode();
         if (streaming) {
@@ -218,8 +220,15 @@
             newConnection.abandon();
             return;
         }
-        connection = newConnection;
         Instant now = entry.clock().instant();
+        if (entry.withheld().isWithheld(candidate.upstream().process(), now)) {
+            newConnection.abandon();
+            finish(AttemptResult.CANCELLED);
+            exchange.attemptFailed(
+                    false, false, candidate.upstream().id() + ": takes no new requests");
+            return;
+        }
+        connection = newConnection;
         newConnection.send(exchange.upstreamRequest(candidate, now), exchange.requestId(), this);
         if (!done && route().retryable()) {
             scheduleStallCheck();
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
@@ -17,6 +17,7 @@
 import org.papayawalk.core.place.MinimumVersionRule;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.UpstreamLoad;
+import org.papayawalk.core.place.WithheldUpstreams;
 import org.papayawalk.core.upstream.UpstreamRegistration;
 import org.papayawalk.daemon.managed.PlatformSnapshot;
 
@@ -34,6 +35,8 @@
 
     private final MinimumVersionRule versionRule;
 
+    private final WithheldUpstreams withheld;
+
     private final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
 
     private final Map<ServiceId, List<Upstream>> byService = new HashMap<>();
@@ -57,11 +60,17 @@
      * @param loop event loop thread
      * @param clock monotonic clock
      * @param versionRule rule for the versions of weights that may answer
+     * @param withheld upstreams that have stated that they take no new requests
      */
-    UpstreamTable(EventLoop loop, InstantSource clock, MinimumVersionRule versionRule) {
+    UpstreamTable(
+            EventLoop loop,
+            InstantSource clock,
+            MinimumVersionRule versionRule,
+            WithheldUpstreams withheld) {
         this.loop = loop;
         this.clock = clock;
         this.versionRule = versionRule;
+        this.withheld = withheld;
     }
 
     /**
@@ -112,7 +121,8 @@
     List<PlacementCandidate> candidates(ServiceId service, Optional<String> model, Instant now) {
         List<PlacementCandidate> list = new ArrayList<>();
         for (Upstream u : byService.getOrDefault(service, List.of())) {
-            if (snapshot.loading().contains(u.registration().id())) {
+            if (snapshot.loading().contains(u.registration().id())
+                    || withheld.isWithheld(u.registration().process(), now)) {
                 continue;
             }
             if (model.isEmpty() || holdsAllowedVersion(u.registration(), model.get(), now)) {
@@ -123,7 +133,8 @@
     }
 
     /**
-     * Returns whether an upstream can serve a request now or once it has loaded weights.
+     * Returns whether an upstream can serve a request now or once it has loaded weights. Those that
+     * take no new requests do not count.
      *
      * @param service service of the request
      * @param model model of the request, empty if it needs none
@@ -133,6 +144,7 @@
     boolean hasCandidate(ServiceId service, Optional<String> model, Instant now) {
         return byService.getOrDefault(service, List.of()).stream()
                 .map(Upstream::registration)
+                .filter(r -> !withheld.isWithheld(r.process(), now))
                 .anyMatch(
                         r ->
                                 snapshot.loading().contains(r.id())
@@ -219,6 +231,7 @@
             if (known != null) {
                 known.pool().close();
             }
+            withheld.registered(registration.process());
             UpstreamConnectionPool pool =
                     new UpstreamConnectionPool(loop, registration.address(), clock);
             next = new Upstream(registration, new UpstreamLoad(), pool);
--- a/src/main/java/org/papayawalk/platform/HeaderCodec.java
+++ b/src/main/java/org/papayawalk/platform/HeaderCodec.java
@@ -61,6 +61,12 @@
     /** Requests per second, a decimal number, that the server takes from all machines together. */
     private static final String LIMIT = "Server-Limit";
 
+    /** Present with {@link #YES} if the server leaves. */
+    private static final String LEAVING = "Server-Leaving";
+
+    /** Value of a header that states something by its presence. */
+    private static final String YES = "1";
+
     /** Version of the weights that produced the response. */
     private static final String WEIGHT_VERSION = "X-Weight-Versions";
 
@@ -119,6 +125,7 @@
                         ? Optional.of(new ReportedLoad(load[0], load[1], load[2]))
                         : Optional.empty(),
                 decimal(headers.get(LIMIT)),
+                headers.contains(LEAVING, YES, false),
                 version.length == 1 ? OptionalInt.of(version[0]) : OptionalInt.empty(),
                 keepAliveSeconds(headers.get("Keep-Alive")));
     }
--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -82,6 +82,9 @@
     // Header by which answers state a limit, empty if they state none.
     private volatile String limitHeader = "";
 
+    // Header by which answers state that the server takes no new requests, empty if they do not.
+    private volatile String withheldHeader = "";
+
     /**
      * Starts a server on a free port.
      *
@@ -145,6 +148,16 @@
         limitHeader = "";
     }
 
+    /** Makes all answers with a stamp state from now on that the server leaves. */
+    public void leave() {
+        withheldHeader = "Server-Leaving: 1\r\n";
+    }
+
+    /** Makes answers state from now on that the server takes requests, as after a new start. */
+    public void restart() {
+        withheldHeader = "";
+    }
+
     /** Sends the answers that mode {@link Mode#HELD} holds back. */
     public void release() {
         releaseLatch.countDown();
@@ -318,6 +331,7 @@
         return "X-Request-Id: "
                 + id
                 + "\r\nX-Server-Stamp: code\r\nX-Server-Load: 1,0,4\r\n"
-                + limitHeader;
+                + limitHeader
+                + withheldHeader;
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import org.papayawalk.daemon.managed.FakeStore;
 import org.papayawalk.daemon.managed.FakeUpstream;
@@ -47,6 +48,9 @@
 
     private final int readyPort;
 
+    // Node of the first entry.
+    private ManagedNode firstNode;
+
     // Entries so far; each has an IP address of its own.
     private int entryCount;
 
@@ -102,12 +106,32 @@
                                 ready,
                                 store.address());
         byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
-        ManagedEntryRole started =
-                new ManagedEntryRole(new ManagedNode(ManagedSettingsCodec.decode(bytes)));
+        ManagedNode node = new ManagedNode(ManagedSettingsCodec.decode(bytes));
+        firstNode = firstNode == null ? node : firstNode;
+        ManagedEntryRole started = new ManagedEntryRole(node);
         started.start();
         return started;
     }
 
+    /**
+     * Holds the event loops of the first entry.
+     *
+     * @return ends the hold; what arrives until then is handled in the order of arrival
+     */
+    Runnable holdEventLoops() {
+        CountDownLatch held = new CountDownLatch(1);
+        firstNode.runtime().group().forEach(loop -> loop.execute(() -> awaitLatch(held)));
+        return held::countDown;
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * Returns the store.
      *
@@ -197,9 +221,21 @@
      * @return JSON text
      */
     static String entry(FakeUpstream server, String state) {
+        return entry(server, state, 1);
+    }
+
+    /**
+     * Formats the store entry of a server.
+     *
+     * @param server server
+     * @param state lifecycle state, such as "ready" or "draining"
+     * @param born start of its process, in milliseconds since the epoch
+     * @return JSON text
+     */
+    static String entry(FakeUpstream server, String state, long born) {
         return """
-               {"service":"desk","address":"%s","zone":"luzon-a","slots":4,"state":"%s","born":1}
+               {"service":"desk","address":"%s","zone":"luzon-a","slots":4,"state":"%s","born":%d}
                """
-                .formatted(server.address(), state);
+                .formatted(server.address(), state, born);
     }
 }
