Place a request anew if its upstream was replaced while it waited

The look before writing asked only whether the process that was chosen is withheld. If another process took its id while the connection opened, the request went to that one, also after it had refused requests or said that it leaves. Change: UpstreamTable.takesRequests also asks whether the table still has the process that was chosen; if not, the request is placed anew, as when the upstream is withheld.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -59,8 +59,6 @@
 
     private final UpstreamLimits limits;
 
-    private final WithheldUpstreams withheld = new WithheldUpstreams();
-
     private final UpstreamStatements statements;
 
     private final Map<ServiceId, WindowedRetryBudget> retryBudgets = new HashMap<>();
@@ -97,6 +95,7 @@
         this.otherEntries = otherEntries;
         this.metrics = metrics;
         this.limits = new UpstreamLimits(new HostId(settings.ip()), otherEntries);
+        WithheldUpstreams withheld = new WithheldUpstreams();
         this.statements = new UpstreamStatements(limits, withheld);
         this.placementRules = new PlacementRules(settings, otherEntries, limits, random);
         this.upstreams =
@@ -152,15 +151,6 @@
         return limits;
     }
 
-    /**
-     * Returns the upstreams that have stated that they take no new requests.
-     *
-     * @return registry for use on the event loop thread only
-     */
-    WithheldUpstreams withheld() {
-        return withheld;
-    }
-
     /**
      * Returns the recorder of what answers state of their upstreams.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -221,11 +221,11 @@
             return;
         }
         Instant now = entry.clock().instant();
-        if (entry.withheld().isWithheld(candidate.upstream().process(), now)) {
+        if (!entry.upstreams().takesRequests(candidate.upstream(), now)) {
             newConnection.abandon();
             finish(AttemptResult.CANCELLED);
             exchange.attemptFailed(
-                    false, false, candidate.upstream().id() + ": takes no new requests");
+                    false, false, candidate.upstream().id() + ": takes no new requests any more");
             return;
         }
         connection = newConnection;
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
@@ -212,6 +212,19 @@
         return Optional.ofNullable(upstreams.get(id));
     }
 
+    /**
+     * Returns whether a request that was placed at an upstream may be sent there now.
+     *
+     * @param registration upstream at the time of placing
+     * @param now present time
+     * @return false if it has left the table or been replaced since, or if it takes no new requests
+     */
+    boolean takesRequests(UpstreamRegistration registration, Instant now) {
+        Upstream u = upstreams.get(registration.id());
+        boolean listed = u != null && u.registration().sameProcess(registration);
+        return listed && !withheld.isWithheld(registration.process(), now);
+    }
+
     /**
      * Pauses an upstream after another process answered at its address.
      *
