Merge what upstreams state of new requests: leaving, and a time without any

One check right before a request is sent: whether the upstream is still listed as the same process, takes requests, and holds an allowed version. The stand-in upstream formats its responses in a class of its own.

--- a/src/main/java/org/papayawalk/core/call/ResponseMetadata.java
+++ b/src/main/java/org/papayawalk/core/call/ResponseMetadata.java
@@ -1,5 +1,6 @@
 package org.papayawalk.core.call;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
@@ -14,6 +15,9 @@
  * @param load load report, empty if the response carries none
  * @param limitPerSecond requests per second that the upstream takes from all entries together,
  *     empty if it states no limit
+ * @param leaving whether the upstream states that it leaves and takes no new requests
+ * @param retryAfter time for which an upstream that refuses the request takes no other, empty if
+ *     not stated
  * @param weightVersion version of the weights that produced the response, empty if not stated
  * @param keepAliveSeconds time for which the upstream keeps an idle connection open, in seconds;
  *     empty if not stated
@@ -24,5 +28,7 @@
         boolean hasAuthenticationCode,
         Optional<ReportedLoad> load,
         OptionalDouble limitPerSecond,
+        boolean leaving,
+        Optional<Duration> retryAfter,
         OptionalInt weightVersion,
         OptionalInt keepAliveSeconds) {}
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -168,8 +168,10 @@
         if (status == MISDIRECTED_REQUEST) {
             entry.upstreams().pauseMisdirected(candidate.upstream().id(), now);
         } else {
-            entry.recordLimit(candidate.upstream(), metadata, startedAt);
+            entry.statements()
+                    .recordLimit(candidate.upstream().process(), metadata, startedAt, now);
         }
+        entry.statements().recordWithheld(candidate.upstream().process(), status, metadata, now);
         boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
         streaming = eventStream && metadata.hasAuthenticationCode();
         progress.headReceived(response, streaming, now);
@@ -257,7 +259,7 @@
         if (message != null) {
             message.answered(now);
         }
-        if (!entry.upstreams().mayReceive(candidate.upstream(), exchange.model(), now)) {
+        if (!entry.upstreams().takesRequests(candidate.upstream(), exchange.model(), now)) {
             newConnection.abandon();
             finish(AttemptResult.CANCELLED);
             reportNotSent("takes the request no longer");
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
@@ -18,6 +18,7 @@
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.RequestedVersion;
 import org.papayawalk.core.place.UpstreamLoad;
+import org.papayawalk.core.place.WithheldUpstreams;
 import org.papayawalk.core.upstream.UpstreamRegistration;
 import org.papayawalk.daemon.managed.PlatformSnapshot;
 
@@ -35,6 +36,8 @@
 
     private final MinimumVersionRule versionRule;
 
+    private final WithheldUpstreams withheld;
+
     private final MessageDelays delays = new MessageDelays();
 
     private final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
@@ -60,11 +63,17 @@
      * @param loop event loop thread
      * @param clock monotonic clock
      * @param versionRule rule for the versions of weights that may answer
+     * @param withheld upstreams that have stated that they take no new requests
      */
-    UpstreamTable(EventLoop loop, InstantSource clock, MinimumVersionRule versionRule) {
+    UpstreamTable(
+            EventLoop loop,
+            InstantSource clock,
+            MinimumVersionRule versionRule,
+            WithheldUpstreams withheld) {
         this.loop = loop;
         this.clock = clock;
         this.versionRule = versionRule;
+        this.withheld = withheld;
     }
 
     /**
@@ -115,7 +124,8 @@
     List<PlacementCandidate> candidates(ServiceId service, Optional<String> model, Instant now) {
         List<PlacementCandidate> list = new ArrayList<>();
         for (Upstream u : byService.getOrDefault(service, List.of())) {
-            if (snapshot.loading().contains(u.registration().id())) {
+            if (snapshot.loading().contains(u.registration().id())
+                    || withheld.isWithheld(u.registration().process(), now)) {
                 continue;
             }
             if (mayAnswer(u.registration(), model, now)) {
@@ -126,17 +136,23 @@
     }
 
     /**
-     * Returns whether an upstream can serve a request now or once it has loaded weights.
+     * Returns from when on an upstream can serve a request, once it has loaded weights.
      *
      * @param service service of the request
      * @param model model of the request, empty if it needs none
      * @param now present time
-     * @return false if no upstream holds an allowed version and none is loading
+     * @return present time, or a later one if all upstreams that can serve it take no new requests
+     *     until then; empty if no upstream holds an allowed version and none is loading, except
+     *     those that leave
      */
-    boolean hasCandidate(ServiceId service, Optional<String> model, Instant now) {
+    Optional<Instant> availableAt(ServiceId service, Optional<String> model, Instant now) {
         return byService.getOrDefault(service, List.of()).stream()
                 .map(Upstream::registration)
-                .anyMatch(r -> snapshot.loading().contains(r.id()) || mayAnswer(r, model, now));
+                .filter(r -> snapshot.loading().contains(r.id()) || mayAnswer(r, model, now))
+                .map(r -> withheld.until(r.process()))
+                .filter(t -> t.isBefore(Instant.MAX))
+                .min(Instant::compareTo)
+                .map(t -> t.isAfter(now) ? t : now);
     }
 
     /**
@@ -160,23 +176,6 @@
         return model.isEmpty() || holdsAllowedVersion(registration, model.get(), now);
     }
 
-    /**
-     * Returns whether a request may still be sent to an upstream that was chosen for it.
-     *
-     * @param registration upstream when it was chosen
-     * @param model model of the request, empty if it needs none
-     * @param now present time
-     * @return false if the upstream leaves or is gone, if another process has its id, or if it does
-     *     not hold an allowed version of the model
-     */
-    boolean mayReceive(UpstreamRegistration registration, Optional<String> model, Instant now) {
-        return find(registration.id())
-                .map(Upstream::registration)
-                .filter(r -> r.sameProcess(registration))
-                .filter(r -> mayAnswer(r, model, now))
-                .isPresent();
-    }
-
     /**
      * Returns the version of weights that the upstream is required to answer with. While older
      * versions may still answer, none is required; afterwards it is the version that the upstream
@@ -225,6 +224,23 @@
         return Optional.ofNullable(upstreams.get(id));
     }
 
+    /**
+     * Returns whether a request may still be sent to an upstream that was chosen for it.
+     *
+     * @param registration upstream when it was chosen
+     * @param model model of the request, empty if it needs none
+     * @param now present time
+     * @return false if it has left the table or been replaced since, if it takes no new requests,
+     *     or if it does not hold an allowed version of the model
+     */
+    boolean takesRequests(UpstreamRegistration registration, Optional<String> model, Instant now) {
+        Upstream u = upstreams.get(registration.id());
+        boolean listed = u != null && u.registration().sameProcess(registration);
+        return listed
+                && !withheld.isWithheld(registration.process(), now)
+                && mayAnswer(u.registration(), model, now);
+    }
+
     /**
      * Pauses an upstream after another process answered at its address.
      *
@@ -248,6 +264,7 @@
             if (known != null) {
                 known.pool().close();
             }
+            withheld.registered(registration.process());
             UpstreamConnectionPool pool =
                     new UpstreamConnectionPool(loop, registration.address(), clock);
             next = new Upstream(registration, new UpstreamLoad(), pool);
--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.papayawalk.support.Threads;
 
 /** Fake server behind an entry. The mode decides what it does with requests. Thread-safe. */
 public final class FakeUpstream implements AutoCloseable {
@@ -108,6 +109,9 @@
     // Header by which answers state a limit, empty if they state none.
     private volatile String limitHeader = "";
 
+    // Header by which answers state that the server takes no new requests, empty if they do not.
+    private volatile String withheldHeader = "";
+
     /**
      * Starts a server on a free port.
      *
@@ -117,7 +121,7 @@
     public FakeUpstream(Mode mode) throws IOException {
         this.mode = mode;
         listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
-        start(this::accept);
+        Threads.start("fake-upstream", this::accept);
     }
 
     /**
@@ -212,6 +216,25 @@
         limitHeader = "";
     }
 
+    /** Makes all answers with a stamp state from now on that the server leaves. */
+    public void leave() {
+        withheldHeader = "Server-Leaving: 1\r\n";
+    }
+
+    /**
+     * Makes all answers with a stamp carry a Retry-After header from now on.
+     *
+     * @param text value of the header
+     */
+    public void retryAfter(String text) {
+        withheldHeader = "Retry-After: " + text + "\r\n";
+    }
+
+    /** Makes answers state from now on that the server takes requests, as after a new start. */
+    public void restart() {
+        withheldHeader = "";
+    }
+
     /** Sends the answers that mode {@link Mode#HELD} holds back. */
     public void release() {
         releaseLatch.countDown();
@@ -232,17 +255,11 @@
         }
     }
 
-    private static void start(Runnable task) {
-        Thread thread = new Thread(task, "fake-upstream");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void accept() {
         try {
             while (true) {
                 Socket socket = listener.accept();
-                start(() -> serve(socket));
+                Threads.start("fake-upstream", () -> serve(socket));
             }
         } catch (IOException e) {
             // The server was closed.
@@ -365,35 +382,19 @@
     }
 
     private String response(int status, String id, String body, String extraHeaders) {
-        return "HTTP/1.1 "
-                + status
-                + " X\r\nContent-Length: "
-                + body.length()
-                + "\r\n"
-                + stampHeaders(id)
-                + extraHeaders
-                + "\r\n"
-                + body;
+        return ResponseText.response(status, stampHeaders(id) + extraHeaders, body);
     }
 
-    // Returns the stream up to an event, without the last chunk.
     private String stream(Seen request, String id, int upTo) {
-        StringBuilder text = new StringBuilder("HTTP/1.1 200 OK\r\n");
-        text.append("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
-        text.append(stampHeaders(id)).append("\r\n");
         int from = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
-        for (int i = from + 1; i <= upTo; i++) {
-            String event = "id: " + i + "\ndata: part " + i + "\n\n";
-            text.append(Integer.toHexString(event.length())).append("\r\n").append(event);
-            text.append("\r\n");
-        }
-        return text.toString();
+        return ResponseText.stream(stampHeaders(id), from, upTo);
     }
 
     private String stampHeaders(String id) {
         return "X-Request-Id: "
                 + id
                 + "\r\nX-Server-Stamp: code\r\nX-Server-Load: 1,0,4\r\n"
-                + limitHeader;
+                + limitHeader
+                + withheldHeader;
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/SlowLink.java
+++ b/src/test/java/org/papayawalk/daemon/managed/SlowLink.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.papayawalk.support.Threads;
 
 /**
  * Forwards connections to an address and delays what is sent in each direction, the end of a
@@ -36,7 +37,7 @@
     public SlowLink(String target) throws IOException {
         this.target = target;
         listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
-        start(this::accept);
+        Threads.start("slow-link", this::accept);
     }
 
     /**
@@ -71,12 +72,6 @@
         listener.close();
     }
 
-    private static void start(Runnable task) {
-        Thread thread = new Thread(task, "slow-link");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void accept() {
         try {
             while (true) {
@@ -96,8 +91,8 @@
 
     private static void forward(Socket from, Socket to, LongSupplier delayMillis) {
         BlockingQueue<Parcel> underway = new LinkedBlockingQueue<>();
-        start(() -> read(from, underway, delayMillis));
-        start(() -> deliver(underway, to));
+        Threads.start("slow-link", () -> read(from, underway, delayMillis));
+        Threads.start("slow-link", () -> deliver(underway, to));
     }
 
     private static void read(
