Query silent seeds in turn

What was seen: UnresponsiveEntryTest.agentFindsTheEntryThatAnswers took over 20 s in one full run beside load. Cause: while an agent knows no entry it drew one of the seeds at random, also the one that had just not answered; with two silent seeds of three it found the third after 11 attempts or more in about 1 run of 86. Ruled out: the change of queries between entries, which does not touch this choice. Change: seeds are queried in turn, from a random one on.

--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
@@ -4,8 +4,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -76,6 +74,9 @@
     // Receives true after a query of an agent that was answered, false after one that failed.
     private Consumer<Boolean> outcomeListener = answered -> {};
 
+    // Seed that was chosen last; at first a random one.
+    private int seedIndex;
+
     // Entry that an agent polls, null if it has to choose one.
     private String currentEntry;
 
@@ -117,6 +118,7 @@
         this.domain = domain;
         this.regions = regions;
         this.storeContact = storeContact;
+        this.seedIndex = ThreadLocalRandom.current().nextInt(Math.max(1, seeds.size()));
     }
 
     /** Starts the query rounds of an entry. */
@@ -234,11 +236,18 @@
         if (local != null) {
             return local;
         }
-        Set<String> candidates = new HashSet<>(entries.queryable(clock.instant()));
-        if (candidates.isEmpty()) {
-            candidates.addAll(seeds);
+        List<String> candidates = List.copyOf(entries.queryable(clock.instant()));
+        return candidates.isEmpty() ? nextSeed() : randomElement(candidates);
+    }
+
+    // Returns the seeds in turn, so that seeds that do not reply hide no other; null if there is
+    // none.
+    private String nextSeed() {
+        if (seeds.isEmpty()) {
+            return null;
         }
-        return randomElement(new ArrayList<>(candidates));
+        seedIndex = (seedIndex + 1) % seeds.size();
+        return seeds.get(seedIndex);
     }
 
     // Returns an entry of the failure domain of this daemon, null if none is known.
