Let a stand-in stop listening before it closes a connection

Cause: the stand-in closed its listener while another thread waited on it; it then accepts connections for a moment more. The entry's check for a crash connected in that moment, and the crash did not count. Change: the stand-in waits until connections are refused before it closes the connection, as a process that has ended does. The bound of the test stays. Conclusion: an upstream that still accepts connections while it ends would not count as crashed; suspected only, nothing has shown it at a real one.

--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.papayawalk.support.FreePort;
 import org.papayawalk.support.Threads;
 
 /** Fake server behind an entry. The mode decides what it does with requests. Thread-safe. */
@@ -77,7 +78,11 @@
      * @param headers headers by lower-case name
      * @param body body
      */
-    public record Seen(String line, Map<String, String> headers, String body) {}
+    public record Seen(String line, Map<String, String> headers, String body) {
+        private int lastEventId() {
+            return Integer.parseInt(headers.getOrDefault("last-event-id", "0"));
+        }
+    }
 
     private final ServerSocket listener;
 
@@ -245,16 +250,6 @@
         listener.close();
     }
 
-    private String heldResponse(String id, String body) throws IOException {
-        try {
-            releaseLatch.await();
-            return response(200, id, body, "");
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException(e);
-        }
-    }
-
     private void accept() {
         try {
             while (true) {
@@ -301,11 +296,15 @@
             case DIES_OF_POISON -> {
                 if (request.line().contains(POISON)) {
                     listener.close();
+                    FreePort.awaitRefusal(listener.getLocalPort());
                     return false;
                 }
                 write(out, response(200, id, body, ""));
             }
-            case HELD -> write(out, heldResponse(id, body));
+            case HELD -> {
+                Threads.await(releaseLatch);
+                write(out, response(200, id, body, ""));
+            }
             case STRAY_ANSWER ->
                     write(
                             out,
@@ -317,8 +316,7 @@
             case ERROR -> write(out, response(500, id, "failure", ""));
             case STREAM -> write(out, stream(request, id, EVENTS) + "0\r\n\r\n");
             case CUT -> {
-                String answer = response(200, id, body, "");
-                write(out, answer.substring(0, answer.length() - 4));
+                write(out, response(200, id, body, "").replaceFirst(".{4}$", ""));
                 return false;
             }
             case UNFRAMED_RESET -> {
@@ -386,8 +384,7 @@
     }
 
     private String stream(Seen request, String id, int upTo) {
-        int from = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
-        return ResponseText.stream(stampHeaders(id), from, upTo);
+        return ResponseText.stream(stampHeaders(id), request.lastEventId(), upTo);
     }
 
     private String stampHeaders(String id) {
--- a/src/test/java/org/papayawalk/support/FreePort.java
+++ b/src/test/java/org/papayawalk/support/FreePort.java
@@ -3,8 +3,9 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 
-/** Finds unused loopback ports for tests. Stateless and thread-safe. */
+/** Finds unused loopback ports for tests, and waits for them. Stateless and thread-safe. */
 public final class FreePort {
     private FreePort() {}
 
@@ -20,4 +21,20 @@
             return s.getLocalPort();
         }
     }
+
+    /**
+     * Waits until connections to a port are refused. A listener that another thread waits on still
+     * accepts connections for a moment after it was closed.
+     *
+     * @param port TCP port on 127.0.0.1
+     */
+    public static void awaitRefusal(int port) {
+        while (true) {
+            try (Socket probe = new Socket("127.0.0.1", port)) {
+                Thread.onSpinWait();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
 }
--- a/src/test/java/org/papayawalk/support/Threads.java
+++ b/src/test/java/org/papayawalk/support/Threads.java
@@ -1,6 +1,12 @@
 package org.papayawalk.support;
 
-/** Starts threads of stand-ins, which end with the tests. Stateless and thread-safe. */
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+
+/**
+ * Starts threads of stand-ins, which end with the tests, and lets them wait. Stateless and
+ * thread-safe.
+ */
 public final class Threads {
     private Threads() {}
 
@@ -15,4 +21,19 @@
         thread.setDaemon(true);
         thread.start();
     }
+
+    /**
+     * Waits for a latch.
+     *
+     * @param latch latch
+     * @throws IOException if the thread is interrupted
+     */
+    public static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
 }
