--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -65,10 +65,7 @@
     /** When the request was sent; null until then. */
     private Instant sentAt;
 
-    /** Whether a connection is being taken from the pool, so that it is not a new one. */
-    private boolean acquiring;
-
-    /** Last message to the upstream: the opening of the connection, later the request. */
+    /** Last message to the upstream: the opening of a new connection, later the request. */
     private MessageDelays.Sent message;
 
     /**
@@ -107,14 +104,13 @@
             reportNotSent("no longer in the upstream list");
             return;
         }
-        acquiring = true;
         upstream.pool()
                 .acquire(
                         !route().retryable(),
                         this::sendOn,
                         reason -> onFailure("cannot connect: " + reason, false));
-        acquiring = false;
         if (sentAt == null && !done) {
+            // A new connection is being opened; pooled ones are provided at once.
             message = entry.upstreams().delays().sent(candidate.upstream(), startedAt);
         }
     }
@@ -205,16 +201,6 @@
         }
     }
 
-    private void buffer(ByteBuf data) {
-        int length = bufferedBody.readableBytes() + data.readableBytes();
-        if (length > MAX_BUFFERED_RESPONSE_BYTES) {
-            fail("response is longer than " + MAX_BUFFERED_RESPONSE_BYTES + " bytes");
-            return;
-        }
-        bufferedBody.writeBytes(data);
-        entry.bufferBudget().resize(bufferHandle, bufferedBody.capacity());
-    }
-
     @Override
     public void onComplete() {
         if (done) {
@@ -250,6 +236,16 @@
         exchange.attemptFailed(connected, connected, candidate.upstream().id() + ": " + reason);
     }
 
+    private void buffer(ByteBuf data) {
+        int length = bufferedBody.readableBytes() + data.readableBytes();
+        if (length > MAX_BUFFERED_RESPONSE_BYTES) {
+            fail("response is longer than " + MAX_BUFFERED_RESPONSE_BYTES + " bytes");
+            return;
+        }
+        bufferedBody.writeBytes(data);
+        entry.bufferBudget().resize(bufferHandle, bufferedBody.capacity());
+    }
+
     private void sendOn(UpstreamConnection newConnection) {
         if (done) {
             newConnection.abandon();
