Tell how the end of each answer was told, and streams that end inside an event

Ruled out: nothing; no decision is changed. Change: two counters and the event stream-ended-inside-event; a connection states what told the end of a body. A connection whose response has no body by its status is now kept alive also without a length. Result: compiles; not measured.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.stream.BodyEnd;
 
 /** Counters and latency histograms of an entry. Thread-safe. */
 final class ManagedEntryMetrics {
@@ -30,6 +31,12 @@
     /** Attempts withdrawn because the version of the weights expired, by service. */
     private final Counter withdrawn;
 
+    /** Bodies of upstreams that ended, by service and by what told their end. */
+    private final Counter responsesEnded;
+
+    /** Streams that ended inside an event, by service and by what told their end. */
+    private final Counter endedInsideEvent;
+
     /**
      * Registers the metrics.
      *
@@ -83,6 +90,18 @@
                         .help("Attempts withdrawn because the version of the weights expired")
                         .labelNames("service")
                         .register(registry);
+        responsesEnded =
+                Counter.builder()
+                        .name("papayawalk_upstream_responses_ended_total")
+                        .help("Bodies of upstreams that ended, by what told their end")
+                        .labelNames("service", "end")
+                        .register(registry);
+        endedInsideEvent =
+                Counter.builder()
+                        .name("papayawalk_streams_ended_inside_event_total")
+                        .help("Streams of upstreams that ended inside an event")
+                        .labelNames("service", "end")
+                        .register(registry);
     }
 
     /** Counts a request that was received completely. */
@@ -138,4 +157,24 @@
     void withdrawn(ServiceId service) {
         withdrawn.labelValues(service.value()).inc();
     }
+
+    /**
+     * Counts a body of an upstream that has ended.
+     *
+     * @param service service of the upstream
+     * @param end what told its end
+     */
+    void responseEnded(ServiceId service, BodyEnd end) {
+        responsesEnded.labelValues(service.value(), end.label()).inc();
+    }
+
+    /**
+     * Counts a stream of an upstream that ended inside an event.
+     *
+     * @param service service of the upstream
+     * @param end what told its end
+     */
+    void streamEndedInsideEvent(ServiceId service, BodyEnd end) {
+        endedInsideEvent.labelValues(service.value(), end.label()).inc();
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -14,8 +14,10 @@
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.AttemptResult;
 import org.papayawalk.core.place.PlacementCandidate;
+import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
 import org.papayawalk.http.BufferBudget;
+import org.papayawalk.log.Event;
 
 /**
  * One attempt to serve a request at one upstream. It reports its end to its exchange once. Confined
@@ -202,11 +204,13 @@
     }
 
     @Override
-    public void onComplete() {
+    public void onComplete(BodyEnd end) {
         if (done) {
             return;
         }
+        entry.metrics().responseEnded(service(), end);
         if (streaming) {
+            noteEndInsideEvent(end);
             exchange.stream().forwardRemainder(splitter.takePartial());
             finish(AttemptResult.ANSWERED);
             exchange.streamCompleted();
@@ -236,6 +240,19 @@
         exchange.attemptFailed(connected, connected, candidate.upstream().id() + ": " + reason);
     }
 
+    private void noteEndInsideEvent(BodyEnd end) {
+        if (splitter.partialBytes() == 0) {
+            return;
+        }
+        entry.metrics().streamEndedInsideEvent(service(), end);
+        Event.named("stream-ended-inside-event")
+                .with("id", exchange.requestId())
+                .with("upstream", candidate.upstream().id())
+                .with("end", end.label())
+                .with("partial_bytes", splitter.partialBytes())
+                .info();
+    }
+
     private void buffer(ByteBuf data) {
         int length = bufferedBody.readableBytes() + data.readableBytes();
         if (length > MAX_BUFFERED_RESPONSE_BYTES) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.papayawalk.core.call.ResponseMetadata;
+import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.http.ResponseOverhead;
 import org.papayawalk.platform.HeaderCodec;
 
@@ -63,6 +64,9 @@
     /** Whether the request was written completely. */
     private boolean requestWritten;
 
+    /** What tells the end of the current response's body. */
+    private BodyEnd bodyEnd = BodyEnd.CONNECTION;
+
     /** Whether the connection can be reused after the current response. */
     private boolean keepAlive;
 
@@ -206,7 +210,8 @@
             channel.close();
             return;
         }
-        keepAlive = HttpUtil.isKeepAlive(response) && isFramed(response);
+        bodyEnd = bodyEnd(response);
+        keepAlive = HttpUtil.isKeepAlive(response) && bodyEnd != BodyEnd.CONNECTION;
         idleLimit = DEFAULT_IDLE_LIMIT;
         metadata.keepAliveSeconds()
                 .ifPresent(
@@ -238,7 +243,7 @@
         } else {
             channel.close();
         }
-        finished.onComplete();
+        finished.onComplete(bodyEnd);
     }
 
     // Ends a response whose bytes never become an answer.
@@ -260,10 +265,14 @@
         }
     }
 
-    // True if the response ends without the connection being closed: it has a length or is chunked.
-    private static boolean isFramed(HttpMessage response) {
-        return HttpUtil.isContentLengthSet(response)
-                || HttpUtil.isTransferEncodingChunked(response);
+    private BodyEnd bodyEnd(HttpMessage response) {
+        if (decoder.isContentAlwaysEmpty(response)) {
+            return BodyEnd.LENGTH;
+        }
+        if (HttpUtil.isTransferEncodingChunked(response)) {
+            return BodyEnd.LAST_CHUNK;
+        }
+        return HttpUtil.isContentLengthSet(response) ? BodyEnd.LENGTH : BodyEnd.CONNECTION;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamListener.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamListener.java
@@ -3,9 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import org.papayawalk.core.call.ResponseMetadata;
+import org.papayawalk.core.stream.BodyEnd;
 
 /**
- * Receives the events of one request at an upstream. {@link #onComplete()} or {@link #onFailure} is
+ * Receives the events of one request at an upstream. {@link #onComplete} or {@link #onFailure} is
  * the last event. Called on the event loop thread.
  */
 interface UpstreamListener {
@@ -28,8 +29,12 @@
      */
     void onData(ByteBuf data);
 
-    /** Called when the response is complete. */
-    void onComplete();
+    /**
+     * Called when the body has ended.
+     *
+     * @param end what told its end
+     */
+    void onComplete(BodyEnd end);
 
     /**
      * Called when no complete response will be received.
--- a/src/test/java/org/papayawalk/daemon/managed/entry/UpstreamConnectionFuzzTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/UpstreamConnectionFuzzTest.java
@@ -25,6 +25,7 @@
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
 import org.papayawalk.core.call.ResponseMetadata;
+import org.papayawalk.core.stream.BodyEnd;
 import org.testng.annotations.Test;
 
 /**
@@ -86,7 +87,7 @@
         }
 
         @Override
-        public void onComplete() {
+        public void onComplete(BodyEnd end) {
             completions++;
         }
 
