--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
@@ -43,23 +43,20 @@
      * @param registry registry
      */
     ManagedEntryMetrics(PrometheusRegistry registry) {
-        received =
-                Counter.builder()
-                        .name("papayawalk_requests_received_total")
-                        .help("Requests read whole")
-                        .register(registry);
+        received = counter(registry, "papayawalk_requests_received_total", "Requests read whole");
         completed =
-                Counter.builder()
-                        .name("papayawalk_requests_ended_total")
-                        .help("Requests over, by service and status")
-                        .labelNames("service", "status")
-                        .register(registry);
+                counter(
+                        registry,
+                        "papayawalk_requests_ended_total",
+                        "Requests over, by service and status",
+                        "service",
+                        "status");
         retries =
-                Counter.builder()
-                        .name("papayawalk_repeats_total")
-                        .help("Sendings of a request beyond its first")
-                        .labelNames("service")
-                        .register(registry);
+                counter(
+                        registry,
+                        "papayawalk_repeats_total",
+                        "Sendings of a request beyond its first",
+                        "service");
         firstPartLatency =
                 Histogram.builder()
                         .name("papayawalk_first_part_seconds")
@@ -85,23 +82,30 @@
                         .labelNames("service")
                         .register(registry);
         withdrawn =
-                Counter.builder()
-                        .name("papayawalk_attempts_withdrawn_total")
-                        .help("Attempts withdrawn because the version of the weights expired")
-                        .labelNames("service")
-                        .register(registry);
+                counter(
+                        registry,
+                        "papayawalk_attempts_withdrawn_total",
+                        "Attempts withdrawn because the version of the weights expired",
+                        "service");
         responsesEnded =
-                Counter.builder()
-                        .name("papayawalk_upstream_responses_ended_total")
-                        .help("Bodies of upstreams that ended, by what told their end")
-                        .labelNames("service", "end")
-                        .register(registry);
+                counter(
+                        registry,
+                        "papayawalk_upstream_responses_ended_total",
+                        "Bodies of upstreams that ended, by what told their end",
+                        "service",
+                        "end");
         endedInsideEvent =
-                Counter.builder()
-                        .name("papayawalk_streams_ended_inside_event_total")
-                        .help("Streams of upstreams that ended inside an event")
-                        .labelNames("service", "end")
-                        .register(registry);
+                counter(
+                        registry,
+                        "papayawalk_streams_ended_inside_event_total",
+                        "Streams of upstreams that ended inside an event",
+                        "service",
+                        "end");
+    }
+
+    private static Counter counter(
+            PrometheusRegistry registry, String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
 
     /** Counts a request that was received completely. */
--- a/src/test/java/org/papayawalk/daemon/managed/EndlessBytes.java
+++ b/src/test/java/org/papayawalk/daemon/managed/EndlessBytes.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Random;
@@ -15,7 +16,8 @@
  * @param unit bytes that are repeated without end
  * @param pause pause after each unit; without a pause the units are sent as fast as they are read
  */
-public record EndlessBytes(String name, String start, String unit, Duration pause) {
+public record EndlessBytes(String name, String start, String unit, Duration pause)
+        implements Script {
     /** Placeholder of the id of the request. */
     public static final String ID = "%ID%";
 
@@ -86,14 +88,9 @@
         return random.nextBoolean() ? fast : fast.trickled(Duration.ofMillis(20));
     }
 
-    /**
-     * Sends the bytes. Returns only with an exception.
-     *
-     * @param out connection
-     * @param id id of the request
-     * @throws IOException when the peer has closed the connection
-     */
-    void writeTo(OutputStream out, String id) throws IOException {
+    @Override
+    public void play(Socket socket, String id, String headers) throws IOException {
+        OutputStream out = socket.getOutputStream();
         write(out, start.replace(ID, id));
         String text = unit.replace(ID, id);
         String burst = pause.isZero() ? text.repeat(1 + BURST_BYTES / text.length()) : text;
--- a/src/test/java/org/papayawalk/daemon/managed/EndlessServerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/EndlessServerTest.java
@@ -102,7 +102,7 @@
         assertTrue(client.send(request()).join().isLeft(), bytes.name());
         long millis = Duration.ofNanos(System.nanoTime() - startNanos).toMillis();
         assertTrue(millis < FAST_MILLIS, bytes.name() + ": failed after " + millis + " ms");
-        Await.within(AWAIT_TIMEOUT_MILLIS, () -> server.endlessConnections() == 0);
+        Await.within(AWAIT_TIMEOUT_MILLIS, () -> server.scriptedConnections() == 0);
         assertTrue(client.send(request()).join().isRight(), bytes.name());
     }
 
@@ -118,7 +118,7 @@
     @Test
     public void memoryIsBounded() {
         AsyncHttpClient client = new AsyncHttpClient(loops);
-        server.endless(
+        server.script(
                 EndlessBytes.fast("body", EndlessBytes.HEAD + "\r\n", "abcd"),
                 new AtomicInteger(REQUESTS),
                 Mode.WHOLE);
@@ -134,7 +134,7 @@
         assertTrue(peak <= MAX_BUFFERED_BYTES, "buffered " + peak + " bytes");
         responses.forEach(r -> assertTrue(r.join().isLeft()));
         Await.within(AWAIT_TIMEOUT_MILLIS, () -> client.bufferedBytes() == 0);
-        Await.within(AWAIT_TIMEOUT_MILLIS, () -> server.endlessConnections() == 0);
+        Await.within(AWAIT_TIMEOUT_MILLIS, () -> server.scriptedConnections() == 0);
     }
 
     /** A connection that gets bytes while it is idle is closed, whatever they are. */
@@ -143,11 +143,11 @@
         EndlessBytes extra = EndlessBytes.fast("extra bytes", EndlessBytes.EMPTY, "\r\n");
         endless(extra.trickled(Duration.ofMillis(20)));
         assertTrue(new AsyncHttpClient(loops).send(request()).join().isRight());
-        Await.within(AWAIT_TIMEOUT_MILLIS, () -> server.endlessConnections() == 0);
+        Await.within(AWAIT_TIMEOUT_MILLIS, () -> server.scriptedConnections() == 0);
     }
 
     private void endless(EndlessBytes bytes) {
-        server.endless(bytes, new AtomicInteger(1), Mode.WHOLE);
+        server.script(bytes, new AtomicInteger(1), Mode.WHOLE);
     }
 
     private AsyncHttpRequest request() {
--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -36,8 +36,6 @@
         STRAY_ANSWER,
         /** Closes the connection in the middle of the body. */
         CUT,
-        /** Resets the connection in the middle of a body without a length. */
-        UNFRAMED_RESET,
         /** Answers and sends further bytes. */
         EXTRA_BYTES,
         /** Answers 503 with the header that states that the request did not run. */
@@ -59,16 +57,14 @@
         ERROR,
         /** Stops listening on a poison request, answers others completely. */
         DIES_OF_POISON,
-        /** Streams three events and part of a fourth, then closes the connection. */
-        CUT_STREAM,
         /** Streams all events. */
         STREAM,
         /** Answers completely, byte by byte with pauses. */
         SLOW,
         /** Answers completely, the body in even pieces until 2.7 s later. */
         SLOW_BODY,
-        /** Sends the bytes of {@link #endless} until the connection is closed. */
-        ENDLESS
+        /** Plays the answer of {@link #script}. */
+        SCRIPT
     }
 
     /**
@@ -101,15 +97,15 @@
 
     private volatile Mode mode;
 
-    // What mode ENDLESS sends.
-    private volatile EndlessBytes endlessBytes;
+    // What mode SCRIPT plays.
+    private volatile Script script;
 
-    // Answers without end that are left before modeAfterEndless begins.
-    private volatile AtomicInteger endlessAnswers;
+    // Answers of mode SCRIPT that are left before modeAfterwards begins.
+    private volatile AtomicInteger answersLeft;
 
-    private volatile Mode modeAfterEndless;
+    private volatile Mode modeAfterwards;
 
-    private final AtomicInteger endlessConnections = new AtomicInteger();
+    private final AtomicInteger scriptedConnections = new AtomicInteger();
 
     // Header by which answers state a limit, empty if they state none.
     private volatile String limitHeader = "";
@@ -185,26 +181,26 @@
     }
 
     /**
-     * Sends bytes without end to the next requests.
+     * Plays an answer for the next requests.
      *
-     * @param bytes bytes to send
+     * @param answer answer to play
      * @param answers number of such answers; may be shared by several servers
      * @param then what the server does with further requests
      */
-    public void endless(EndlessBytes bytes, AtomicInteger answers, Mode then) {
-        endlessBytes = bytes;
-        endlessAnswers = answers;
-        modeAfterEndless = then;
-        mode = Mode.ENDLESS;
+    public void script(Script answer, AtomicInteger answers, Mode then) {
+        script = answer;
+        answersLeft = answers;
+        modeAfterwards = then;
+        mode = Mode.SCRIPT;
     }
 
     /**
-     * Returns the connections over which bytes are sent without end at present.
+     * Returns the connections over which scripts are played at present.
      *
      * @return number of connections that the peer has not closed
      */
-    public int endlessConnections() {
-        return endlessConnections.get();
+    public int scriptedConnections() {
+        return scriptedConnections.get();
     }
 
     /**
@@ -282,8 +278,8 @@
 
     private Mode presentMode() {
         Mode present = mode;
-        boolean spent = present == Mode.ENDLESS && endlessAnswers.getAndDecrement() <= 0;
-        return spent ? modeAfterEndless : present;
+        boolean spent = present == Mode.SCRIPT && answersLeft.getAndDecrement() <= 0;
+        return spent ? modeAfterwards : present;
     }
 
     // Returns whether the connection stays open.
@@ -319,15 +315,6 @@
                 write(out, response(200, id, body, "").replaceFirst(".{4}$", ""));
                 return false;
             }
-            case UNFRAMED_RESET -> {
-                write(out, "HTTP/1.1 200 OK\r\n" + stampHeaders(id) + "\r\nhalf of a body");
-                socket.setSoLinger(true, 0);
-                return false;
-            }
-            case CUT_STREAM -> {
-                write(out, stream(request, id, EVENTS / 2) + "9\r\nid: 4\ndat\r\n");
-                return false;
-            }
             case QUEUED -> {
                 return streamAfterWait(request, socket, in);
             }
@@ -340,7 +327,10 @@
             case SLOW -> SlowWriter.writeSlowly(out, response(200, id, body, ""));
             case SLOW_BODY ->
                     SlowWriter.writeSlowBody(out, response(200, id, body, ""), body.length());
-            case ENDLESS -> writeEndlessly(out, id);
+            case SCRIPT -> {
+                playScript(socket, id);
+                return false;
+            }
             default -> {
                 return false;
             }
@@ -364,13 +354,12 @@
         return true;
     }
 
-    // Returns only with an exception, when the connection is closed.
-    private void writeEndlessly(OutputStream out, String id) throws IOException {
-        endlessConnections.incrementAndGet();
+    private void playScript(Socket socket, String id) throws IOException {
+        scriptedConnections.incrementAndGet();
         try {
-            endlessBytes.writeTo(out, id);
+            script.play(socket, id, stampHeaders(id));
         } finally {
-            endlessConnections.decrementAndGet();
+            scriptedConnections.decrementAndGet();
         }
     }
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EndlessChecks.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessChecks.java
@@ -122,8 +122,8 @@
      */
     void setEndless(EndlessBytes bytes, int answers, Mode then) {
         AtomicInteger left = new AtomicInteger(answers);
-        first.endless(bytes, left, then);
-        second.endless(bytes, left, then);
+        first.script(bytes, left, then);
+        second.script(bytes, left, then);
     }
 
     /**
@@ -138,7 +138,7 @@
     /** Waits until the entry has closed the connections over which bytes come without end. */
     void awaitClosed() {
         ManagedEntryFixture.await(
-                () -> first.endlessConnections() + second.endlessConnections() == 0);
+                () -> first.scriptedConnections() + second.scriptedConnections() == 0);
     }
 
     @Override
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EndlessResponseTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessResponseTest.java
@@ -133,7 +133,7 @@
     @Test
     public void endlessUpstreamIsAvoided() {
         FakeUpstream endless = checks.fixture().first();
-        endless.endless(
+        endless.script(
                 EndlessBytes.fast("1xx heads", "", "HTTP/1.1 100 Continue\r\n\r\n"),
                 new AtomicInteger(Integer.MAX_VALUE),
                 Mode.WHOLE);
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryRoleTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryRoleTest.java
@@ -7,8 +7,13 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.papayawalk.daemon.managed.AnswerScript;
+import org.papayawalk.daemon.managed.AnswerScript.End;
+import org.papayawalk.daemon.managed.AnswerScript.Framing;
 import org.papayawalk.daemon.managed.FakeStore;
 import org.papayawalk.daemon.managed.FakeUpstream;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
@@ -23,6 +28,11 @@
  * a non-idempotent request runs at most once.
  */
 public final class ManagedEntryRoleTest {
+    private static final String STREAM =
+            IntStream.rangeClosed(1, FakeUpstream.EVENTS)
+                    .mapToObj(i -> "id: " + i + "\ndata: part " + i + "\n\n")
+                    .collect(Collectors.joining());
+
     private FakeStore store;
 
     private FakeUpstream first;
@@ -138,7 +148,11 @@
     /** A response without a length whose connection is reset is incomplete. */
     @Test
     public void resetUnframedResponseIsIncomplete() {
-        setBothModes(Mode.UNFRAMED_RESET);
+        String body = "half of a body";
+        play(
+                new AnswerScript(Framing.NEITHER, "text/plain", body, body.length() / 2, End.RESET),
+                first,
+                second);
         assertEquals(caller.send("POST", "/pay/x", "key-1").status(), 502);
     }
 
@@ -188,16 +202,12 @@
     /** A broken stream resumes on another server: the caller gets each event once and in order. */
     @Test
     public void brokenStreamResumesOnAnotherUpstream() {
-        first.mode(Mode.CUT_STREAM);
+        play(cutStream(), first);
         second.mode(Mode.STREAM);
-        StringBuilder expected = new StringBuilder();
-        for (int i = 1; i <= FakeUpstream.EVENTS; i++) {
-            expected.append("id: ").append(i).append("\ndata: part ").append(i).append("\n\n");
-        }
         for (int i = 0; i < 4; i++) {
             TestCaller.Response response = caller.send("POST", "/advice/x", "key-1");
             assertTrue(response.complete());
-            assertEquals(response.body(), expected.toString());
+            assertEquals(response.body(), STREAM);
         }
     }
 
@@ -207,7 +217,7 @@
      */
     @Test
     public void brokenStreamDoesNotLookComplete() {
-        setBothModes(Mode.CUT_STREAM);
+        play(cutStream(), first, second);
         TestCaller.Response response = caller.send("POST", "/advice/x", "key-1");
         assertFalse(response.complete());
         assertTrue(response.body().isEmpty() || response.body().endsWith("\n\n"), response.body());
@@ -290,6 +300,17 @@
         return Stream.of(first, second).flatMap(s -> s.seen().stream()).toList();
     }
 
+    private static AnswerScript cutStream() {
+        int inside = STREAM.indexOf("data: part 4") + 3;
+        return AnswerScript.cutStream(Framing.CHUNKS, STREAM, inside, End.CLOSE);
+    }
+
+    private static void play(AnswerScript script, FakeUpstream... servers) {
+        for (FakeUpstream s : servers) {
+            s.script(script, new AtomicInteger(Integer.MAX_VALUE), Mode.WHOLE);
+        }
+    }
+
     private void setBothModes(Mode mode) {
         first.mode(mode);
         second.mode(mode);
--- a/src/test/java/org/papayawalk/daemon/managed/entry/TestCaller.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/TestCaller.java
@@ -148,23 +148,28 @@
      */
     static Response read(Socket socket) throws IOException {
         InputStream in = socket.getInputStream();
-        String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        // One character for each byte, as chunks may end inside a character of the body.
+        String text = new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
         int end = text.indexOf("\r\n\r\n");
         String head = end < 0 ? text : text.substring(0, end);
         String rest = end < 0 ? "" : text.substring(end + 4);
         if (!head.toLowerCase().contains("transfer-encoding: chunked")) {
-            return new Response(head, rest, true);
+            return new Response(head, decode(rest), true);
         }
         StringBuilder body = new StringBuilder();
         while (rest.contains("\r\n")) {
             int line = rest.indexOf("\r\n");
             int length = Integer.parseInt(rest.substring(0, line), 16);
             if (length == 0) {
-                return new Response(head, body.toString(), true);
+                return new Response(head, decode(body.toString()), true);
             }
             body.append(rest, line + 2, line + 2 + length);
             rest = rest.substring(line + 2 + length + 2);
         }
-        return new Response(head, body.toString(), false);
+        return new Response(head, decode(body.toString()), false);
+    }
+
+    private static String decode(String bytes) {
+        return new String(bytes.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
     }
 }
