Take a stream that ends inside an event as broken off

Callers saw: status 200, the upstream's signature and the last chunk behind a stream that its upstream had broken off; part of an event stood at its end. Cause: a body with neither a length nor chunks ends with its connection, so the connection of a crashed engine ended it too, and the attempt forwarded the rest of the broken event as the end of the stream. The same held for a whole length or last chunk behind part of an event. Change: EventBoundary finds the ends of events (LF, CR LF or CR), StreamEndRule decides: a stream is broken off if it ends inside an event, or with its connection before its first event. Such an attempt fails like a lost connection, so that the stream resumes elsewhere or is aborted visibly. StreamReceiver is taken out of UpstreamAttempt, which had grown. A body of another media type on a streaming route has no events and is complete as before. A connection reports a violated bound before it closes. Conclusion: what tells that a stream is whole is its framing and its last event together. A stream with neither length nor chunks that is cut between two events cannot be told from a whole one.

--- a/src/main/java/org/papayawalk/core/stream/VerbatimEventSplitter.java
+++ b/src/main/java/org/papayawalk/core/stream/VerbatimEventSplitter.java
@@ -9,7 +9,8 @@
 /**
  * Splits a byte stream into complete server-sent events without changing a byte, so that a caller
  * receives complete events only, even if the upstream fails in the middle of one. An event ends
- * with an empty line; lines end with LF or CR LF. Not thread-safe: confined to the reading thread.
+ * with an empty line, as {@link EventBoundary} tells. Not thread-safe: confined to the reading
+ * thread.
  */
 public final class VerbatimEventSplitter {
     private static final String ID_FIELD = "id:";
@@ -17,11 +18,7 @@
     /** Bytes of the incomplete event. */
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
-    /** Whether the present line is empty so far. */
-    private boolean lineEmpty = true;
-
-    /** Whether the incomplete event has a line that is not empty. */
-    private boolean hasContent;
+    private final EventBoundary boundary = new EventBoundary();
 
     /**
      * Complete event. Immutable by convention: the array is not modified after construction.
@@ -40,20 +37,13 @@
     public List<Event> feed(byte[] data) {
         List<Event> events = new ArrayList<>();
         for (byte b : data) {
-            pending.write(b);
-            if (b == '\r') {
-                continue;
-            }
-            if (b != '\n') {
-                lineEmpty = false;
-                hasContent = true;
-                continue;
+            if (boundary.endsBefore(b)) {
+                events.add(takeEvent());
             }
-            if (lineEmpty && hasContent) {
-                byte[] bytes = takePartial();
-                events.add(new Event(bytes, parseId(bytes)));
+            pending.write(b);
+            if (boundary.endsWith(b)) {
+                events.add(takeEvent());
             }
-            lineEmpty = true;
         }
         return events;
     }
@@ -66,11 +56,28 @@
     public byte[] takePartial() {
         byte[] bytes = pending.toByteArray();
         pending.reset();
-        lineEmpty = true;
-        hasContent = false;
+        boundary.discardPartial();
         return bytes;
     }
 
+    /**
+     * Returns whether the bytes so far end inside an event.
+     *
+     * @return true if an event has begun and is incomplete
+     */
+    public boolean isInsideEvent() {
+        return boundary.isInsideEvent();
+    }
+
+    /**
+     * Returns whether an event was complete.
+     *
+     * @return true after the first complete event
+     */
+    public boolean eventSeen() {
+        return boundary.eventSeen();
+    }
+
     /**
      * Returns the length of the incomplete event.
      *
@@ -80,9 +87,15 @@
         return pending.size();
     }
 
+    private Event takeEvent() {
+        byte[] bytes = pending.toByteArray();
+        pending.reset();
+        return new Event(bytes, parseId(bytes));
+    }
+
     private static OptionalLong parseId(byte[] event) {
         String text = new String(event, StandardCharsets.UTF_8);
-        for (String line : text.split("\r?\n")) {
+        for (String line : text.split("\r\n|\r|\n")) {
             if (line.startsWith(ID_FIELD)) {
                 String value = line.substring(ID_FIELD.length()).strip();
                 return value.matches("[0-9]{1,18}")
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -15,7 +15,6 @@
 import org.papayawalk.core.place.AttemptResult;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.stream.BodyEnd;
-import org.papayawalk.core.stream.VerbatimEventSplitter;
 import org.papayawalk.http.BufferBudget;
 import org.papayawalk.log.Event;
 
@@ -40,8 +39,6 @@
 
     private final PlacementCandidate candidate;
 
-    private VerbatimEventSplitter splitter = new VerbatimEventSplitter();
-
     private final ResponseProgress progress;
 
     /** Null until the connection is open. */
@@ -53,8 +50,8 @@
     /** Whether the upstream states that it did not run the request. */
     private boolean notRun;
 
-    /** Whether events are forwarded as they are received; otherwise the response is buffered. */
-    private boolean streaming;
+    /** Forwards events as they are received; null if the response is buffered. */
+    private StreamReceiver receiver;
 
     /** This attempt in the budget of the entry's buffers. */
     private final BufferBudget.Buffer bufferHandle = this::fail;
@@ -171,10 +168,11 @@
         }
         entry.statements().recordWithheld(candidate.upstream().process(), status, metadata, now);
         boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
-        streaming = eventStream && metadata.hasAuthenticationCode();
+        boolean streaming = eventStream && metadata.hasAuthenticationCode();
         progress.headReceived(response, streaming, now);
         if (streaming) {
             exchange.stream().start(response);
+            receiver = new StreamReceiver(exchange.stream(), progress.stream(), response);
         } else {
             bufferedBody = Unpooled.buffer();
         }
@@ -185,19 +183,16 @@
         Instant now = entry.clock().instant();
         progress.dataReceived(data.readableBytes(), now);
         endPrefill();
-        if (!streaming) {
+        if (receiver == null) {
             buffer(data);
             return;
         }
-        for (VerbatimEventSplitter.Event e : splitter.feed(ByteBufUtil.getBytes(data))) {
-            progress.stream().eventReceived(e, now);
-            exchange.stream().forward(e, now);
-        }
-        if (splitter.partialBytes() > StreamProgress.MAX_EVENT_BYTES) {
+        receiver.receive(ByteBufUtil.getBytes(data), now);
+        if (receiver.partialBytes() > StreamProgress.MAX_EVENT_BYTES) {
             fail("event is longer than " + StreamProgress.MAX_EVENT_BYTES + " bytes");
             return;
         }
-        entry.bufferBudget().resize(bufferHandle, splitter.partialBytes());
+        entry.bufferBudget().resize(bufferHandle, receiver.partialBytes());
         if (!exchange.stream().isWritable()) {
             setReadEnabled(false);
         }
@@ -209,11 +204,8 @@
             return;
         }
         entry.metrics().responseEnded(service(), end);
-        if (streaming) {
-            noteEndInsideEvent(end);
-            exchange.stream().forwardRemainder(splitter.takePartial());
-            finish(AttemptResult.ANSWERED);
-            exchange.streamCompleted();
+        if (receiver != null) {
+            completeStream(end);
             return;
         }
         String name = candidate.upstream().id() + ": status " + head.status().code();
@@ -240,17 +232,24 @@
         exchange.attemptFailed(connected, connected, candidate.upstream().id() + ": " + reason);
     }
 
-    private void noteEndInsideEvent(BodyEnd end) {
-        if (splitter.partialBytes() == 0) {
+    private void completeStream(BodyEnd end) {
+        if (receiver.isInsideEvent()) {
+            entry.metrics().streamEndedInsideEvent(service(), end);
+            Event.named("stream-ended-inside-event")
+                    .with("id", exchange.requestId())
+                    .with("upstream", candidate.upstream().id())
+                    .with("end", end.label())
+                    .with("partial_bytes", receiver.partialBytes())
+                    .info();
+        }
+        Optional<String> defect = receiver.defect(end);
+        if (defect.isPresent()) {
+            onFailure(defect.get(), true);
             return;
         }
-        entry.metrics().streamEndedInsideEvent(service(), end);
-        Event.named("stream-ended-inside-event")
-                .with("id", exchange.requestId())
-                .with("upstream", candidate.upstream().id())
-                .with("end", end.label())
-                .with("partial_bytes", splitter.partialBytes())
-                .info();
+        receiver.forwardRemainder();
+        finish(AttemptResult.ANSWERED);
+        exchange.streamCompleted();
     }
 
     private void buffer(ByteBuf data) {
@@ -356,7 +355,7 @@
 
     // Timers may refer to the attempt for some time after its end.
     private void discardBuffers() {
-        splitter = new VerbatimEventSplitter();
+        receiver = null;
         bufferedBody = Unpooled.EMPTY_BUFFER;
         entry.bufferBudget().release(bufferHandle);
     }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -252,8 +252,8 @@
         if (listener == null || violation.isEmpty()) {
             return;
         }
-        channel.close();
         fail(violation.get());
+        channel.close();
     }
 
     // Reports once that no complete response will be received.
