Let only the peer end a body that has neither a length nor chunks

Cause: Netty reports such a body as complete when the channel becomes inactive, whoever closed it. The entry closes a connection only after it has forgotten its listener, so no caller was seen to be hit. Ruled out: a reset; it is reported as an exception before. Change: a close from this side fails the request in flight first. The fuzz test ends connections as a peer does, as before. Conclusion: what ends a body no longer depends on the order of two calls.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
@@ -164,6 +165,13 @@
         fail("connection closed before the response was complete");
     }
 
+    // Only the peer ends a body that has neither a length nor chunks.
+    @Override
+    public void close(ChannelHandlerContext context, ChannelPromise promise) {
+        fail("connection closed by this host before the response was complete");
+        context.close(promise);
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         fail(String.valueOf(cause.getMessage()));
--- a/src/test/java/org/papayawalk/daemon/managed/entry/UpstreamConnectionFuzzTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/UpstreamConnectionFuzzTest.java
@@ -148,6 +148,7 @@
                 channel.writeInbound(Unpooled.wrappedBuffer(p));
             }
         }
+        channel.unsafe().close(channel.voidPromise());
         channel.finishAndReleaseAll();
         return recorder;
     }
