Stream to HTTP/1.0 callers without chunks, and reset them if the stream breaks

Cause: every stream was sent in chunks, which HTTP/1.0 does not have; such a caller took the chunk sizes for part of the answer, and the end of the connection for its end also when the stream was broken off. Ruled out: buffered responses; they have a length. Change: no chunks for HTTP/1.0; the connection ends the stream, and any other end of it is a reset (SO_LINGER 0 while the stream lasts, so also when the process dies). Result: the two new tests of BrokenAnswerTest fail without the change and pass with it; a stream that breaks while its caller reads slowly does not look complete (passes with and without). Conclusion: every caller can tell a broken stream from a whole one.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -35,6 +36,12 @@
  * cancelled at once. Confined to the event loop thread.
  */
 final class CallerHandler extends ChannelDuplexHandler {
+    /** Value of SO_LINGER with which any close resets the connection. */
+    private static final int RESET_ON_CLOSE = 0;
+
+    /** Value of SO_LINGER with which a close first sends what was written. */
+    private static final int DRAIN_ON_CLOSE = -1;
+
     /** Complete requests that may wait behind the current one before reading is paused. */
     private static final int MAX_PIPELINED = 16;
 
@@ -58,6 +65,9 @@
     /** Exchange of the current request; null if there is none. */
     private Exchange exchange;
 
+    /** Whether the caller of the current exchange understands chunks; false for HTTP/1.0. */
+    private boolean chunksAccepted = true;
+
     /** Whether the connection accepts no further request. */
     private boolean closing;
 
@@ -155,8 +165,11 @@
      * @param response status and headers; the transfer encoding is set here
      */
     void startStream(HttpResponse response) {
-        HttpUtil.setTransferEncodingChunked(response, true);
-        if (closesAfterResponse()) {
+        HttpUtil.setTransferEncodingChunked(response, chunksAccepted);
+        if (!chunksAccepted) {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
+        }
+        if (!chunksAccepted || closesAfterResponse()) {
             closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -174,11 +187,17 @@
 
     /** Ends a streamed response as complete. */
     void endStream() {
+        if (!chunksAccepted) {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, DRAIN_ON_CLOSE);
+        }
         context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         exchangeFinished(closing);
     }
 
-    /** Ends a streamed response as incomplete: closes the connection without the last chunk. */
+    /**
+     * Ends a streamed response as incomplete: closes the connection without the last chunk, or
+     * resets it if the caller understands no chunks.
+     */
     void abortStream() {
         closing = true;
         exchange = null;
@@ -268,6 +287,7 @@
         }
         CallerRequest request = pipelined.removeFirst();
         context.channel().config().setAutoRead(true);
+        chunksAccepted = request.head().protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         exchange = new Exchange(entry, this, request);
         exchange.start();
     }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/BrokenAnswerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/BrokenAnswerTest.java
@@ -2,13 +2,18 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.papayawalk.daemon.managed.AnswerScript;
 import org.papayawalk.daemon.managed.AnswerScript.End;
 import org.papayawalk.daemon.managed.AnswerScript.Framing;
@@ -27,6 +32,9 @@
 public final class BrokenAnswerTest {
     private static final String EVENTS = "text/event-stream";
 
+    /** Events of a stream that exceeds the buffers between an upstream and a caller. */
+    private static final int PAUSED_EVENTS = 1500;
+
     /** Whole stream; the number of each event is its id. */
     private static final String STREAM = stream("\n");
 
@@ -206,6 +214,85 @@
         }
     }
 
+    /**
+     * A caller that speaks HTTP/1.0 gets a whole stream without chunks.
+     *
+     * @throws IOException if the connection is lost
+     */
+    @Test
+    public void wholeStreamArrivesWithoutChunks() throws IOException {
+        play(AnswerScript.whole(Framing.CHUNKS, EVENTS, STREAM), 1, Mode.WHOLE);
+        try (Socket socket = sendHttp10()) {
+            TestCaller.Response response = TestCaller.read(socket);
+            assertEquals(response.body(), STREAM);
+            assertFalse(response.head().toLowerCase().contains("transfer-encoding"));
+        }
+    }
+
+    /**
+     * A caller that speaks HTTP/1.0 can tell a broken stream: its connection is reset.
+     *
+     * @throws IOException if the entry does not listen
+     */
+    @Test
+    public void brokenStreamWithoutChunksEndsInAReset() throws IOException {
+        int inside = cutIn(STREAM, "dat");
+        play(AnswerScript.cutStream(Framing.NEITHER, STREAM, inside, End.CLOSE), 2, Mode.WHOLE);
+        try (Socket socket = sendHttp10()) {
+            assertThrows(SocketException.class, () -> TestCaller.read(socket));
+        }
+    }
+
+    /**
+     * A stream that is broken off while its caller reads nothing does not look complete.
+     *
+     * @throws IOException if the entry does not listen
+     */
+    @Test
+    public void streamBrokenWhileReadingIsPausedNeverLooksComplete() throws IOException {
+        String event = "id: 1\ndata: " + "x".repeat(10_000) + "\n\n";
+        StringBuilder text = new StringBuilder();
+        for (int i = 1; i <= PAUSED_EVENTS; i++) {
+            text.append(event.replace("id: 1", "id: " + i));
+        }
+        int inside = bytes(text.toString()).length - 1;
+        for (End end : End.values()) {
+            checks.reset();
+            play(
+                    AnswerScript.cutStream(Framing.NEITHER, text.toString(), inside, end),
+                    2,
+                    Mode.WHOLE);
+            try (Socket socket = checks.fixture().caller().connect()) {
+                String request = checks.fixture().caller().request("POST", "/advice/x", "key-1");
+                TestCaller.write(socket, request);
+                ManagedEntryFixture.await(() -> checks.seenCount() > 0);
+                assertFalse(readSlowly(socket).contains("\r\n0\r\n"), end.toString());
+            }
+        }
+    }
+
+    // Reads to the end of the connection with a pause before each buffer.
+    private static String readSlowly(Socket socket) {
+        StringBuilder text = new StringBuilder();
+        byte[] buffer = new byte[1 << 20];
+        try {
+            for (int n = 0; n >= 0; n = socket.getInputStream().read(buffer)) {
+                text.append(new String(buffer, 0, n, StandardCharsets.ISO_8859_1));
+                LockSupport.parkNanos(Duration.ofMillis(5).toNanos());
+            }
+        } catch (IOException e) {
+            return text.toString();
+        }
+        return text.toString();
+    }
+
+    private Socket sendHttp10() throws IOException {
+        Socket socket = checks.fixture().caller().connect();
+        String request = checks.fixture().caller().request("POST", "/advice/x", "key-1");
+        TestCaller.write(socket, request.replace(" HTTP/1.1", " HTTP/1.0"));
+        return socket;
+    }
+
     private TestCaller.Response send(String method, String target) {
         return checks.fixture().caller().send(method, target, "key-1");
     }
