Take a buffered event stream that ends inside an event as broken off

Cause: a 200 without the upstream's signature, and an event stream on a route that does not stream, are buffered; only their framing told whether they were whole. Ruled out: other media types, which nothing but the framing ends. Change: the rule for streams holds for buffered bodies of type text/event-stream. Conclusion: the same rule decides wherever events are read.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -33,9 +33,24 @@
     StreamReceiver(CallerStream stream, StreamProgress progress, HttpResponse head) {
         this.stream = stream;
         this.progress = progress;
-        CharSequence type = HttpUtil.getMimeType(head);
-        this.hasEvents =
-                type == null || HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
+        this.hasEvents = HttpUtil.getMimeType(head) == null || isEventStream(head);
+    }
+
+    /**
+     * Returns why a buffered body is incomplete although it has ended.
+     *
+     * @param head head of the response
+     * @param body body
+     * @param end what told the end of the body
+     * @return reason, empty if the body is complete or no event stream
+     */
+    static Optional<String> bufferedDefect(HttpResponse head, byte[] body, BodyEnd end) {
+        if (!isEventStream(head)) {
+            return Optional.empty();
+        }
+        VerbatimEventSplitter events = new VerbatimEventSplitter();
+        events.feed(body);
+        return StreamEndRule.defect(end, events.isInsideEvent(), events.eventSeen());
     }
 
     /**
@@ -85,4 +100,9 @@
     void forwardRemainder() {
         stream.forwardRemainder(splitter.takePartial());
     }
+
+    private static boolean isEventStream(HttpResponse head) {
+        CharSequence type = HttpUtil.getMimeType(head);
+        return type != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -214,8 +214,13 @@
             exchange.attemptFailed(false, true, name + ", request not run");
             return;
         }
-        boolean failure = head.status().code() >= 500;
         byte[] body = ByteBufUtil.getBytes(bufferedBody);
+        Optional<String> defect = StreamReceiver.bufferedDefect(head, body, end);
+        if (defect.isPresent()) {
+            onFailure(defect.get(), true);
+            return;
+        }
+        boolean failure = head.status().code() >= 500;
         finish(failure ? AttemptResult.SERVER_ERROR : AttemptResult.ANSWERED);
         exchange.responseReceived(new BufferedResponse(head, body), name);
     }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/BrokenAnswerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/BrokenAnswerTest.java
@@ -214,6 +214,22 @@
         }
     }
 
+    /**
+     * An event stream that is buffered is broken off too if it ends inside an event.
+     *
+     * @param framing what tells the end of the body
+     */
+    @Test(dataProvider = "framings")
+    public void brokenBufferedStreamIsNotDelivered(Framing framing) {
+        String part = STREAM.substring(0, STREAM.indexOf("data: piña 3"));
+        play(AnswerScript.whole(framing, EVENTS, part), 1, Mode.WHOLE);
+        TestCaller.Response response = send("GET", "/read/x");
+        assertEquals(response.body(), "answer to " + checks.fixture().caller().lastId());
+        checks.reset();
+        play(AnswerScript.whole(framing, EVENTS, STREAM), 1, Mode.WHOLE);
+        assertEquals(send("GET", "/read/x").body(), STREAM);
+    }
+
     /**
      * A caller that speaks HTTP/1.0 gets a whole stream without chunks.
      *
