Keep a refusal's statement when its body is broken off

Cause: a 503 that states by its head that the request did not run counted as a lost answer if its body was cut; a non-idempotent request then got 502 and could not go on elsewhere. Ruled out: heads that were cut; they never reach the attempt. Change: a failure after such a head is a request that did not run, and no sign of a crash. Result: brokenRefusalOfNonIdempotentRequestIsNotRun fails without the change (502) and passes with it. Conclusion: what a whole head states holds whatever becomes of the body.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -231,10 +231,12 @@
             return;
         }
         finish(connected ? AttemptResult.BROKEN : AttemptResult.UNREACHABLE);
-        if (connected) {
+        // The head alone states that the request did not run.
+        boolean mayHaveRun = connected && !notRun;
+        if (mayHaveRun) {
             entry.checkForCrash(exchange.fingerprint(), candidate.upstream());
         }
-        exchange.attemptFailed(connected, connected, candidate.upstream().id() + ": " + reason);
+        exchange.attemptFailed(mayHaveRun, connected, candidate.upstream().id() + ": " + reason);
     }
 
     private void completeStream(BodyEnd end) {
--- a/src/test/java/org/papayawalk/daemon/managed/entry/BrokenAnswerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/BrokenAnswerTest.java
@@ -19,6 +19,7 @@
 import org.papayawalk.daemon.managed.AnswerScript.Framing;
 import org.papayawalk.daemon.managed.FakeUpstream;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
+import org.papayawalk.daemon.managed.Script;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
@@ -230,6 +231,25 @@
         assertEquals(send("GET", "/read/x").body(), STREAM);
     }
 
+    /** A refusal whose body is broken off states by its head that the request did not run. */
+    @Test
+    public void brokenRefusalOfNonIdempotentRequestIsNotRun() {
+        AtomicInteger left = new AtomicInteger(1);
+        Script refusal =
+                (socket, id, headers) ->
+                        socket.getOutputStream()
+                                .write(
+                                        bytes(
+                                                "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+                                                        + headers
+                                                        + "Content-Length: 9\r\n\r\nbus"));
+        checks.fixture().first().script(refusal, left, Mode.WHOLE);
+        checks.fixture().second().script(refusal, left, Mode.WHOLE);
+        TestCaller.Response response = send("POST", "/pay/x");
+        assertEquals(response.status(), 503);
+        assertTrue(response.head().toLowerCase().contains("retry-after: "), response.head());
+    }
+
     /**
      * A caller that speaks HTTP/1.0 gets a whole stream without chunks.
      *
