Take heads and chunks that their connection cuts off as broken off

Cause: HttpCore takes the end of a connection for the end of a line and of a head. A response cut behind 'HTTP/1.1 200', or a chunk size cut behind its leading zeros, was whole to the stand-alone program; a request cut in its head, for example before its Content-Length, was handled, and its call ran. Ruled out: the managed program; Netty ends heads and chunk lines by their line ends only. Change: WholeHeadParser for heads of responses and requests, connections that read chunks through a stream whose end is a failure. A connection that ends before a head has none, as before.

--- a/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
@@ -17,8 +17,8 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
+import org.apache.hc.core5.http.io.HttpConnectionFactory;
 import org.apache.hc.core5.http.io.HttpMessageParserFactory;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
@@ -151,7 +151,8 @@
         return builder.build();
     }
 
-    private static DefaultBHttpClientConnectionFactory newConnectionFactory(Duration headTimeout) {
+    private static HttpConnectionFactory<CheckedClientConnection> newConnectionFactory(
+            Duration headTimeout) {
         Http1Config config =
                 Http1Config.custom()
                         .setMaxLineLength(MAX_LINE_BYTES)
@@ -159,11 +160,14 @@
                         .build();
         HttpMessageParserFactory<ClassicHttpResponse> parsers =
                 new DefaultHttpResponseParserFactory(config);
-        return DefaultBHttpClientConnectionFactory.builder()
-                .http1Config(config)
-                .responseParserFactory(
-                        c -> new BoundedHeadParser(parsers.create(config), headTimeout))
-                .build();
+        return socket -> {
+            CheckedClientConnection connection =
+                    new CheckedClientConnection(
+                            config,
+                            c -> new BoundedHeadParser(parsers.create(config), headTimeout));
+            connection.bind(socket);
+            return connection;
+        };
     }
 
     private Either<Fault, ClientResponse> readAll(ClientRequest request, StreamingResponse stream) {
--- a/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpServer.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpServer.java
@@ -46,6 +46,7 @@
                         .setLocalAddress(address.getAddress())
                         .setListenerPort(address.getPort())
                         .setSocketConfig(sockets)
+                        .setConnectionFactory(CheckedServerConnection::of)
                         .setRequestRouter((request, context) -> handler)
                         .setExceptionListener(new Listener())
                         .create();
--- a/src/main/java/org/papayawalk/adapter/standalone/BoundedHeadParser.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/BoundedHeadParser.java
@@ -10,9 +10,9 @@
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
- * Parser of response heads that ends a head which comes in trickles, and informational (1xx) heads
- * without a response. One parser belongs to one connection. Not thread-safe: confined to the
- * reading thread.
+ * Parser of response heads that ends a head which comes in trickles, a head that its connection
+ * cuts off, and informational (1xx) heads without a response. One parser belongs to one connection.
+ * Not thread-safe: confined to the reading thread.
  */
 final class BoundedHeadParser implements HttpMessageParser<ClassicHttpResponse> {
     /** Informational heads allowed before a response. */
@@ -34,7 +34,7 @@
      * @param timeout time from the first byte of a head to its end
      */
     BoundedHeadParser(HttpMessageParser<ClassicHttpResponse> parser, Duration timeout) {
-        this.parser = parser;
+        this.parser = new WholeHeadParser<>(parser);
         this.timeout = timeout;
     }
 
