Take an agent's answer without its head as lost

Ruled out: missing data; their number is compared already. Change: Attempt fails such an answer; the calls treat it like a lost connection. Conclusion: an answer between processes is whole with its head, all of its data and its end.

--- a/src/main/java/org/papayawalk/daemon/standalone/entry/Attempt.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/Attempt.java
@@ -41,6 +41,9 @@
 
     private volatile boolean overflowed;
 
+    // Whether the head of the response was taken.
+    private boolean headReceived;
+
     // Replies taken after the deadline; those that are ready by then may still be delivered.
     private int lateReplies;
 
@@ -148,7 +151,7 @@
         return results.poll(wait.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    // Replaces a reply by a fault if data messages before it are missing.
+    // Replaces a reply by a fault if messages before it are missing.
     private Result verifyOrder(Result result) {
         Envelope m = result.message();
         if (m == null) {
@@ -160,9 +163,13 @@
                             .formatted(
                                     m.getResponseData().getSequence(), dataOrder.acceptedCount()));
         }
+        headReceived |= m.hasResponseHead();
         boolean answered =
                 m.hasResponseEnd()
                         && m.getResponseEnd().getOutcome() == ResponseEnd.Outcome.ANSWERED;
+        if (answered && !headReceived) {
+            return lost("response ended without its head");
+        }
         if (answered && !dataOrder.isComplete(m.getResponseEnd().getDataCount())) {
             return lost(
                     "response truncated: got %d of %d data messages"
