Normalize line ends of CR, and skip empty lines between events

Cause: the stand-alone entry dropped all CR bytes, so a stream whose lines end with CR had no events and ended empty as if it were complete; an empty line behind the last event made a whole stream incomplete. Ruled out: CR LF; it worked before. Change: CR, CR LF and LF become LF; empty lines between events are dropped. Result: normalizesLineEnds fails without the change and passes with it. Conclusion: both programs now agree on where an event ends.

--- a/src/main/java/org/papayawalk/core/stream/NormalizingEventSplitter.java
+++ b/src/main/java/org/papayawalk/core/stream/NormalizingEventSplitter.java
@@ -8,8 +8,9 @@
 
 /**
  * Splits a byte stream into complete server-sent events with normalized line ends, and counts them,
- * so that a stream can be resumed at another upstream from the start of an event. All CR bytes are
- * dropped. Not thread-safe: confined to the reading thread.
+ * so that a stream can be resumed at another upstream from the start of an event. Lines end with
+ * LF, CR LF or CR. Empty lines between events are dropped. Not thread-safe: confined to the reading
+ * thread.
  */
 public final class NormalizingEventSplitter {
     /** Last event of a complete stream. */
@@ -21,6 +22,9 @@
     /** Previous byte of the incomplete event, -1 if there is none. */
     private int lastByte = -1;
 
+    /** Whether the last byte was a CR, which an LF may follow. */
+    private boolean afterReturn;
+
     private int eventCount;
 
     private boolean endEventSeen;
@@ -33,8 +37,12 @@
      */
     public List<byte[]> feed(byte[] data) {
         List<byte[]> events = new ArrayList<>();
-        for (byte b : data) {
-            if (b == '\r') {
+        for (byte received : data) {
+            boolean sameLineEnd = received == '\n' && afterReturn;
+            afterReturn = received == '\r';
+            byte b = afterReturn ? (byte) '\n' : received;
+            boolean betweenEvents = b == '\n' && pending.size() == 0;
+            if (sameLineEnd || betweenEvents) {
                 continue;
             }
             pending.write(b);
@@ -65,6 +73,7 @@
     public void discardPartial() {
         pending.reset();
         lastByte = -1;
+        afterReturn = false;
     }
 
     /**
--- a/src/test/java/org/papayawalk/core/stream/NormalizingEventSplitterTest.java
+++ b/src/test/java/org/papayawalk/core/stream/NormalizingEventSplitterTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.testng.annotations.Test;
 
 /** Tests {@link NormalizingEventSplitter}. */
@@ -24,6 +25,25 @@
         }
     }
 
+    /** Lines end with LF, CR LF or CR; empty lines between events are no events. */
+    @Test
+    public void normalizesLineEnds() {
+        for (String end : List.of("\n", "\r\n", "\r")) {
+            String text = "data: a\n\n\ndata: b\ndata: c\n\ndata: [DONE]\n\n\n";
+            byte[] stream = bytes(text.replace("\n", end));
+            splitter = new NormalizingEventSplitter();
+            StringBuilder events = new StringBuilder();
+            for (byte b : stream) {
+                for (byte[] e : splitter.feed(new byte[] {b})) {
+                    events.append(new String(e, StandardCharsets.UTF_8)).append('|');
+                }
+            }
+            String expected = "data: a\n\n|data: b\ndata: c\n\n|data: [DONE]\n\n|";
+            assertEquals(events.toString(), expected);
+            assertTrue(splitter.isComplete());
+        }
+    }
+
     /** A stream without its last event is not complete. */
     @Test
     public void isNotCompleteWithoutLastEvent() {
