Fail event streams that end inside an event in the stand-alone program too

Cause: the agent forwarded and stored what a service sent until its end; only streams of models were checked, by their last event. A stream of a service that ended inside an event was whole to its caller, and a non-idempotent call kept it and replayed it. Ruled out: streams of models; their last event is required.

--- a/src/main/java/org/papayawalk/adapter/standalone/StreamingResponse.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/StreamingResponse.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.io.EofSensorInputStream;
+import org.papayawalk.core.stream.BodyEnd;
 
 /**
  * HTTP response whose body is read while it arrives. Used by one reading thread; {@link #close()}
@@ -16,7 +18,10 @@
 public final class StreamingResponse implements AutoCloseable {
     private final ClassicHttpResponse response;
 
-    /** Body, null until first requested. */
+    /** Body as the library gives it, null until first requested. */
+    private InputStream content;
+
+    /** Body as its readers get it, null until first requested. */
     private InputStream body;
 
     /**
@@ -53,13 +58,18 @@
     /**
      * Returns the body, always as the same stream.
      *
-     * @return stream that throws an exception if the connection is lost before the end of the body
+     * @return stream that throws an exception if the connection is lost before the end of the body,
+     *     or an event stream ends inside an event
      * @throws IOException if the connection was lost
      */
     public synchronized InputStream body() throws IOException {
         if (body == null) {
             HttpEntity entity = response.getEntity();
-            body = entity == null ? InputStream.nullInputStream() : entity.getContent();
+            content = entity == null ? InputStream.nullInputStream() : entity.getContent();
+            body =
+                    isEventStream(entity)
+                            ? new EventStreamInputStream(content, bodyEnd(entity))
+                            : content;
         }
         return body;
     }
@@ -71,7 +81,8 @@
     @Override
     public void close() {
         try {
-            if (body() instanceof EofSensorInputStream sensor) {
+            body();
+            if (content instanceof EofSensorInputStream sensor) {
                 sensor.abort();
             }
         } catch (IOException e) {
@@ -79,4 +90,19 @@
             return;
         }
     }
+
+    private static boolean isEventStream(HttpEntity entity) {
+        if (entity == null || entity.getContentType() == null) {
+            return false;
+        }
+        ContentType type = ContentType.parseLenient(entity.getContentType());
+        return type != null && type.isSameMimeType(ContentType.TEXT_EVENT_STREAM);
+    }
+
+    private static BodyEnd bodyEnd(HttpEntity entity) {
+        if (entity.isChunked()) {
+            return BodyEnd.LAST_CHUNK;
+        }
+        return entity.getContentLength() < 0 ? BodyEnd.CONNECTION : BodyEnd.LENGTH;
+    }
 }
--- a/src/test/java/org/papayawalk/adapter/standalone/CutMessagesTest.java
+++ b/src/test/java/org/papayawalk/adapter/standalone/CutMessagesTest.java
@@ -49,7 +49,7 @@
     @BeforeClass
     public void start() throws IOException {
         upstream = new AnswerServer();
-        client = new BlockingHttpClient(Duration.ofSeconds(5), 4, true);
+        client = new BlockingHttpClient(Duration.ofSeconds(5), 4, false);
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
         server =
                 new BlockingHttpServer(
@@ -130,6 +130,22 @@
         assertEquals(get(whole).get().text(), "hello");
     }
 
+    /** An event stream is accepted only if it ends behind an event, whatever tells its end. */
+    @Test
+    public void partOfEventStreamIsNoResponse() {
+        String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\n";
+        String events = "id: 1\r\ndata: leaf\r\n\r\nid: 2\r\ndata: gold\r\n\r\n";
+        int first = events.indexOf("id: 2");
+        for (int at = 0; at <= events.length(); at++) {
+            String part = events.substring(0, at);
+            boolean behindEvent = at == first || at == events.length();
+            String chunk = Integer.toHexString(at) + "\r\n" + part + "\r\n";
+            String chunks = CHUNKED + (at == 0 ? "" : chunk) + "0\r\n\r\n";
+            assertEquals(isAccepted(head + "\r\n" + part), behindEvent, "cut at " + at);
+            assertEquals(isAccepted(head + chunks), behindEvent || at == 0, "chunks, " + at);
+        }
+    }
+
     /**
      * A request is handled whole only.
      *
@@ -149,6 +165,10 @@
         assertEquals(handled.get(), 1);
     }
 
+    private boolean isAccepted(String answer) {
+        return get(answer.getBytes(StandardCharsets.US_ASCII)).isRight();
+    }
+
     private Either<Fault, ClientResponse> get(byte[] answer) {
         upstream.answer(answer, false);
         return client.execute(ClientRequest.get("test", upstream.address(), "/x"));
