Compare a replayed body in the object store with its digest

Cause: a large answer of a non-idempotent call lies in the object store; whatever the store answered under its name was replayed as the whole answer. Ruled out: bodies in the row itself; a row that is cut cannot be decoded. Change: the row keeps the digest of the object (field objectDigest, absent in earlier rows, which are not checked); a body that differs is refused like one that cannot be read. Conclusion: what is replayed is what was stored.

--- a/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
@@ -307,7 +307,7 @@
                         .map(HttpHeader::value)
                         .findFirst()
                         .orElse("application/octet-stream");
-        return new StoredAnswer(stream.status(), type, data, null);
+        return new StoredAnswer(stream.status(), type, data, null, null);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/IdempotencyGuard.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/IdempotencyGuard.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import org.papayawalk.core.Fault;
+import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.idempotency.AtMostOnceRules;
 import org.papayawalk.core.idempotency.IdempotencyPhase;
@@ -141,7 +142,12 @@
         String name = "answer-" + token;
         return objects.put(name, answer.body())
                 .peekLeft(f -> Event.named("answer-not-kept").with("fault", f).warn())
-                .map(n -> new StoredAnswer(answer.status(), answer.contentType(), null, name))
+                .map(n -> inObject(answer, name))
                 .toJavaOptional();
     }
+
+    private static StoredAnswer inObject(StoredAnswer answer, String name) {
+        Digest digest = Digest.of(answer.body());
+        return new StoredAnswer(answer.status(), answer.contentType(), null, name, digest);
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/ResponseReplayer.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/ResponseReplayer.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import org.papayawalk.adapter.standalone.HttpHeader;
 import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.Outcome;
 import org.papayawalk.core.api.CallerHeaders;
+import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.idempotency.StoredAnswer;
 import org.papayawalk.core.port.ObjectStore;
 
@@ -37,7 +39,9 @@
     CallerResponse replay(StoredAnswer stored) {
         byte[] body = stored.body();
         if (stored.object() != null) {
-            Either<Fault, byte[]> read = objects.get(stored.object());
+            Either<Fault, byte[]> read =
+                    objects.get(stored.object())
+                            .filterOrElse(b -> isWhole(stored, b), b -> notWhole(stored, b));
             if (read.isLeft()) {
                 String reason = "call ran, but its stored response cannot be read: ";
                 return new CallerResponse.Failed(
@@ -56,4 +60,15 @@
                         new HttpHeader(CallerHeaders.REPLAYED, "true"));
         return new CallerResponse.Complete(stored.status(), headers, body);
     }
+
+    // Rows of earlier versions have no digest.
+    private static boolean isWhole(StoredAnswer stored, byte[] body) {
+        return stored.objectDigest() == null || stored.objectDigest().equals(Digest.of(body));
+    }
+
+    private static Fault notWhole(StoredAnswer stored, byte[] body) {
+        String reason =
+                stored.object() + " differs from what was stored, " + body.length + " bytes";
+        return new Fault(FaultKind.CORRUPT, "read-answer", "object store", reason);
+    }
 }
