Count calls to the store by purpose and by what they brought

Ruled out: nothing; no decision is changed. Change: StoreCalls, a metric and a log line every 10 s; StateTableReceiver is taken out of ManagedNode.

--- a/src/main/java/org/papayawalk/daemon/managed/EntryRegistry.java
+++ b/src/main/java/org/papayawalk/daemon/managed/EntryRegistry.java
@@ -41,6 +41,8 @@
 
     private final AsyncHttpClient http;
 
+    private final StoreCalls calls;
+
     private final EntryDirectory entries;
 
     private final ControlThread thread;
@@ -57,6 +59,7 @@
      *
      * @param settings settings of the process
      * @param http client of the store
+     * @param calls counts the calls
      * @param entries directory that receives the registered entries
      * @param thread control thread
      * @param clock monotonic clock
@@ -64,11 +67,13 @@
     EntryRegistry(
             ManagedSettings settings,
             AsyncHttpClient http,
+            StoreCalls calls,
             EntryDirectory entries,
             ControlThread thread,
             InstantSource clock) {
         this.settings = settings;
         this.http = http;
+        this.calls = calls;
         this.entries = entries;
         this.thread = thread;
         this.clock = clock;
@@ -96,6 +101,7 @@
     }
 
     private void handleRegistration(Either<Fault, AsyncHttpResponse> result) {
+        calls.ended(StoreCalls.Kind.PUT, TABLE, StoreCalls.Outcome.of(result));
         if (result.isLeft() || !result.get().isSuccess()) {
             thread.schedule(RETRY_PAUSE, this::register);
             return;
@@ -127,6 +133,7 @@
     }
 
     private void handleRows(Either<Fault, AsyncHttpResponse> result) {
+        calls.ended(StoreCalls.Kind.READ, TABLE, StoreCalls.Outcome.of(result));
         if (result.isLeft() || !result.get().isSuccess()) {
             thread.schedule(RETRY_PAUSE, this::pollRows);
             return;
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -18,13 +18,10 @@
 import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.HostId;
-import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.core.upstream.FeedRole;
 import org.papayawalk.core.upstream.PollSchedule;
-import org.papayawalk.core.upstream.TableUpdate;
-import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.http.AsyncHttpClient;
 import org.papayawalk.log.Event;
@@ -50,6 +47,8 @@
     // Bound on the connections that an agent opens to entries for notices.
     private static final int MAX_NOTIFIED_ENTRIES = 16;
 
+    private static final Duration CALL_LOG_INTERVAL = Duration.ofSeconds(10);
+
     private static final Duration DEREGISTER_TIMEOUT = Duration.ofMillis(500);
 
     private final ManagedSettings settings;
@@ -68,6 +67,8 @@
 
     private final EntryDirectory directory;
 
+    private final StoreCalls storeCalls = new StoreCalls();
+
     private final EntryRegistry registry;
 
     private final Map<String, TableWatcher> watchers = new HashMap<>();
@@ -96,7 +97,7 @@
     public ManagedNode(ManagedSettings settings) {
         this.settings = settings;
         directory = new EntryDirectory(settings.peerAddress());
-        registry = new EntryRegistry(settings, http, directory, thread, clock);
+        registry = new EntryRegistry(settings, http, storeCalls, directory, thread, clock);
         lastEntryReplyAt = clock.instant();
         ManagedSettings.OperatorLimits limits = settings.limits();
         schedule = new PollSchedule(limits.maxStaleness(), limits.maxDelay());
@@ -152,6 +153,7 @@
                     registry.pollRows();
                 });
         thread.scheduleRepeatedly(ENTRY_COUNT_INTERVAL, this::refreshLiveEntries);
+        thread.scheduleRepeatedly(CALL_LOG_INTERVAL, storeCalls::log);
     }
 
     /**
@@ -171,6 +173,7 @@
                     client.runAsAgent(this::recordEntryOutcome);
                 });
         thread.scheduleRepeatedly(ENTRY_COUNT_INTERVAL, this::refreshLiveEntries);
+        thread.scheduleRepeatedly(CALL_LOG_INTERVAL, storeCalls::log);
     }
 
     /**
@@ -182,6 +185,15 @@
         return settings;
     }
 
+    /**
+     * Returns the counts of calls to the store.
+     *
+     * @return counts
+     */
+    public StoreCalls storeCalls() {
+        return storeCalls;
+    }
+
     /**
      * Returns the clock that all timeouts and ages refer to.
      *
@@ -341,28 +353,14 @@
     }
 
     private TableWatcher.Receiver receiver(String table) {
-        return new TableWatcher.Receiver() {
-            @Override
-            public TableVersion version() {
-                return state.table(table).version();
-            }
-
-            @Override
-            public void apply(TableUpdate update, long after) {
-                state.applyUpdate(table, update, after, "store");
-            }
-
-            @Override
-            public void eraSeen(StoreEra era) {
-                registry.eraSeen(era);
-                watchers.values().forEach(w -> w.recordEra(era));
-            }
-
-            @Override
-            public void storeFailed() {
-                state.recordStoreFailure();
-            }
-        };
+        return new StateTableReceiver(
+                table,
+                state,
+                storeCalls,
+                era -> {
+                    registry.eraSeen(era);
+                    watchers.values().forEach(w -> w.recordEra(era));
+                });
     }
 
     private MessageHandler handler(StateSyncServer server, MessageHandler weights) {
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -18,6 +18,8 @@
 import org.papayawalk.core.upstream.TableUpdate;
 import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.daemon.ControlThread;
+import org.papayawalk.daemon.managed.StoreCalls.Kind;
+import org.papayawalk.daemon.managed.StoreCalls.Outcome;
 import org.papayawalk.http.AsyncHttpClient;
 import org.papayawalk.http.AsyncHttpRequest;
 import org.papayawalk.http.AsyncHttpResponse;
@@ -72,6 +74,14 @@
          * data.
          */
         void storeFailed();
+
+        /**
+         * Called after each call.
+         *
+         * @param kind purpose of the call
+         * @param outcome what it brought
+         */
+        void callEnded(Kind kind, Outcome outcome);
     }
 
     private final AsyncHttpClient http;
@@ -213,16 +223,22 @@
         }
         long after = receiver.version().number();
         boolean direct = followsStore.getAsBoolean();
+        Kind kind = direct ? Kind.FOLLOW : Kind.CHECK;
         Duration wait = direct ? schedule.wait(consecutiveFailures) : Duration.ZERO;
         calledAt = clock.instant();
         String target = StoreCodec.changesTarget(table, after, wait);
         http.send(AsyncHttpRequest.get(storeAddress, target, schedule.timeout(wait)))
-                .thenAccept(r -> thread.execute(() -> handleChanges(r, after, callGeneration)));
+                .thenAccept(
+                        r -> thread.execute(() -> handleChanges(r, kind, after, callGeneration)));
     }
 
     private void handleChanges(
-            Either<Fault, AsyncHttpResponse> result, long after, int callGeneration) {
-        reportEra(result);
+            Either<Fault, AsyncHttpResponse> result, Kind kind, long after, int callGeneration) {
+        result.forEach(a -> receiver.eraSeen(era(a)));
+        Outcome outcome = Outcome.of(result);
+        if (outcome != Outcome.DONE) {
+            receiver.callEnded(kind, outcome);
+        }
         if (result.isRight() && result.get().status() == STATUS_HISTORY_DROPPED) {
             Event.named("store-history-dropped").with("table", table).with("after", after).info();
             needsFullRead = true;
@@ -232,7 +248,7 @@
                     () -> sendNextRequest(callGeneration));
             return;
         }
-        if (!isSuccess(result)) {
+        if (outcome != Outcome.DONE) {
             retryAfterFailure(result, callGeneration);
             return;
         }
@@ -242,6 +258,7 @@
         }
         try {
             TableUpdate update = StoreCodec.decode(result.get().body(), era(result.get()), false);
+            receiver.callEnded(kind, update.rows().isEmpty() ? Outcome.NOTHING : Outcome.DONE);
             recordSuccess();
             consecutiveDrops = 0;
             receiver.apply(update, after);
@@ -304,8 +321,10 @@
             List<TableRecord> rows,
             Optional<TableVersion> firstPage,
             int callGeneration) {
-        reportEra(result);
-        if (!isSuccess(result)) {
+        Outcome outcome = Outcome.of(result);
+        receiver.callEnded(Kind.READ, outcome);
+        result.forEach(a -> receiver.eraSeen(era(a)));
+        if (outcome != Outcome.DONE) {
             retryAfterFailure(result, callGeneration);
             return;
         }
@@ -332,18 +351,10 @@
         }
     }
 
-    private void reportEra(Either<Fault, AsyncHttpResponse> result) {
-        result.forEach(a -> receiver.eraSeen(era(a)));
-    }
-
     private static StoreEra era(AsyncHttpResponse answer) {
         return StoreCodec.decodeEra(answer.header(StoreCodec.ERA_HEADER));
     }
 
-    private static boolean isSuccess(Either<Fault, AsyncHttpResponse> result) {
-        return result.isRight() && result.get().isSuccess();
-    }
-
     private void recordSuccess() {
         Instant now = clock.instant();
         if (consecutiveFailures > 0) {
--- a/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
@@ -89,6 +89,7 @@
                 .help("Chunks of the wanted version")
                 .callback(c -> c.call(swarm.progress().totalChunks()))
                 .register(registry);
+        node.storeCalls().register(registry);
         new StatusEndpoint(node.runtime().group(), () -> true, registry)
                 .listenForMetrics(node.settings().ip());
     }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -76,6 +76,7 @@
     public void start() throws IOException {
         node.state().addListener(this::snapshotChanged);
         node.runAsEntry(new SharedEvidence(entry.suspects(), entry.limits()), relay.handler());
+        node.storeCalls().register(registry);
         StatusEndpoint status =
                 new StatusEndpoint(node.runtime().group(), () -> ready && !stopping, registry);
         if (node.settings().readyAddress().isPresent()) {
--- a/src/test/java/org/papayawalk/daemon/managed/TableWatcherCheckTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/TableWatcherCheckTest.java
@@ -185,5 +185,10 @@
         public void storeFailed() {
             // Tests observe the rows only.
         }
+
+        @Override
+        public void callEnded(StoreCalls.Kind kind, StoreCalls.Outcome outcome) {
+            // Tests observe the store's side.
+        }
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
@@ -76,6 +76,11 @@
                     public void storeFailed() {
                         // Tests observe the rows only.
                     }
+
+                    @Override
+                    public void callEnded(StoreCalls.Kind kind, StoreCalls.Outcome outcome) {
+                        // Tests observe the store's side.
+                    }
                 };
         AsyncHttpClient http = new AsyncHttpClient(runtime.group());
         TableWatcher watcher =
