Share the fixture of the tests with faulty upstreams

Cause: four test classes started and stopped the same entry and fakes in the same 33 lines, the fourth of them new. Ruled out: EndlessMemoryTest; it stops threads of its own and resets nothing. Change: UpstreamFaultCase, their base; no check is changed. Conclusion: the next test of this kind starts with its data.

--- a/src/test/java/org/papayawalk/daemon/managed/entry/BrokenAnswerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/BrokenAnswerTest.java
@@ -20,9 +20,6 @@
 import org.papayawalk.daemon.managed.FakeUpstream;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
 import org.papayawalk.daemon.managed.Script;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -30,7 +27,7 @@
  * Upstreams break off their answers, with a length, chunks or neither. Checks that no caller gets a
  * broken answer as a complete one, that streams go on elsewhere, and that whole answers arrive.
  */
-public final class BrokenAnswerTest {
+public final class BrokenAnswerTest extends UpstreamFaultCase {
     private static final String EVENTS = "text/event-stream";
 
     /** Events of a stream that exceeds the buffers between an upstream and a caller. */
@@ -39,34 +36,6 @@
     /** Whole stream; the number of each event is its id. */
     private static final String STREAM = stream("\n");
 
-    private EndlessChecks checks;
-
-    /**
-     * Starts the fakes and the entry.
-     *
-     * @throws IOException if a port cannot be bound
-     */
-    @BeforeClass
-    public void start() throws IOException {
-        checks = new EndlessChecks();
-    }
-
-    /**
-     * Stops the fakes.
-     *
-     * @throws IOException if a server cannot be closed
-     */
-    @AfterClass
-    public void stop() throws IOException {
-        checks.close();
-    }
-
-    /** Waits until the entry uses both upstreams again. */
-    @BeforeMethod
-    public void reset() {
-        checks.reset();
-    }
-
     /**
      * Streams that are broken off.
      *
@@ -165,12 +134,12 @@
     @Test(dataProvider = "framings")
     public void wholeStreamArrives(Framing framing) {
         for (String body : List.of(STREAM, stream("\r\n"), stream("\r"), STREAM + "\n\n")) {
-            checks.reset();
+            checks().reset();
             play(AnswerScript.whole(framing, EVENTS, body), 2, Mode.WHOLE);
             TestCaller.Response response = send("POST", "/advice/x");
             assertTrue(response.complete(), framing.toString());
             assertEquals(response.body(), body);
-            assertEquals(checks.seenCount(), 1);
+            assertEquals(checks().seenCount(), 1);
         }
     }
 
@@ -183,12 +152,12 @@
     public void wholeAnswerArrives(Framing framing) {
         String body = "{\"flavor\":\"piña\"}";
         for (String target : List.of("/read/x", "/pay/x", "/advice/x")) {
-            checks.reset();
+            checks().reset();
             play(AnswerScript.whole(framing, "application/json", body), 2, Mode.WHOLE);
             TestCaller.Response response = send("POST", target);
             assertTrue(response.complete(), framing.toString());
             assertEquals(response.body(), body);
-            assertEquals(checks.seenCount(), 1);
+            assertEquals(checks().seenCount(), 1);
         }
     }
 
@@ -204,14 +173,14 @@
         for (int at : List.of(0, 7, bytes(body).length - 1)) {
             AnswerScript script =
                     new AnswerScript(framing, "application/json", body, at, End.RESET);
-            checks.reset();
+            checks().reset();
             play(script, 1, Mode.WHOLE);
             TestCaller.Response response = send("GET", "/read/x");
-            assertEquals(response.body(), "answer to " + checks.fixture().caller().lastId());
-            checks.reset();
+            assertEquals(response.body(), "answer to " + checks().fixture().caller().lastId());
+            checks().reset();
             play(script, 2, Mode.WHOLE);
             assertEquals(send("POST", "/pay/x").status(), 502);
-            assertEquals(checks.seenCount(), 1);
+            assertEquals(checks().seenCount(), 1);
         }
     }
 
@@ -225,8 +194,8 @@
         String part = STREAM.substring(0, STREAM.indexOf("data: piña 3"));
         play(AnswerScript.whole(framing, EVENTS, part), 1, Mode.WHOLE);
         TestCaller.Response response = send("GET", "/read/x");
-        assertEquals(response.body(), "answer to " + checks.fixture().caller().lastId());
-        checks.reset();
+        assertEquals(response.body(), "answer to " + checks().fixture().caller().lastId());
+        checks().reset();
         play(AnswerScript.whole(framing, EVENTS, STREAM), 1, Mode.WHOLE);
         assertEquals(send("GET", "/read/x").body(), STREAM);
     }
@@ -243,8 +212,8 @@
                                                 "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
                                                         + headers
                                                         + "Content-Length: 9\r\n\r\nbus"));
-        checks.fixture().first().script(refusal, left, Mode.WHOLE);
-        checks.fixture().second().script(refusal, left, Mode.WHOLE);
+        checks().fixture().first().script(refusal, left, Mode.WHOLE);
+        checks().fixture().second().script(refusal, left, Mode.WHOLE);
         TestCaller.Response response = send("POST", "/pay/x");
         assertEquals(response.status(), 503);
         assertTrue(response.head().toLowerCase().contains("retry-after: "), response.head());
@@ -293,15 +262,15 @@
         }
         int inside = bytes(text.toString()).length - 1;
         for (End end : End.values()) {
-            checks.reset();
+            checks().reset();
             play(
                     AnswerScript.cutStream(Framing.NEITHER, text.toString(), inside, end),
                     2,
                     Mode.WHOLE);
-            try (Socket socket = checks.fixture().caller().connect()) {
-                String request = checks.fixture().caller().request("POST", "/advice/x", "key-1");
+            try (Socket socket = checks().fixture().caller().connect()) {
+                String request = checks().fixture().caller().request("POST", "/advice/x", "key-1");
                 TestCaller.write(socket, request);
-                ManagedEntryFixture.await(() -> checks.seenCount() > 0);
+                ManagedEntryFixture.await(() -> checks().seenCount() > 0);
                 assertFalse(readSlowly(socket).contains("\r\n0\r\n"), end.toString());
             }
         }
@@ -323,20 +292,20 @@
     }
 
     private Socket sendHttp10() throws IOException {
-        Socket socket = checks.fixture().caller().connect();
-        String request = checks.fixture().caller().request("POST", "/advice/x", "key-1");
+        Socket socket = checks().fixture().caller().connect();
+        String request = checks().fixture().caller().request("POST", "/advice/x", "key-1");
         TestCaller.write(socket, request.replace(" HTTP/1.1", " HTTP/1.0"));
         return socket;
     }
 
     private TestCaller.Response send(String method, String target) {
-        return checks.fixture().caller().send(method, target, "key-1");
+        return checks().fixture().caller().send(method, target, "key-1");
     }
 
     private void play(AnswerScript script, int answers, Mode then) {
         AtomicInteger left = new AtomicInteger(answers);
-        checks.fixture().first().script(script, left, then);
-        checks.fixture().second().script(script, left, then);
+        checks().fixture().first().script(script, left, then);
+        checks().fixture().second().script(script, left, then);
     }
 
     // Returns the number of bytes up to the end of the first occurrence of a text.
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EndlessResponseTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessResponseTest.java
@@ -3,15 +3,11 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.IOException;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.papayawalk.daemon.managed.EndlessBytes;
 import org.papayawalk.daemon.managed.FakeUpstream;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -20,7 +16,7 @@
  * idempotent request is answered by another upstream at once, that any other request ends without
  * an answer at once and is sent once, and that the endless connection is closed.
  */
-public final class EndlessResponseTest {
+public final class EndlessResponseTest extends UpstreamFaultCase {
     private static final long SEED = 20261204;
 
     private static final int RANDOM_ANSWERS = 12;
@@ -30,34 +26,6 @@
     /** Time after a timeout within which the caller must have its answer. */
     private static final long TIMEOUT_SLACK_MILLIS = 400;
 
-    private EndlessChecks checks;
-
-    /**
-     * Starts the fakes and the entry.
-     *
-     * @throws IOException if a port cannot be bound
-     */
-    @BeforeClass
-    public void start() throws IOException {
-        checks = new EndlessChecks();
-    }
-
-    /**
-     * Stops the fakes.
-     *
-     * @throws IOException if a server cannot be closed
-     */
-    @AfterClass
-    public void stop() throws IOException {
-        checks.close();
-    }
-
-    /** Waits until the entry uses both upstreams again. */
-    @BeforeMethod
-    public void reset() {
-        checks.reset();
-    }
-
     /**
      * Endless answers that are no event streams.
      *
@@ -91,7 +59,7 @@
      */
     @Test(dataProvider = "endlessAnswers")
     public void idempotentRequestIsAnsweredElsewhere(EndlessBytes bytes) {
-        checks.checkIdempotent(bytes, EndlessChecks.FAST_MILLIS);
+        checks().checkIdempotent(bytes, EndlessChecks.FAST_MILLIS);
     }
 
     /**
@@ -101,7 +69,7 @@
      */
     @Test(dataProvider = "endlessAnswers")
     public void nonIdempotentRequestEndsOnce(EndlessBytes bytes) {
-        checks.checkNonIdempotent(bytes, EndlessChecks.FAST_MILLIS);
+        checks().checkNonIdempotent(bytes, EndlessChecks.FAST_MILLIS);
     }
 
     /** Random endless answers, fast or trickled, end a non-idempotent request in time. */
@@ -109,41 +77,41 @@
     public void randomAnswersEndInTime() {
         Random random = new Random(SEED);
         for (int i = 0; i < RANDOM_ANSWERS; i++) {
-            checks.reset();
-            checks.checkNonIdempotent(
-                    EndlessBytes.random(random),
-                    EndlessChecks.PAY_TIMEOUT_MILLIS + TIMEOUT_SLACK_MILLIS);
+            checks().reset();
+            checks().checkNonIdempotent(
+                            EndlessBytes.random(random),
+                            EndlessChecks.PAY_TIMEOUT_MILLIS + TIMEOUT_SLACK_MILLIS);
         }
     }
 
     /** An answer whose bytes come slowly is delivered: slowness alone ends nothing. */
     @Test
     public void slowAnswerIsDelivered() {
-        checks.fixture().first().mode(Mode.SLOW);
-        checks.fixture().second().mode(Mode.SLOW);
-        TestCaller caller = checks.fixture().caller();
+        checks().fixture().first().mode(Mode.SLOW);
+        checks().fixture().second().mode(Mode.SLOW);
+        TestCaller caller = checks().fixture().caller();
         for (String target : new String[] {"/read/x", "/pay/x"}) {
             TestCaller.Response response = caller.send("POST", target, "key-1");
             assertEquals(response.body(), "answer to " + caller.lastId());
         }
-        assertEquals(checks.seenCount(), 2);
+        assertEquals(checks().seenCount(), 2);
     }
 
     /** An upstream that answers without end is avoided after a few requests. */
     @Test
     public void endlessUpstreamIsAvoided() {
-        FakeUpstream endless = checks.fixture().first();
+        FakeUpstream endless = checks().fixture().first();
         endless.script(
                 EndlessBytes.fast("1xx heads", "", "HTTP/1.1 100 Continue\r\n\r\n"),
                 new AtomicInteger(Integer.MAX_VALUE),
                 Mode.WHOLE);
-        TestCaller caller = checks.fixture().caller();
+        TestCaller caller = checks().fixture().caller();
         for (int i = 0; i < MANY_REQUESTS; i++) {
             assertEquals(caller.send("GET", "/read/x", "key-1").status(), 200);
         }
         assertTrue(
                 endless.seen().size() < MANY_REQUESTS / 4,
                 endless.seen().size() + " requests sent to the endless upstream");
-        checks.awaitClosed();
+        checks().awaitClosed();
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EndlessStreamTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessStreamTest.java
@@ -2,13 +2,9 @@
 
 import static org.testng.Assert.assertFalse;
 
-import java.io.IOException;
 import java.time.Duration;
 import org.papayawalk.daemon.managed.EndlessBytes;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -16,7 +12,7 @@
  * Upstreams send streams whose events never end. Checks that the stream goes on at another
  * upstream, or is cut off visibly if it cannot, and that the endless connection is closed.
  */
-public final class EndlessStreamTest {
+public final class EndlessStreamTest extends UpstreamFaultCase {
     private static final Duration TRICKLE_PAUSE = Duration.ofMillis(20);
 
     private static final String START =
@@ -28,34 +24,6 @@
     private static final EndlessBytes EVENT =
             EndlessBytes.fast("event", START + FIRST_EVENT, "6\r\ndata: \r\n");
 
-    private EndlessChecks checks;
-
-    /**
-     * Starts the fakes and the entry.
-     *
-     * @throws IOException if a port cannot be bound
-     */
-    @BeforeClass
-    public void start() throws IOException {
-        checks = new EndlessChecks();
-    }
-
-    /**
-     * Stops the fakes.
-     *
-     * @throws IOException if a server cannot be closed
-     */
-    @AfterClass
-    public void stop() throws IOException {
-        checks.close();
-    }
-
-    /** Waits until the entry uses both upstreams again. */
-    @BeforeMethod
-    public void reset() {
-        checks.reset();
-    }
-
     /**
      * Endless bytes in the place of events.
      *
@@ -81,30 +49,32 @@
      */
     @Test(dataProvider = "endlessEvents")
     public void streamResumesElsewhere(EndlessBytes bytes) {
-        checks.checkStream(bytes, EndlessChecks.FAST_MILLIS);
+        checks().checkStream(bytes, EndlessChecks.FAST_MILLIS);
     }
 
     /** A stream goes on at the other upstream before its deadline if the bytes trickle. */
     @Test
     public void streamResumesElsewhereAfterTrickle() {
-        checks.checkStream(
-                EVENT.trickled(TRICKLE_PAUSE), EndlessChecks.ADVICE_TIMEOUT_MILLIS - 100);
+        checks().checkStream(
+                        EVENT.trickled(TRICKLE_PAUSE), EndlessChecks.ADVICE_TIMEOUT_MILLIS - 100);
     }
 
     /** Events that the upstream sent before are no progress of its stream. */
     @Test
     public void repeatedEventsAreNoProgress() {
-        checks.checkStream(
-                EndlessBytes.fast("repeated events", START, FIRST_EVENT).trickled(TRICKLE_PAUSE),
-                EndlessChecks.ADVICE_TIMEOUT_MILLIS - 100);
+        checks().checkStream(
+                        EndlessBytes.fast("repeated events", START, FIRST_EVENT)
+                                .trickled(TRICKLE_PAUSE),
+                        EndlessChecks.ADVICE_TIMEOUT_MILLIS - 100);
     }
 
     /** A stream without another upstream is cut off visibly. */
     @Test
     public void endlessStreamDoesNotLookComplete() {
-        checks.setEndless(EVENT, 2, Mode.WHOLE);
-        TestCaller.Response response = checks.fixture().caller().send("POST", "/advice/x", "key-1");
+        checks().setEndless(EVENT, 2, Mode.WHOLE);
+        TestCaller.Response response =
+                checks().fixture().caller().send("POST", "/advice/x", "key-1");
         assertFalse(response.complete());
-        checks.awaitClosed();
+        checks().awaitClosed();
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EndlessTrickleTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessTrickleTest.java
@@ -3,14 +3,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 
-import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.papayawalk.daemon.managed.EndlessBytes;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -18,39 +14,11 @@
  * Upstreams send bytes that never become an answer in trickles, so that they are never silent.
  * Checks that an idempotent request is answered by another upstream before its deadline.
  */
-public final class EndlessTrickleTest {
+public final class EndlessTrickleTest extends UpstreamFaultCase {
     private static final Duration TRICKLE_PAUSE = Duration.ofMillis(20);
 
     private static final int OTHER_REQUESTS = 20;
 
-    private EndlessChecks checks;
-
-    /**
-     * Starts the fakes and the entry.
-     *
-     * @throws IOException if a port cannot be bound
-     */
-    @BeforeClass
-    public void start() throws IOException {
-        checks = new EndlessChecks();
-    }
-
-    /**
-     * Stops the fakes.
-     *
-     * @throws IOException if a server cannot be closed
-     */
-    @AfterClass
-    public void stop() throws IOException {
-        checks.close();
-    }
-
-    /** Waits until the entry uses both upstreams again. */
-    @BeforeMethod
-    public void reset() {
-        checks.reset();
-    }
-
     /**
      * Endless answers that are no event streams.
      *
@@ -76,45 +44,45 @@
      */
     @Test(dataProvider = "endlessAnswers")
     public void idempotentRequestIsAnsweredElsewhere(EndlessBytes bytes) {
-        checks.checkIdempotent(
-                bytes.trickled(TRICKLE_PAUSE), EndlessChecks.READ_TIMEOUT_MILLIS - 100);
+        checks().checkIdempotent(
+                        bytes.trickled(TRICKLE_PAUSE), EndlessChecks.READ_TIMEOUT_MILLIS - 100);
     }
 
     /** A slow body that is expected to end before the deadline is let alone. */
     @Test
     public void slowBodyIsDelivered() {
-        checks.fixture().first().mode(Mode.SLOW_BODY);
-        checks.fixture().second().mode(Mode.SLOW_BODY);
-        TestCaller caller = checks.fixture().caller();
+        checks().fixture().first().mode(Mode.SLOW_BODY);
+        checks().fixture().second().mode(Mode.SLOW_BODY);
+        TestCaller caller = checks().fixture().caller();
         assertEquals(caller.send("GET", "/read/x", "key-1").body(), "answer to " + caller.lastId());
-        assertEquals(checks.seenCount(), 1);
+        assertEquals(checks().seenCount(), 1);
     }
 
     /** A connection that gets bytes while it is idle is closed, whatever they are. */
     @Test
     public void idleConnectionIsClosedAtFirstByte() {
         EndlessBytes extra = EndlessBytes.fast("extra bytes", EndlessBytes.EMPTY, "\r\n");
-        checks.setEndless(extra.trickled(TRICKLE_PAUSE), 1, Mode.WHOLE);
-        TestCaller caller = checks.fixture().caller();
+        checks().setEndless(extra.trickled(TRICKLE_PAUSE), 1, Mode.WHOLE);
+        TestCaller caller = checks().fixture().caller();
         assertEquals(caller.send("GET", "/read/x", "key-1").status(), 200);
-        checks.awaitClosed();
+        checks().awaitClosed();
     }
 
     /** Other requests are answered while bytes trickle over the connection of one. */
     @Test
     public void othersAreServedMeanwhile() {
         EndlessBytes blank = EndlessBytes.fast("blank lines", "", "\r\n");
-        checks.setEndless(blank.trickled(TRICKLE_PAUSE), 1, Mode.WHOLE);
-        TestCaller waiting = checks.fixture().caller().another();
+        checks().setEndless(blank.trickled(TRICKLE_PAUSE), 1, Mode.WHOLE);
+        TestCaller waiting = checks().fixture().caller().another();
         CompletableFuture<TestCaller.Response> pay =
                 CompletableFuture.supplyAsync(() -> waiting.send("POST", "/pay/x", "key-1"));
-        ManagedEntryFixture.await(() -> checks.seenCount() == 1);
-        TestCaller caller = checks.fixture().caller();
+        ManagedEntryFixture.await(() -> checks().seenCount() == 1);
+        TestCaller caller = checks().fixture().caller();
         for (int i = 0; i < OTHER_REQUESTS; i++) {
             assertEquals(caller.send("GET", "/read/x", "key-1").status(), 200);
         }
         assertFalse(pay.isDone());
         assertEquals(pay.join().status(), 504);
-        checks.awaitClosed();
+        checks().awaitClosed();
     }
 }
