Leave a slot free for requests that can still be on time

A caller who was refused comes back, is late in any case, and was placed like any other as soon as an entry's own queue was empty, which it mostly is where many entries share the engines. So those who came back displaced those who could still be on time, and these came back late in their turn.

Change: late requests leave one slot in eight of an engine free and may wait for a whole target in place of a fifth of one. RequestTiming holds the times by which this is decided.

--- a/src/main/java/org/papayawalk/core/place/LeastLoaded.java
+++ b/src/main/java/org/papayawalk/core/place/LeastLoaded.java
@@ -77,12 +77,11 @@
 
     private boolean hasCapacity(PlacementCandidate candidate, Instant now) {
         int slots = candidate.upstream().slots();
-        long maxQueue = Math.max(1, Math.round(slots * policy.maxQueueShare()));
         long maxUnreported =
                 Math.max(
                         1, Math.round(slots * policy.maxUnreportedShare() / entryCount.getAsInt()));
         return candidate.load().unreported() < maxUnreported
-                && candidate.load().expectedInFlight(now) < slots + maxQueue;
+                && candidate.load().expectedInFlight(now) < policy.fullAt(slots);
     }
 
     // Returns the load for each slot; the lowest score is chosen.
--- a/src/main/java/org/papayawalk/core/place/LoadSheddingRule.java
+++ b/src/main/java/org/papayawalk/core/place/LoadSheddingRule.java
@@ -13,6 +13,8 @@
  * engines load what is staged beside them. Immutable.
  *
  * @param maxWaitShare longest wait for capacity, as a share of the target latency
+ * @param maxLateWaitShare the same for a request that is late already; it waits longer, because it
+ *     gets only what those that can be on time leave
  * @param minRetryAfter shortest time after which a refused caller may retry
  * @param retryJitter upper bound of the random delay that keeps callers from retrying together
  * @param recoveryTime expected time from the failure of all upstreams until the first one answers
@@ -21,6 +23,7 @@
  */
 public record LoadSheddingRule(
         double maxWaitShare,
+        double maxLateWaitShare,
         Duration minRetryAfter,
         Duration retryJitter,
         Duration recoveryTime,
@@ -29,6 +32,7 @@
     public static final LoadSheddingRule DEFAULT =
             new LoadSheddingRule(
                     0.2,
+                    1.0,
                     Duration.ofMillis(400),
                     Duration.ofMillis(900),
                     Duration.ofMillis(4000),
@@ -41,13 +45,15 @@
      * Returns how long a request may wait for capacity.
      *
      * @param target target latency, within which the answer has its full value
+     * @param late whether the target latency has passed since the caller's first attempt
      * @param outage time for which no upstream has been able to answer, empty if one can
      * @return longest wait, counted from the time at which the request was read
      */
-    public Duration maxWait(Duration target, Optional<Outage> outage) {
+    public Duration maxWait(Duration target, boolean late, Optional<Outage> outage) {
+        double share = late ? maxLateWaitShare : maxWaitShare;
         return outage.isPresent()
                 ? Duration.ZERO
-                : Duration.ofMillis((long) (target.toMillis() * maxWaitShare));
+                : Duration.ofMillis((long) (target.toMillis() * share));
     }
 
     /**
--- a/src/main/java/org/papayawalk/core/place/PlacementPolicy.java
+++ b/src/main/java/org/papayawalk/core/place/PlacementPolicy.java
@@ -14,6 +14,8 @@
  *     proportion
  * @param maxJitterSlots upper bound of the random tie-break between upstreams of equal load, in
  *     slots
+ * @param reservedShare share of the slots that is left free for other requests; if it is above 0,
+ *     nothing may queue
  */
 public record PlacementPolicy(
         double maxQueueShare,
@@ -21,15 +23,22 @@
         int sampleSize,
         double prefillCostSlots,
         double failurePenaltySlots,
-        double maxJitterSlots) {
+        double maxJitterSlots,
+        double reservedShare) {
     /** Policy for engines: a short queue, as a request that waits there cannot go elsewhere. */
-    public static final PlacementPolicy ENGINES = new PlacementPolicy(0.05, 0.5, 4, 3, 12, 0.6);
+    public static final PlacementPolicy ENGINES = new PlacementPolicy(0.05, 0.5, 4, 3, 12, 0.6, 0);
+
+    /**
+     * Policy for engines and requests that can no longer be on time: a slot in eight stays free for
+     * those that can, so that callers who return after a refusal do not displace them.
+     */
+    public static final PlacementPolicy ENGINES_LATE = ENGINES.withReserve(0.125);
 
     /**
      * Policy for plain services. Unreported requests are not bounded, because the responses, and
      * with them the load reports, arrive quickly.
      */
-    public static final PlacementPolicy PLAIN = new PlacementPolicy(2.0, 1000, 4, 3, 12, 0.6);
+    public static final PlacementPolicy PLAIN = new PlacementPolicy(2.0, 1000, 4, 3, 12, 0.6, 0);
 
     /**
      * Returns this policy with other bounds.
@@ -45,6 +54,37 @@
                 sampleSize,
                 prefillCostSlots,
                 failurePenaltySlots,
-                maxJitterSlots);
+                maxJitterSlots,
+                reservedShare);
+    }
+
+    /**
+     * Returns this policy with slots that are left free.
+     *
+     * @param share see {@link #reservedShare}
+     * @return copy
+     */
+    public PlacementPolicy withReserve(double share) {
+        return new PlacementPolicy(
+                maxQueueShare,
+                maxUnreportedShare,
+                sampleSize,
+                prefillCostSlots,
+                failurePenaltySlots,
+                maxJitterSlots,
+                share);
+    }
+
+    /**
+     * Returns the number of requests from all entries at which an upstream gets no further one.
+     *
+     * @param slots slots of the upstream
+     * @return at least 1
+     */
+    int fullAt(int slots) {
+        if (reservedShare > 0) {
+            return (int) Math.max(1, Math.round(slots * (1 - reservedShare)));
+        }
+        return slots + (int) Math.max(1, Math.round(slots * maxQueueShare));
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.papayawalk.core.desired.RouteRule;
 import org.papayawalk.core.place.LoadSheddingRule;
 import org.papayawalk.core.place.WaitQueue;
 
@@ -116,14 +115,16 @@
         }
         return LOAD_SHEDDING_RULE.retryAfter(
                 exchange.authorized().route().targetLatency(),
-                Duration.between(now, exchange.deadline()),
+                Duration.between(now, exchange.timing().deadline()),
                 outage(now),
                 random.nextDouble());
     }
 
     private static Instant waitEnd(Exchange exchange, Optional<LoadSheddingRule.Outage> outage) {
-        Duration target = exchange.authorized().route().targetLatency();
-        return exchange.receivedAt().plus(LOAD_SHEDDING_RULE.maxWait(target, outage));
+        Duration target = exchange.timing().target();
+        Instant receivedAt = exchange.timing().receivedAt();
+        boolean late = exchange.isLate(receivedAt);
+        return receivedAt.plus(LOAD_SHEDDING_RULE.maxWait(target, late, outage));
     }
 
     // True if no upstream takes requests before the wait of a request ends.
@@ -131,14 +132,9 @@
         return availableAt.isAfter(now) && !availableAt.isBefore(waitEnd);
     }
 
-    // A caller that retries after a refusal has less time left than its route allows. A request
-    // whose latency target has passed ranks behind those that can still meet theirs.
+    // A request whose latency target has passed ranks behind those that can still meet theirs.
     private static WaitQueue.Rank rank(Exchange exchange, Instant now) {
-        RouteRule route = exchange.authorized().route();
-        Duration timeLeft = Duration.between(now, exchange.deadline());
-        boolean late = timeLeft.compareTo(route.timeout().minus(route.targetLatency())) < 0;
-        return new WaitQueue.Rank(
-                exchange.authorized().priority(), late && !exchange.stream().started());
+        return new WaitQueue.Rank(exchange.authorized().priority(), exchange.isLate(now));
     }
 
     // Sends waiting requests while upstreams have capacity, and refuses those whose wait has ended
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -231,12 +231,13 @@
      * Returns the placement rule of a service.
      *
      * @param service service
+     * @param late whether the request can no longer be on time
      * @return rule for engines if the service runs engines, otherwise the rule for plain services
      */
-    PlacementRule placementRule(ServiceId service) {
+    PlacementRule placementRule(ServiceId service, boolean late) {
         boolean hasEngines =
                 upstreams.snapshot().desired().flatMap(d -> d.engine(service)).isPresent();
-        return hasEngines ? placementRules.engines() : placementRules.plain();
+        return hasEngines ? placementRules.engines(late) : placementRules.plain();
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.papayawalk.core.call.AttemptParameters;
@@ -16,9 +17,12 @@
 import org.papayawalk.core.desired.Denial;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.desired.RequestAuthorizer;
+import org.papayawalk.core.desired.RouteRule;
 import org.papayawalk.core.place.AttemptResult;
 import org.papayawalk.core.place.PlacementCandidate;
+import org.papayawalk.core.place.RequestTiming;
 import org.papayawalk.core.suspect.SuspectRegistry;
+import org.papayawalk.core.upstream.UpstreamRegistration;
 import org.papayawalk.platform.HeaderCodec;
 
 /**
@@ -27,15 +31,10 @@
  * Confined to the event loop thread.
  */
 final class Exchange {
-    /** Minimum time before the deadline for another attempt. */
-    private static final Duration MIN_TIME_LEFT = Duration.ofMillis(40);
-
     /** Retry delay for callers until the desired state and the upstreams are received. */
     private static final Duration NO_STATE_RETRY_AFTER = Duration.ofMillis(500);
 
-    /**
-     * Retry delay for callers of an entry that is stopping; short because they reach another entry.
-     */
+    /** Retry delay while the entry stops; short because callers reach another entry. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(50);
 
     /** Retry delay for callers of a poison request. */
@@ -61,8 +60,8 @@
 
     private String fingerprint = "";
 
-    /** When the response is due; Instant.MAX until the request is authorized. */
-    private Instant deadline = Instant.MAX;
+    /** Null until the request is authorized. */
+    private RequestTiming timing;
 
     /** Attempt in flight; null if there is none. */
     private UpstreamAttempt attempt;
@@ -126,7 +125,11 @@
                     POISON_RETRY_AFTER);
             return;
         }
-        deadline = request.receivedAt().plus(metadata.timeout(authorized.route().timeout()));
+        RouteRule route = authorized.route();
+        Instant deadline = request.receivedAt().plus(metadata.timeout(route.timeout()));
+        timing =
+                new RequestTiming(
+                        request.receivedAt(), deadline, route.timeout(), route.targetLatency());
         entry.retryBudget(authorized.service()).requestReceived(now);
         completion.requestAuthorized(authorized, deadline, now);
         entry.queue(authorized.service()).dispatch(this, now);
@@ -167,21 +170,12 @@
     }
 
     /**
-     * Returns when the request was received completely.
-     *
-     * @return time
-     */
-    Instant receivedAt() {
-        return request.receivedAt();
-    }
-
-    /**
-     * Returns when the response is due.
+     * Returns the times of the request.
      *
-     * @return time, {@link Instant#MAX} before the request is authorized
+     * @return times, null before the request is authorized
      */
-    Instant deadline() {
-        return deadline;
+    RequestTiming timing() {
+        return timing;
     }
 
     /**
@@ -205,30 +199,12 @@
     }
 
     /**
-     * Returns the id of the request.
-     *
-     * @return id given by the caller, empty if it gave none
-     */
-    String requestId() {
-        return metadata.requestId();
-    }
-
-    /**
-     * Returns the model that the request needs.
-     *
-     * @return name of the model, empty if it needs none
-     */
-    Optional<String> model() {
-        return metadata.model();
-    }
-
-    /**
-     * Returns the length of the prompt.
+     * Returns what the caller states of the request.
      *
-     * @return tokens, 0 if not stated
+     * @return metadata
      */
-    int promptTokens() {
-        return metadata.promptTokens();
+    RequestMetadata metadata() {
+        return metadata;
     }
 
     /**
@@ -266,13 +242,11 @@
      * @return true if an attempt was started
      */
     boolean trySend(Instant now) {
+        List<PlacementCandidate> candidates =
+                entry.upstreams().candidates(authorized.service(), metadata.model(), now);
         Optional<PlacementCandidate> candidate =
-                entry.placementRule(authorized.service())
-                        .choose(
-                                entry.upstreams()
-                                        .candidates(authorized.service(), metadata.model(), now),
-                                attempts.upstreams(),
-                                now);
+                entry.placementRule(authorized.service(), isLate(now))
+                        .choose(candidates, attempts.upstreams(), now);
         if (candidate.isEmpty()) {
             return false;
         }
@@ -282,6 +256,30 @@
         return true;
     }
 
+    /**
+     * Returns why the request may not be sent to an upstream, whatever its load.
+     *
+     * @param upstream upstream
+     * @param now present time
+     * @return reason for the log, empty if the request may be sent
+     */
+    Optional<String> obstacle(UpstreamRegistration upstream, Instant now) {
+        if (!entry.upstreams().takesRequests(upstream, metadata.model(), now)) {
+            return Optional.of("takes the request no longer");
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns whether the answer will miss the latency target in any case.
+     *
+     * @param now present time
+     * @return false also for a stream that has begun
+     */
+    boolean isLate(Instant now) {
+        return timing.isLate(now) && !stream.started();
+    }
+
     /**
      * Builds the request for an upstream.
      *
@@ -290,19 +288,18 @@
      * @return request, released when it is written
      */
     FullHttpRequest upstreamRequest(PlacementCandidate candidate, Instant now) {
-        return UpstreamRequests.build(
-                request,
+        UpstreamRegistration upstream = candidate.upstream();
+        Optional<String> model = metadata.model();
+        int priority = Math.min(LOWEST_UPSTREAM_PRIORITY, authorized.priority());
+        AttemptParameters parameters =
                 new AttemptParameters(
-                        candidate.upstream().id(),
-                        Math.max(1, Duration.between(now, deadline).toMillis()),
+                        upstream.id(),
+                        Math.max(1, Duration.between(now, timing.deadline()).toMillis()),
                         authorized.caller().map(Caller::team),
-                        entry.upstreams()
-                                .pinnedVersion(candidate.upstream(), metadata.model(), now),
-                        metadata.model().isPresent()
-                                ? OptionalInt.of(
-                                        Math.min(LOWEST_UPSTREAM_PRIORITY, authorized.priority()))
-                                : OptionalInt.empty(),
-                        stream.lastEventId()));
+                        entry.upstreams().pinnedVersion(upstream, model, now),
+                        model.isPresent() ? OptionalInt.of(priority) : OptionalInt.empty(),
+                        stream.lastEventId());
+        return UpstreamRequests.build(request, parameters);
     }
 
     /** Ends the request because its stream is complete. */
@@ -345,19 +342,18 @@
         completion.recordReason(reason);
         attempts.lastEnded(mayHaveRun, reached);
         boolean allowed = !mayHaveRun || authorized.route().retryable();
-        boolean inTime = now.plus(MIN_TIME_LEFT).isBefore(deadline);
+        boolean inTime = timing.leavesTime(Duration.ZERO, now);
+        DispatchQueue queue = entry.queue(authorized.service());
         if (!allowed || !inTime || !hasAttemptsLeft() || isPoison(now)) {
-            endUnanswered(reason, entry.queue(authorized.service()).retryAfter(this, now));
+            endUnanswered(reason, queue.retryAfter(this, now));
             return;
         }
         if (reached
                 && !entry.retryBudget(authorized.service()).tryAcquire(entry.entryCount(), now)) {
-            endUnanswered(
-                    reason + "; no budget for a repeat",
-                    entry.queue(authorized.service()).retryAfter(this, now));
+            endUnanswered(reason + "; no budget for a repeat", queue.retryAfter(this, now));
             return;
         }
-        entry.queue(authorized.service()).dispatch(this, now);
+        queue.dispatch(this, now);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
@@ -32,6 +32,8 @@
 
     private final PlacementRule engines;
 
+    private final PlacementRule lateEngines;
+
     private final PlacementRule plain;
 
     /**
@@ -49,33 +51,23 @@
             RandomGenerator random) {
         this.settings = settings;
         IntSupplier entryCount = () -> otherEntries.get().size() + 1;
-        PlacementRule leastLoadedEngine =
-                new LeastLoaded(
-                        PlacementPolicy.ENGINES,
-                        () -> Math.min(entryCount.getAsInt(), ENTRIES_PER_ENGINE),
-                        this::distancePenaltySlots,
-                        random);
-        PlacementRule sharedEngines =
-                new SharedEngines(
-                        leastLoadedEngine,
-                        ENTRIES_PER_ENGINE,
-                        new HostId(settings.ip()),
-                        otherEntries);
         PlacementRule leastLoaded =
                 new LeastLoaded(
                         PlacementPolicy.PLAIN, entryCount, this::distancePenaltySlots, random);
-        engines = new LimitedUpstreams(sharedEngines, limits);
+        engines = engineRule(PlacementPolicy.ENGINES, otherEntries, limits, random);
+        lateEngines = engineRule(PlacementPolicy.ENGINES_LATE, otherEntries, limits, random);
         plain = new LimitedUpstreams(leastLoaded, limits);
     }
 
     /**
      * Returns the rule for engines.
      *
+     * @param late whether the request can no longer be on time
      * @return rule with a short queue and a bound on unreported requests, among a share of the
-     *     engines if there are many entries
+     *     engines if there are many entries; for a late request with slots that are left free
      */
-    PlacementRule engines() {
-        return engines;
+    PlacementRule engines(boolean late) {
+        return late ? lateEngines : engines;
     }
 
     /**
@@ -87,6 +79,20 @@
         return plain;
     }
 
+    private PlacementRule engineRule(
+            PlacementPolicy policy,
+            Supplier<Set<HostId>> otherEntries,
+            UpstreamLimits limits,
+            RandomGenerator random) {
+        IntSupplier sharing = () -> Math.min(otherEntries.get().size() + 1, ENTRIES_PER_ENGINE);
+        PlacementRule leastLoaded =
+                new LeastLoaded(policy, sharing, this::distancePenaltySlots, random);
+        PlacementRule shared =
+                new SharedEngines(
+                        leastLoaded, ENTRIES_PER_ENGINE, new HostId(settings.ip()), otherEntries);
+        return new LimitedUpstreams(shared, limits);
+    }
+
     private double distancePenaltySlots(PlacementCandidate candidate) {
         if (candidate.upstream().domain().equals(settings.domain())) {
             return 0;
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -85,14 +85,12 @@
         this.entry = entry;
         this.exchange = exchange;
         this.candidate = candidate;
-        this.progress = new ResponseProgress(route(), exchange.deadline());
+        this.progress = new ResponseProgress(route(), exchange.timing().deadline());
     }
 
     /** Opens a connection and sends the request. */
     void start() {
-        pendingPrefill =
-                entry.relativePromptLength(
-                        exchange.authorized().service(), exchange.promptTokens());
+        pendingPrefill = entry.relativePromptLength(service(), exchange.metadata().promptTokens());
         candidate.load().sent(pendingPrefill);
         startedAt = entry.clock().instant();
         entry.limits().sent(candidate.upstream().process(), startedAt);
@@ -243,7 +241,7 @@
         if (receiver.isInsideEvent()) {
             entry.metrics().streamEndedInsideEvent(service(), end);
             Event.named("stream-ended-inside-event")
-                    .with("id", exchange.requestId())
+                    .with("id", exchange.metadata().requestId())
                     .with("upstream", candidate.upstream().id())
                     .with("end", end.label())
                     .with("partial_bytes", receiver.partialBytes())
@@ -278,14 +276,16 @@
         if (message != null) {
             message.answered(now);
         }
-        if (!entry.upstreams().takesRequests(candidate.upstream(), exchange.model(), now)) {
+        Optional<String> obstacle = exchange.obstacle(candidate.upstream(), now);
+        if (obstacle.isPresent()) {
             newConnection.abandon();
             finish(AttemptResult.CANCELLED);
-            reportNotSent("takes the request no longer");
+            reportNotSent(obstacle.get());
             return;
         }
         connection = newConnection;
-        newConnection.send(exchange.upstreamRequest(candidate, now), exchange.requestId(), this);
+        String id = exchange.metadata().requestId();
+        newConnection.send(exchange.upstreamRequest(candidate, now), id, this);
         if (!done && route().retryable()) {
             scheduleStallCheck(now);
         }
@@ -308,12 +308,12 @@
     // is looked at again and again: it becomes earlier while messages become slower, by at most 2 s
     // a second, and a new version may be requested meanwhile.
     private void withdrawWhenVersionExpires() {
-        if (done || head != null || exchange.model().isEmpty()) {
+        Optional<String> model = exchange.metadata().model();
+        if (done || head != null || model.isEmpty()) {
             return;
         }
         Instant now = entry.clock().instant();
-        Optional<Instant> at =
-                entry.upstreams().withdrawAt(candidate.upstream(), exchange.model(), now);
+        Optional<Instant> at = entry.upstreams().withdrawAt(candidate.upstream(), model, now);
         Duration left = at.map(t -> Duration.between(now, t)).orElse(MAX_EXPIRY_CHECK_PAUSE);
         if (left.isZero() || left.isNegative()) {
             withdraw("not begun before the version of its weights expired");
--- a/src/main/java/org/papayawalk/lab/load/EngineProfile.java
+++ b/src/main/java/org/papayawalk/lab/load/EngineProfile.java
@@ -35,4 +35,8 @@
     /** Profile of slower engines, whose steps also grow more with the context. */
     static final EngineProfile SLOW =
             new EngineProfile(16, 32, 9.27, 0.0232, 0.0322, 20.7, 1.18, 2048, 5, 12);
+
+    /** Profile of slower engines with few slots and a queue of twice as many. */
+    static final EngineProfile FEW_SLOTS =
+            new EngineProfile(8, 16, 10.1, 0.0328, 0.0102, 20.4, 0.971, 2048, 7, 18);
 }
--- a/src/main/java/org/papayawalk/lab/load/LoadCommand.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadCommand.java
@@ -55,6 +55,11 @@
             description = "Slower engines, with the classes of request that are sent to them")
     private boolean slowEngines;
 
+    @Parameter(
+            names = "--few-slots",
+            description = "Engines with 8 slots, with the classes of request that are sent to them")
+    private boolean fewSlots;
+
     @Parameter(names = "--policy", description = "Names of policies to compare, or all")
     private List<String> policies = new ArrayList<>(List.of("product"));
 
@@ -96,8 +101,8 @@
         return new LoadScenario(
                 entries,
                 engines,
-                slowEngines ? EngineProfile.SLOW : EngineProfile.PRODUCTION,
-                slowEngines ? RequestClass.LONGER_TARGETS : RequestClass.PRODUCTION,
+                engineProfile(),
+                requestClasses(),
                 requestsPerEngine * engines,
                 burstFactor,
                 duration,
@@ -106,6 +111,20 @@
                 entrySkew);
     }
 
+    private EngineProfile engineProfile() {
+        if (fewSlots) {
+            return EngineProfile.FEW_SLOTS;
+        }
+        return slowEngines ? EngineProfile.SLOW : EngineProfile.PRODUCTION;
+    }
+
+    private List<RequestClass> requestClasses() {
+        if (fewSlots) {
+            return RequestClass.SHORT_ANSWERS;
+        }
+        return slowEngines ? RequestClass.LONGER_TARGETS : RequestClass.PRODUCTION;
+    }
+
     private List<LoadPolicy> selectedPolicies() {
         if (policies.contains(ALL)) {
             return LoadPolicy.ALL;
--- a/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadPolicy.java
@@ -16,13 +16,15 @@
  * Placement and load shedding that are compared with other policies. Immutable.
  *
  * @param name name on the command line and in the report
- * @param placement creates the placement rule of each entry
+ * @param placement creates the placement rule of each entry for requests that can be on time
+ * @param latePlacement the same for requests that are late already
  * @param loadShedding rule for the wait of requests and the retries of refused callers
  * @param entriesPerEngine approximate number of entries that share an engine; 0 for all entries
  */
 record LoadPolicy(
         String name,
         PlacementFactory placement,
+        PlacementFactory latePlacement,
         LoadSheddingRule loadShedding,
         int entriesPerEngine) {
 
@@ -57,8 +59,13 @@
     /** All policies; the first is the one used in production. */
     static final List<LoadPolicy> ALL =
             List.of(
-                    of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
-                            .withRendezvous("product", ENTRIES_PER_ENGINE),
+                    reserving("product", PlacementPolicy.ENGINES_LATE.reservedShare()),
+                    of(
+                                    "no-reserve",
+                                    MAX_QUEUE_SHARE,
+                                    MAX_UNREPORTED_SHARE,
+                                    LoadSheddingVariants.equalWait())
+                            .withRendezvous("no-reserve", ENTRIES_PER_ENGINE),
                     of(
                             "undivided",
                             MAX_QUEUE_SHARE,
@@ -83,6 +90,8 @@
                     ablated("one-sampled", 1, PlacementPolicy.ENGINES.prefillCostSlots()),
                     ablated("all-compared", 1000, PlacementPolicy.ENGINES.prefillCostSlots()),
                     ablated("prefill-free", PlacementPolicy.ENGINES.sampleSize(), 0),
+                    reserving("reserve-quarter", 0.25),
+                    reserving("reserve-half", 0.5),
                     of("half-queue", 0.5, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT),
                     of("full-queue", 2, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT),
                     of("product", MAX_QUEUE_SHARE, MAX_UNREPORTED_SHARE, LoadSheddingRule.DEFAULT)
@@ -96,11 +105,13 @@
                     new LoadPolicy(
                             "two-choices",
                             (i, n, r) -> new TwoChoicesPlacement(r),
+                            (i, n, r) -> new TwoChoicesPlacement(r),
                             LoadSheddingRule.DEFAULT,
                             0),
                     new LoadPolicy(
                             "any",
                             (i, n, r) -> new RandomPlacement(r),
+                            (i, n, r) -> new RandomPlacement(r),
                             LoadSheddingRule.DEFAULT,
                             0));
 
@@ -119,7 +130,22 @@
     private static LoadPolicy of(
             String name, PlacementPolicy policy, LoadSheddingRule loadShedding) {
         PlacementFactory placement = (i, n, r) -> new LeastLoaded(policy, () -> n, c -> 0, r);
-        return new LoadPolicy(name, placement, loadShedding, 0);
+        return new LoadPolicy(name, placement, placement, loadShedding, 0);
+    }
+
+    // Returns a policy with the placement used in production for requests that can be on time, but
+    // with another reserve that late ones leave free.
+    private static LoadPolicy reserving(String name, double reservedShare) {
+        PlacementPolicy late = PlacementPolicy.ENGINES.withReserve(reservedShare);
+        PlacementFactory onTime =
+                (i, n, r) -> new LeastLoaded(PlacementPolicy.ENGINES, () -> n, c -> 0, r);
+        return new LoadPolicy(
+                        name,
+                        onTime,
+                        (i, n, r) -> new LeastLoaded(late, () -> n, c -> 0, r),
+                        LoadSheddingRule.DEFAULT,
+                        0)
+                .withRendezvous(name, ENTRIES_PER_ENGINE);
     }
 
     // Returns the policy used in production with one weight of the placement changed.
@@ -133,26 +159,36 @@
                         sampleSize,
                         prefillCostSlots,
                         product.failurePenaltySlots(),
-                        product.maxJitterSlots()),
+                        product.maxJitterSlots(),
+                        product.reservedShare()),
                 LoadSheddingRule.DEFAULT);
     }
 
     // Returns this policy with the engines divided among the entries.
     private LoadPolicy withSubsets(String newName, int newEntriesPerEngine) {
-        PlacementFactory placement =
+        PlacementFactory onTime =
                 (i, n, r) -> placement().create(i, Math.min(n, newEntriesPerEngine), r);
-        return new LoadPolicy(newName, placement, loadShedding, newEntriesPerEngine);
+        PlacementFactory late =
+                (i, n, r) -> latePlacement().create(i, Math.min(n, newEntriesPerEngine), r);
+        return new LoadPolicy(newName, onTime, late, loadShedding, newEntriesPerEngine);
     }
 
     // Returns this policy with a share of the engines for each entry, as in production.
     private LoadPolicy withRendezvous(String newName, int newEntriesPerEngine) {
-        PlacementFactory shared =
-                (i, n, r) -> {
-                    PlacementRule rule = placement().create(i, Math.min(n, newEntriesPerEngine), r);
-                    Set<HostId> others = others(i, n);
-                    return new SharedEngines(rule, newEntriesPerEngine, entry(i), () -> others);
-                };
-        return new LoadPolicy(newName, shared, loadShedding, 0);
+        return new LoadPolicy(
+                newName,
+                shared(placement, newEntriesPerEngine),
+                shared(latePlacement, newEntriesPerEngine),
+                loadShedding,
+                0);
+    }
+
+    private static PlacementFactory shared(PlacementFactory placement, int entriesPerEngine) {
+        return (i, n, r) -> {
+            PlacementRule rule = placement.create(i, Math.min(n, entriesPerEngine), r);
+            Set<HostId> others = others(i, n);
+            return new SharedEngines(rule, entriesPerEngine, entry(i), () -> others);
+        };
     }
 
     private static Set<HostId> others(int index, int entries) {
--- a/src/main/java/org/papayawalk/lab/load/LoadSheddingVariants.java
+++ b/src/main/java/org/papayawalk/lab/load/LoadSheddingVariants.java
@@ -32,6 +32,7 @@
      */
     static LoadSheddingRule lateRetry() {
         return new LoadSheddingRule(
+                MAX_WAIT_SHARE,
                 MAX_WAIT_SHARE,
                 MIN_RETRY_AFTER.multipliedBy(5),
                 RETRY_JITTER,
@@ -39,13 +40,25 @@
                 START_TIME);
     }
 
+    /**
+     * Returns a rule under which late requests wait no longer than others.
+     *
+     * @return rule
+     */
+    static LoadSheddingRule equalWait() {
+        double share = LoadSheddingRule.DEFAULT.maxWaitShare();
+        return new LoadSheddingRule(
+                share, share, MIN_RETRY_AFTER, RETRY_JITTER, RECOVERY_TIME, START_TIME);
+    }
+
     /**
      * Returns a rule with hardly any wait: requests without capacity are refused almost at once.
      *
      * @return rule
      */
     static LoadSheddingRule noWait() {
-        return new LoadSheddingRule(0.02, MIN_RETRY_AFTER, RETRY_JITTER, RECOVERY_TIME, START_TIME);
+        return new LoadSheddingRule(
+                0.02, 0.02, MIN_RETRY_AFTER, RETRY_JITTER, RECOVERY_TIME, START_TIME);
     }
 
     /**
@@ -55,6 +68,11 @@
      */
     static LoadSheddingRule longWait() {
         return new LoadSheddingRule(
-                2 * MAX_WAIT_SHARE, MIN_RETRY_AFTER, RETRY_JITTER, RECOVERY_TIME, START_TIME);
+                2 * MAX_WAIT_SHARE,
+                2 * MAX_WAIT_SHARE,
+                MIN_RETRY_AFTER,
+                RETRY_JITTER,
+                RECOVERY_TIME,
+                START_TIME);
     }
 }
--- a/src/main/java/org/papayawalk/lab/load/RequestClass.java
+++ b/src/main/java/org/papayawalk/lab/load/RequestClass.java
@@ -94,6 +94,40 @@
                             new LognormalDistribution(607, 0.96, 2640),
                             new LognormalDistribution(14, 0.9, 50)));
 
+    /** Classes of the requests that are sent to {@link EngineProfile#FEW_SLOTS}. */
+    static final List<RequestClass> SHORT_ANSWERS =
+            List.of(
+                    new RequestClass(
+                            "long",
+                            476,
+                            Duration.ofMillis(600),
+                            Duration.ofSeconds(6),
+                            2.3,
+                            0.57,
+                            1,
+                            new LognormalDistribution(1290, 1.0, 3880),
+                            new LognormalDistribution(14.2, 0.89, 35.5)),
+                    new RequestClass(
+                            "middle",
+                            329,
+                            Duration.ofMillis(500),
+                            Duration.ofSeconds(6),
+                            2.0,
+                            0.51,
+                            1,
+                            new LognormalDistribution(787, 1.0, 3330),
+                            new LognormalDistribution(14.2, 0.69, 35.5)),
+                    new RequestClass(
+                            "short",
+                            306,
+                            Duration.ofMillis(500),
+                            Duration.ofSeconds(6),
+                            1.5,
+                            0.38,
+                            1,
+                            new LognormalDistribution(607, 0.96, 2640),
+                            new LognormalDistribution(9.92, 0.9, 35.5)));
+
     /** Share of the worth that does not depend on the size. */
     private static final double FIXED_WORTH_SHARE = 0.3;
 
--- a/src/main/java/org/papayawalk/lab/load/SimulatedEntry.java
+++ b/src/main/java/org/papayawalk/lab/load/SimulatedEntry.java
@@ -50,6 +50,9 @@
 
     private final PlacementRule placement;
 
+    /** Places requests that are late already. */
+    private final PlacementRule latePlacement;
+
     private final LoadSheddingRule loadShedding;
 
     private final RandomGenerator random;
@@ -95,6 +98,7 @@
         this.scheduler = scheduler;
         this.engines = engines;
         this.placement = policy.placement().create(entryIndex, entries, random);
+        this.latePlacement = policy.latePlacement().create(entryIndex, entries, random);
         this.loadShedding = policy.loadShedding();
         this.random = random;
         this.refusalHandler = refusalHandler;
@@ -125,7 +129,7 @@
         Instant expiresAt =
                 readAt.plus(
                         loadShedding.maxWait(
-                                request.requestClass().targetLatency(), Optional.empty()));
+                                request.requestClass().targetLatency(), late, Optional.empty()));
         if (queue.offer(request, rank, expiresAt, now)) {
             scheduleDispatch();
         } else {
@@ -166,7 +170,7 @@
     private boolean send(SimulatedRequest request) {
         Instant now = scheduler.now();
         Optional<PlacementCandidate> candidate =
-                placement.choose(subset, request.triedEngines(), now);
+                rule(request, now).choose(subset, request.triedEngines(), now);
         if (candidate.isEmpty()) {
             return false;
         }
@@ -179,6 +183,10 @@
         return true;
     }
 
+    private PlacementRule rule(SimulatedRequest request, Instant now) {
+        return request.isLate(now) ? latePlacement : placement;
+    }
+
     // Submits a request to an engine. The prompt length is in prompts of mean length.
     private void arrive(
             SimulatedRequest request,
--- a/src/test/java/org/papayawalk/core/place/LoadSheddingRuleTest.java
+++ b/src/test/java/org/papayawalk/core/place/LoadSheddingRuleTest.java
@@ -21,8 +21,8 @@
     /** A request is refused at once while no upstream can answer. */
     @Test
     public void requestDoesNotWaitWhileNoUpstreamCanAnswer() {
-        assertEquals(RULE.maxWait(TARGET, outage(0)), Duration.ZERO);
-        assertTrue(RULE.maxWait(TARGET, Optional.empty()).compareTo(TARGET) < 0);
+        assertEquals(RULE.maxWait(TARGET, false, outage(0)), Duration.ZERO);
+        assertTrue(RULE.maxWait(TARGET, false, Optional.empty()).compareTo(TARGET) < 0);
     }
 
     /** Callers retry once the first upstream is expected to answer, also late in an outage. */
--- a/src/test/java/org/papayawalk/lab/load/LoadSimulationTest.java
+++ b/src/test/java/org/papayawalk/lab/load/LoadSimulationTest.java
@@ -18,6 +18,12 @@
     /** Share of the upper bound that must be reached while the demand is within the capacity. */
     private static final double MIN_BOUND_SHARE = 0.9;
 
+    /** The same of engines with 8 slots. */
+    private static final double FEW_SLOTS_CAPACITY_PER_SECOND = 6.5;
+
+    /** Share of the callers that may go without an answer besides, see docs/design/load.md. */
+    private static final double MAX_FEWER = 0.02;
+
     /** Share of the worth with few entries that must be reached with many. */
     private static final double MIN_SHARE_OF_FEW = 0.9;
 
@@ -85,6 +91,40 @@
         assertTrue(many.worth() > undivided.worth(), many + " against " + undivided);
     }
 
+    /**
+     * Callers who return after a refusal are late in any case. They get what is left by those who
+     * can be on time: more answers are in time, and hardly fewer callers are answered.
+     *
+     * @param load demand outside the burst, as a share of the capacity
+     */
+    @Test(dataProvider = "heavyLoads")
+    public void returningCallersDoNotDisplaceThoseInTime(double load) {
+        SimulationReport product = runFewSlots(policy("product"), load);
+        SimulationReport equal = runFewSlots(policy("no-reserve"), load);
+        assertTrue(product.inTime() > equal.inTime(), product + " against " + equal);
+        assertTrue(
+                product.inTime() + product.late() >= equal.inTime() + equal.late() - MAX_FEWER,
+                product + " against " + equal);
+    }
+
+    // Runs a simulation with about twice as many engines as entries, of 8 slots each.
+    private static SimulationReport runFewSlots(LoadPolicy policy, double load) {
+        int engines = 48;
+        LoadScenario scenario =
+                new LoadScenario(
+                        24,
+                        engines,
+                        EngineProfile.FEW_SLOTS,
+                        RequestClass.SHORT_ANSWERS,
+                        load * FEW_SLOTS_CAPACITY_PER_SECOND * engines,
+                        1.5,
+                        Duration.ofSeconds(9),
+                        List.of(),
+                        0.15,
+                        1);
+        return new LoadSimulation(scenario, policy, SEED).run();
+    }
+
     private static SimulationReport run(LoadPolicy policy, double load, double burstFactor) {
         return run(policy, 7, load, burstFactor);
     }
