Send no repeat that would arrive after its caller's deadline

Two records show the same way: a first upstream over a jammed link between regions does not answer, the repeat goes to another region and arrives 2.2 to 2.4 s after the caller's deadline.

Cause: the time left for a repeat was compared with 40 ms, whatever its way takes. The delay that the entry measures for withdrawals was not asked. What was sent cannot be recalled: the cancellation takes the same way.

Change: a repeat counts its measured way, when it is placed and again when its connection is open. If no upstream is near enough, the request ends at once. A first attempt may still be sent, as the measured delays may be out of date and nothing would renew them.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -244,6 +244,7 @@
     boolean trySend(Instant now) {
         List<PlacementCandidate> candidates =
                 entry.upstreams().candidates(authorized.service(), metadata.model(), now);
+        candidates.removeIf(c -> repeatArrivesLate(c.upstream(), now));
         Optional<PlacementCandidate> candidate =
                 entry.placementRule(authorized.service(), isLate(now))
                         .choose(candidates, attempts.upstreams(), now);
@@ -257,7 +258,8 @@
     }
 
     /**
-     * Returns why the request may not be sent to an upstream, whatever its load.
+     * Returns why the request may not be sent to an upstream, whatever its load. A first attempt
+     * may arrive late, as the measured delays may be out of date; a repeat may not.
      *
      * @param upstream upstream
      * @param now present time
@@ -267,7 +269,9 @@
         if (!entry.upstreams().takesRequests(upstream, metadata.model(), now)) {
             return Optional.of("takes the request no longer");
         }
-        return Optional.empty();
+        return repeatArrivesLate(upstream, now)
+                ? Optional.of("would arrive too late")
+                : Optional.empty();
     }
 
     /**
@@ -375,6 +379,12 @@
         }
     }
 
+    private boolean repeatArrivesLate(UpstreamRegistration upstream, Instant now) {
+        boolean repeat = attempts.reachedCount() > (attempt == null ? 0 : 1);
+        return repeat
+                && !timing.leavesTime(entry.upstreams().delays().estimate(upstream, now), now);
+    }
+
     // True if the request has crashed too many upstreams to be sent to another one.
     private boolean isPoison(Instant now) {
         return entry.suspects().verdict(fingerprint, now) == SuspectRegistry.Verdict.REFUSED;
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import org.papayawalk.daemon.managed.FakeStore;
@@ -186,6 +187,18 @@
         return TestCaller.get(readyPort, "/readiness").status() == 200;
     }
 
+    /**
+     * Returns whether the first entry knows an upstream that takes requests.
+     *
+     * @param id id of the upstream
+     * @return false if it is unknown or leaves
+     */
+    boolean knowsUsable(String id) {
+        return firstNode.state().snapshot().upstreams().orElseThrow().values().stream()
+                .flatMap(List::stream)
+                .anyMatch(u -> u.id().value().equals(id) && !u.draining());
+    }
+
     /**
      * Formats a desired state.
      *
