Log how long a caller stated to wait

Whether they had stated 2.4 s decides whether an entry can know that a repeat comes too late; no field told.

Change: stated_ms in the line of each request. No decision changes. Checked by reading a line of ManagedEntryRoleTest; the classes ManagedEntryRoleTest and RequestTimingTest pass.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -281,6 +281,7 @@
                                         .map(t -> elapsedMillis(request, t))
                                         .orElse(-1L))
                         .with("total_ms", elapsedMillis(request, request.completedAt()))
+                        .with("stated_ms", request.statedMillis().orElse(-1L))
                         .with(
                                 "desired",
                                 upstreams.snapshot().desired().map(d -> d.version()).orElse(0L));
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
@@ -218,6 +218,7 @@
                         status,
                         reason,
                         request.receivedAt(),
+                        metadata.timeoutMillis(),
                         stream.firstEventAt().or(() -> Optional.ofNullable(responseReceivedAt)),
                         entry.clock().instant()));
     }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/RequestRecord.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/RequestRecord.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.papayawalk.core.desired.AuthorizedRequest;
 import org.papayawalk.core.id.UpstreamId;
@@ -16,6 +17,7 @@
  * @param status status sent to the caller, 499 if it disconnected
  * @param reason why the first upstream did not answer the request, empty if it did
  * @param receivedAt when the request was received completely
+ * @param statedMillis time that the caller stated to wait, in milliseconds; empty if it stated none
  * @param firstPartAt when the first part of the response was received, empty if none was
  * @param completedAt when the request ended
  */
@@ -27,6 +29,7 @@
         int status,
         String reason,
         Instant receivedAt,
+        OptionalLong statedMillis,
         Optional<Instant> firstPartAt,
         Instant completedAt) {
 
