Give up a silent attempt only if the request can go elsewhere at once

Operators of similar systems told of the same: a machine that was only slow to report had its running work given up.

Cause: a request without data for two targets, or 1.1 s for a stream, was failed whenever the route allowed another attempt. Whether the retry budget and the other upstreams allowed one was asked only afterwards. Under heavy load they mostly did not, and the work of the first upstream was thrown away.

Ruled out: the upstream's queue alone (the entry ended the attempt); the caller's deadline (seconds were left).

Change: an attempt is given up only if a repeat can be sent at once; else this is looked at again every 100 ms. The choice of upstreams of a request has a class of its own, UpstreamChoice, which took its part of Exchange.

--- a/src/main/java/org/papayawalk/core/place/WindowedRetryBudget.java
+++ b/src/main/java/org/papayawalk/core/place/WindowedRetryBudget.java
@@ -55,15 +55,26 @@
      * @return true if the retry may be made; it is then counted
      */
     public boolean tryAcquire(int entryCount, Instant now) {
+        boolean allowed = allows(entryCount, now);
+        if (allowed) {
+            retries.addLast(now);
+        }
+        return allowed;
+    }
+
+    /**
+     * Returns whether the budget allows one more retry, without taking it.
+     *
+     * @param entryCount number of entries that share the allowance; less than 1 counts as 1
+     * @param now present time
+     * @return true if the retry may be made
+     */
+    public boolean allows(int entryCount, Instant now) {
         trim(requests, now);
         trim(retries, now);
         double allowed =
                 SAFETY_FACTOR * (ratio * requests.size() + slack / Math.max(1, entryCount));
-        if (retries.size() + 1 > allowed) {
-            return false;
-        }
-        retries.addLast(now);
-        return true;
+        return retries.size() + 1 <= allowed;
     }
 
     // Removes the times before the window; the deque is in order of time.
--- a/src/main/java/org/papayawalk/daemon/managed/entry/AttemptHistory.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/AttemptHistory.java
@@ -58,6 +58,15 @@
         return reachedCount;
     }
 
+    /**
+     * Returns the number of attempts that have ended and reached their upstream, or may have.
+     *
+     * @return 0 or more
+     */
+    int endedCount() {
+        return inFlight ? reachedCount - 1 : reachedCount;
+    }
+
     /**
      * Returns whether an attempt that has ended may have run the request.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
@@ -68,10 +68,10 @@
      * @param now present time
      */
     void dispatch(Exchange exchange, Instant now) {
-        WaitQueue.Rank rank = rank(exchange, now);
-        if (queue.precedesAll(rank) && trySend(exchange, now)) {
+        if (precedesAll(exchange, now) && trySend(exchange, now)) {
             return;
         }
+        WaitQueue.Rank rank = rank(exchange, now);
         Instant waitEnd = waitEnd(exchange, Optional.empty());
         recordAvailability(
                 exchange.availableAt(now).filter(t -> !isHopeless(t, waitEnd, now)).isPresent(),
@@ -87,6 +87,17 @@
         scheduleNextScan();
     }
 
+    /**
+     * Returns whether a request would be sent before all waiting ones.
+     *
+     * @param exchange request
+     * @param now present time
+     * @return true if no waiting request has a higher rank
+     */
+    boolean precedesAll(Exchange exchange, Instant now) {
+        return queue.precedesAll(rank(exchange, now));
+    }
+
     /** Schedules an immediate scan of the queue because an upstream may have capacity. */
     void capacityAvailable() {
         if (!queue.isEmpty() && !immediateScanScheduled) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -7,7 +7,6 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.papayawalk.core.call.AttemptParameters;
@@ -63,6 +62,9 @@
     /** Null until the request is authorized. */
     private RequestTiming timing;
 
+    /** Null until the request is authorized. */
+    private UpstreamChoice choice;
+
     /** Attempt in flight; null if there is none. */
     private UpstreamAttempt attempt;
 
@@ -130,6 +132,7 @@
         timing =
                 new RequestTiming(
                         request.receivedAt(), deadline, route.timeout(), route.targetLatency());
+        choice = new UpstreamChoice(entry, authorized, metadata, timing, attempts);
         entry.retryBudget(authorized.service()).requestReceived(now);
         completion.requestAuthorized(authorized, deadline, now);
         entry.queue(authorized.service()).dispatch(this, now);
@@ -226,15 +229,6 @@
         return stream;
     }
 
-    /**
-     * Returns whether the route allows another attempt.
-     *
-     * @return true if fewer upstreams than the maximum of the route have received the request
-     */
-    boolean hasAttemptsLeft() {
-        return attempts.reachedCount() < authorized.route().maxAttempts();
-    }
-
     /**
      * Starts an attempt if an upstream has capacity.
      *
@@ -242,12 +236,7 @@
      * @return true if an attempt was started
      */
     boolean trySend(Instant now) {
-        List<PlacementCandidate> candidates =
-                entry.upstreams().candidates(authorized.service(), metadata.model(), now);
-        candidates.removeIf(c -> repeatArrivesLate(c.upstream(), now));
-        Optional<PlacementCandidate> candidate =
-                entry.placementRule(authorized.service(), isLate(now))
-                        .choose(candidates, attempts.upstreams(), now);
+        Optional<PlacementCandidate> candidate = choice.next(isLate(now), now);
         if (candidate.isEmpty()) {
             return false;
         }
@@ -258,20 +247,25 @@
     }
 
     /**
-     * Returns why the request may not be sent to an upstream, whatever its load. A first attempt
-     * may arrive late, as the measured delays may be out of date; a repeat may not.
+     * Returns the choice of upstreams for this request.
+     *
+     * @return choice, null before the request is authorized
+     */
+    UpstreamChoice choice() {
+        return choice;
+    }
+
+    /**
+     * Returns whether the attempt in flight may be given up, because the request could be sent to
+     * another upstream at once.
      *
-     * @param upstream upstream
      * @param now present time
-     * @return reason for the log, empty if the request may be sent
+     * @return false if another attempt is not allowed or would have to wait
      */
-    Optional<String> obstacle(UpstreamRegistration upstream, Instant now) {
-        if (!entry.upstreams().takesRequests(upstream, metadata.model(), now)) {
-            return Optional.of("takes the request no longer");
-        }
-        return repeatArrivesLate(upstream, now)
-                ? Optional.of("would arrive too late")
-                : Optional.empty();
+    boolean canRepeat(Instant now) {
+        return !isPoison(now)
+                && choice.canRepeat(isLate(now), now)
+                && entry.queue(authorized.service()).precedesAll(this, now);
     }
 
     /**
@@ -348,7 +342,7 @@
         boolean allowed = !mayHaveRun || authorized.route().retryable();
         boolean inTime = timing.leavesTime(Duration.ZERO, now);
         DispatchQueue queue = entry.queue(authorized.service());
-        if (!allowed || !inTime || !hasAttemptsLeft() || isPoison(now)) {
+        if (!allowed || !inTime || !choice.hasAttemptsLeft() || isPoison(now)) {
             endUnanswered(reason, queue.retryAfter(this, now));
             return;
         }
@@ -379,12 +373,6 @@
         }
     }
 
-    private boolean repeatArrivesLate(UpstreamRegistration upstream, Instant now) {
-        boolean repeat = attempts.reachedCount() > (attempt == null ? 0 : 1);
-        return repeat
-                && !timing.leavesTime(entry.upstreams().delays().estimate(upstream, now), now);
-    }
-
     // True if the request has crashed too many upstreams to be sent to another one.
     private boolean isPoison(Instant now) {
         return entry.suspects().verdict(fingerprint, now) == SuspectRegistry.Verdict.REFUSED;
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ResponseProgress.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ResponseProgress.java
@@ -136,17 +136,18 @@
     }
 
     /**
-     * Returns when to check again a response that has not stalled.
+     * Returns how long to wait until the next check of a response that has not stalled.
      *
      * @param now present time
-     * @return time
+     * @return time from now
      */
-    Instant nextCheck(Instant now) {
+    Duration untilNextCheck(Instant now) {
         Instant next = lastDataAt.plus(stallTimeout);
         if (stream != null && stream.stuckAt().isBefore(next)) {
             next = stream.stuckAt();
         }
-        return lastRepeatAt.isAfter(now) && lastRepeatAt.isBefore(next) ? lastRepeatAt : next;
+        boolean repeatEndsBefore = lastRepeatAt.isAfter(now) && lastRepeatAt.isBefore(next);
+        return Duration.between(now, repeatEndsBefore ? lastRepeatAt : next);
     }
 
     // False for streams, and for a body that has come for less than the stall timeout.
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -30,6 +30,8 @@
 
     private static final Duration MAX_EXPIRY_CHECK_PAUSE = Duration.ofMillis(500);
 
+    private static final Duration REPEAT_CHECK_INTERVAL = Duration.ofMillis(100);
+
     /** Status of an upstream that is not the one addressed. */
     private static final int MISDIRECTED_REQUEST = 421;
 
@@ -276,7 +278,7 @@
         if (message != null) {
             message.answered(now);
         }
-        Optional<String> obstacle = exchange.obstacle(candidate.upstream(), now);
+        Optional<String> obstacle = exchange.choice().obstacle(candidate.upstream(), now);
         if (obstacle.isPresent()) {
             newConnection.abandon();
             finish(AttemptResult.CANCELLED);
@@ -287,7 +289,7 @@
         String id = exchange.metadata().requestId();
         newConnection.send(exchange.upstreamRequest(candidate, now), id, this);
         if (!done && route().retryable()) {
-            scheduleStallCheck(now);
+            schedule(this::checkStall, progress.untilNextCheck(now));
         }
         withdrawWhenVersionExpires();
     }
@@ -320,11 +322,8 @@
             return;
         }
         long pause = Math.min(left.toMillis() / 3, MAX_EXPIRY_CHECK_PAUSE.toMillis());
-        entry.loop()
-                .schedule(
-                        this::withdrawWhenVersionExpires,
-                        Math.max(pause, MIN_EXPIRY_CHECK_PAUSE.toMillis()),
-                        TimeUnit.MILLISECONDS);
+        long delayMillis = Math.max(pause, MIN_EXPIRY_CHECK_PAUSE.toMillis());
+        schedule(this::withdrawWhenVersionExpires, Duration.ofMillis(delayMillis));
     }
 
     // Ends the attempt without a failure of its upstream. The request may be about to begin there.
@@ -378,13 +377,12 @@
         onFailure(reason, true);
     }
 
-    // Fails the attempt if its response stalls and an attempt is left.
-    private void scheduleStallCheck(Instant now) {
-        Duration left = Duration.between(now, progress.nextCheck(now));
-        entry.loop()
-                .schedule(this::checkStall, Math.max(1, left.toMillis()), TimeUnit.MILLISECONDS);
+    private void schedule(Runnable check, Duration delay) {
+        entry.loop().schedule(check, Math.max(1, delay.toMillis()), TimeUnit.MILLISECONDS);
     }
 
+    // Fails the attempt if its response stalls and the request can be sent elsewhere at once. Else
+    // the upstream, which may be at work, is the only one that can still answer.
     private void checkStall() {
         if (done) {
             return;
@@ -392,9 +390,11 @@
         Instant now = entry.clock().instant();
         Optional<String> reason = progress.stallReason(now);
         if (reason.isEmpty()) {
-            scheduleStallCheck(now);
-        } else if (exchange.hasAttemptsLeft()) {
+            schedule(this::checkStall, progress.untilNextCheck(now));
+        } else if (exchange.canRepeat(now)) {
             fail(reason.get());
+        } else if (exchange.choice().hasAttemptsLeft()) {
+            schedule(this::checkStall, REPEAT_CHECK_INTERVAL);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamChoice.java
@@ -0,0 +1,120 @@
+package org.papayawalk.daemon.managed.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.papayawalk.core.call.RequestMetadata;
+import org.papayawalk.core.desired.AuthorizedRequest;
+import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.place.PlacementCandidate;
+import org.papayawalk.core.place.RequestTiming;
+import org.papayawalk.core.upstream.UpstreamRegistration;
+
+/**
+ * Chooses the upstreams for the attempts of one request. A first attempt may go to any upstream
+ * that takes it, as the measured delays may be out of date; a repeat only to one that it reaches
+ * before the deadline. Confined to the event loop thread.
+ */
+final class UpstreamChoice {
+    private final EntryContext entry;
+
+    private final AuthorizedRequest authorized;
+
+    private final RequestMetadata metadata;
+
+    private final RequestTiming timing;
+
+    private final AttemptHistory attempts;
+
+    /**
+     * Creates the choice for a request.
+     *
+     * @param entry shared state of the entry
+     * @param authorized request as authorized under the desired state
+     * @param metadata what the caller states of the request
+     * @param timing times of the request
+     * @param attempts attempts of the request so far, updated by its exchange
+     */
+    UpstreamChoice(
+            EntryContext entry,
+            AuthorizedRequest authorized,
+            RequestMetadata metadata,
+            RequestTiming timing,
+            AttemptHistory attempts) {
+        this.entry = entry;
+        this.authorized = authorized;
+        this.metadata = metadata;
+        this.timing = timing;
+        this.attempts = attempts;
+    }
+
+    /**
+     * Chooses an upstream that has capacity for the next attempt.
+     *
+     * @param late whether the answer will miss the latency target in any case
+     * @param now present time
+     * @return upstream, empty if none has capacity
+     */
+    Optional<PlacementCandidate> next(boolean late, Instant now) {
+        return choose(attempts.endedCount() > 0, late, now);
+    }
+
+    /**
+     * Returns why the attempt in flight may not be sent to its upstream, whatever the load.
+     *
+     * @param upstream upstream
+     * @param now present time
+     * @return reason for the log, empty if the request may be sent
+     */
+    Optional<String> obstacle(UpstreamRegistration upstream, Instant now) {
+        if (!entry.upstreams().takesRequests(upstream, metadata.model(), now)) {
+            return Optional.of("takes the request no longer");
+        }
+        return attempts.endedCount() > 0 && arrivesLate(upstream, now)
+                ? Optional.of("would arrive too late")
+                : Optional.empty();
+    }
+
+    /**
+     * Returns whether the route allows another attempt.
+     *
+     * @return true if fewer upstreams than the maximum of the route have received the request
+     */
+    boolean hasAttemptsLeft() {
+        return attempts.reachedCount() < authorized.route().maxAttempts();
+    }
+
+    /**
+     * Returns whether the request could be sent to another upstream at once, so that its attempt in
+     * flight may be given up.
+     *
+     * @param late whether the answer will miss the latency target in any case
+     * @param now present time
+     * @return false if the attempts, the time or the retry budget are used up, or if no other
+     *     upstream has capacity
+     */
+    boolean canRepeat(boolean late, Instant now) {
+        return hasAttemptsLeft()
+                && timing.leavesTime(Duration.ZERO, now)
+                && entry.retryBudget(service()).allows(entry.entryCount(), now)
+                && choose(true, late, now).isPresent();
+    }
+
+    private Optional<PlacementCandidate> choose(boolean repeat, boolean late, Instant now) {
+        List<PlacementCandidate> candidates =
+                entry.upstreams().candidates(service(), metadata.model(), now);
+        if (repeat) {
+            candidates.removeIf(c -> arrivesLate(c.upstream(), now));
+        }
+        return entry.placementRule(service(), late).choose(candidates, attempts.upstreams(), now);
+    }
+
+    private boolean arrivesLate(UpstreamRegistration upstream, Instant now) {
+        return !timing.leavesTime(entry.upstreams().delays().estimate(upstream, now), now);
+    }
+
+    private ServiceId service() {
+        return authorized.service();
+    }
+}
