Limit callers who return, not repeats of the entry, to what others leave

Found by reading the diff: a request whose upstream crashed after its target latency counted as late, so its repeat would have left a slot free, and ended as 502 where it was sent before. The limit is for callers who come back after a refusal. It now follows from the time of receipt.

--- a/src/main/java/org/papayawalk/core/place/RequestTiming.java
+++ b/src/main/java/org/papayawalk/core/place/RequestTiming.java
@@ -27,6 +27,16 @@
         return Duration.between(now, deadline).compareTo(timeout.minus(target)) < 0;
     }
 
+    /**
+     * Returns whether the answer was late already when the request was received. A repeat within
+     * the entry is not meant: its caller has not been refused.
+     *
+     * @return true for a caller who returns after a refusal
+     */
+    public boolean cameLate() {
+        return isLate(receivedAt);
+    }
+
     /**
      * Returns whether a repeat leaves time for an answer. It has to arrive before the caller stops
      * waiting: otherwise the upstream would work for nobody, and the cancellation, which takes the
--- a/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
@@ -133,9 +133,8 @@
 
     private static Instant waitEnd(Exchange exchange, Optional<LoadSheddingRule.Outage> outage) {
         Duration target = exchange.timing().target();
-        Instant receivedAt = exchange.timing().receivedAt();
-        boolean late = exchange.isLate(receivedAt);
-        return receivedAt.plus(LOAD_SHEDDING_RULE.maxWait(target, late, outage));
+        Duration wait = LOAD_SHEDDING_RULE.maxWait(target, exchange.timing().cameLate(), outage);
+        return exchange.timing().receivedAt().plus(wait);
     }
 
     // True if no upstream takes requests before the wait of a request ends.
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -231,7 +231,7 @@
      * Returns the placement rule of a service.
      *
      * @param service service
-     * @param late whether the request can no longer be on time
+     * @param late whether the request was late already when it was received
      * @return rule for engines if the service runs engines, otherwise the rule for plain services
      */
     PlacementRule placementRule(ServiceId service, boolean late) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -236,7 +236,7 @@
      * @return true if an attempt was started
      */
     boolean trySend(Instant now) {
-        Optional<PlacementCandidate> candidate = choice.next(isLate(now), now);
+        Optional<PlacementCandidate> candidate = choice.next(now);
         if (candidate.isEmpty()) {
             return false;
         }
@@ -264,7 +264,7 @@
      */
     boolean canRepeat(Instant now) {
         return !isPoison(now)
-                && choice.canRepeat(isLate(now), now)
+                && choice.canRepeat(now)
                 && entry.queue(authorized.service()).precedesAll(this, now);
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
@@ -62,7 +62,7 @@
     /**
      * Returns the rule for engines.
      *
-     * @param late whether the request can no longer be on time
+     * @param late whether the request was late already when it was received
      * @return rule with a short queue and a bound on unreported requests, among a share of the
      *     engines if there are many entries; for a late request with slots that are left free
      */
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamChoice.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamChoice.java
@@ -52,12 +52,11 @@
     /**
      * Chooses an upstream that has capacity for the next attempt.
      *
-     * @param late whether the answer will miss the latency target in any case
      * @param now present time
      * @return upstream, empty if none has capacity
      */
-    Optional<PlacementCandidate> next(boolean late, Instant now) {
-        return choose(attempts.endedCount() > 0, late, now);
+    Optional<PlacementCandidate> next(Instant now) {
+        return choose(attempts.endedCount() > 0, now);
     }
 
     /**
@@ -89,25 +88,25 @@
      * Returns whether the request could be sent to another upstream at once, so that its attempt in
      * flight may be given up.
      *
-     * @param late whether the answer will miss the latency target in any case
      * @param now present time
      * @return false if the attempts, the time or the retry budget are used up, or if no other
      *     upstream has capacity
      */
-    boolean canRepeat(boolean late, Instant now) {
+    boolean canRepeat(Instant now) {
         return hasAttemptsLeft()
                 && timing.leavesTime(Duration.ZERO, now)
                 && entry.retryBudget(service()).allows(entry.entryCount(), now)
-                && choose(true, late, now).isPresent();
+                && choose(true, now).isPresent();
     }
 
-    private Optional<PlacementCandidate> choose(boolean repeat, boolean late, Instant now) {
+    private Optional<PlacementCandidate> choose(boolean repeat, Instant now) {
         List<PlacementCandidate> candidates =
                 entry.upstreams().candidates(service(), metadata.model(), now);
         if (repeat) {
             candidates.removeIf(c -> arrivesLate(c.upstream(), now));
         }
-        return entry.placementRule(service(), late).choose(candidates, attempts.upstreams(), now);
+        return entry.placementRule(service(), timing.cameLate())
+                .choose(candidates, attempts.upstreams(), now);
     }
 
     private boolean arrivesLate(UpstreamRegistration upstream, Instant now) {
--- a/src/test/java/org/papayawalk/core/place/RequestTimingTest.java
+++ b/src/test/java/org/papayawalk/core/place/RequestTimingTest.java
@@ -22,12 +22,13 @@
         assertFalse(first.isLate(T0));
         assertFalse(first.isLate(T0.plus(TARGET)));
         assertTrue(first.isLate(T0.plus(TARGET).plusMillis(1)));
+        assertFalse(first.cameLate());
     }
 
     /** A caller who returns after a second has a second less left, and is late at once. */
     @Test
     public void returningCallerIsLateAtOnce() {
-        assertTrue(timing(T0.plus(TIMEOUT).minusSeconds(1)).isLate(T0));
+        assertTrue(timing(T0.plus(TIMEOUT).minusSeconds(1)).cameLate());
     }
 
     /** A repeat counts its way to the upstream. */
