--- a/src/test/java/org/papayawalk/lab/load/LoadSimulationTest.java
+++ b/src/test/java/org/papayawalk/lab/load/LoadSimulationTest.java
@@ -22,7 +22,7 @@
     private static final double FEW_SLOTS_CAPACITY_PER_SECOND = 6.5;
 
     /** Share of the callers that may go without an answer besides, see docs/design/load.md. */
-    private static final double MAX_FEWER = 0.02;
+    private static final double MAX_FEWER = 0.01;
 
     /** Share of the worth with few entries that must be reached with many. */
     private static final double MIN_SHARE_OF_FEW = 0.9;
