--- a/src/test/java/org/papayawalk/daemon/managed/agent/FakeEngine.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/FakeEngine.java
@@ -58,6 +58,9 @@
     // Orders that arrived while orders were held.
     private int heldOrders;
 
+    // Orders that are still to be held on their own.
+    private int ordersToHold;
+
     // Holds orders while its count is 1.
     private volatile CountDownLatch orderGate = new CountDownLatch(0);
 
@@ -146,8 +149,15 @@
     }
 
     /** Holds orders from now on. */
-    void holdOrders() {
+    synchronized void holdOrders() {
+        orderGate = new CountDownLatch(1);
+        ordersToHold = Integer.MAX_VALUE;
+    }
+
+    /** Holds the next order only; the orders after it are handled at once. */
+    synchronized void holdNextOrder() {
         orderGate = new CountDownLatch(1);
+        ordersToHold = 1;
     }
 
     /** Accepts the held orders and those that follow. */
@@ -195,8 +205,9 @@
             awaitOrderGate();
         }
         byte[] answer = handle(target, body);
+        int failure = target.equals("/order") ? 409 : 404;
         exchange.sendResponseHeaders(
-                answer == null ? 404 : 200, answer == null ? -1 : answer.length);
+                answer == null ? failure : 200, answer == null ? -1 : answer.length);
         if (answer != null) {
             exchange.getResponseBody().write(answer);
         }
@@ -205,7 +216,11 @@
 
     private void awaitOrderGate() throws IOException {
         synchronized (this) {
-            heldOrders += orderGate.getCount() > 0 ? 1 : 0;
+            if (orderGate.getCount() == 0 || ordersToHold == 0) {
+                return;
+            }
+            ordersToHold--;
+            heldOrders++;
         }
         try {
             orderGate.await();
@@ -215,14 +230,14 @@
         }
     }
 
-    // Returns null for status 404.
+    // Returns null for status 409 of an order and for status 404 of other calls.
     private synchronized byte[] handle(String target, byte[] body) throws IOException {
         if (target.equals("/report") && available) {
             return report().getBytes();
         }
         if (target.equals("/order")) {
-            order(mapper.readTree(body));
-            return new byte[] {'{', '}'};
+            boolean accepted = order(mapper.readTree(body));
+            return accepted ? new byte[] {'{', '}'} : null;
         }
         int index = number(target, "digestCount");
         boolean fromOrigin = target.startsWith("/manifest/") || target.startsWith("/piece/");
@@ -255,7 +270,11 @@
                 + ",\"queued\":0,\"active\":0}";
     }
 
-    private void order(JsonNode order) {
+    // Returns whether the order is based on the present number of orders.
+    private boolean order(JsonNode order) {
+        if (order.get("expectedRev").asInt() != loaded.size()) {
+            return false;
+        }
         int version = order.get("version").asInt();
         for (int i = 0; i < CHUNKS; i++) {
             byte[] data = staged.get(i);
@@ -264,6 +283,7 @@
             }
         }
         loaded.add(version);
+        return true;
     }
 
     private static String manifest(int version) {
