Keep an unanswered load order's version staged until it is settled

Cause: an order to load version 2 had no answer within 1.5 s. The agent took it for dead 0.8 s later and staged version 3; the engine accepted the order 5.3 s after it was sent and loaded what was staged then. Class of fault: a call without an answer is taken for one without an effect after a fixed time.

Ruled out: a chunk turned bad after the verification (no write failed there, nothing was logged as bad) and a wrong manifest (other engines with the same manifest broke nothing).

Change: staging stays stopped while an order is unanswered. The order is verified again and repeated with the same number of accepted orders; once the engine has accepted one copy it refuses the others. The chunks of the ordered version are kept for repairs until then. Statuses 500, 502 and 504 of an order count as no answer.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.ReadWriteLock;
 import java.util.concurrent.locks.ReentrantReadWriteLock;
@@ -27,6 +28,9 @@
 
     private static final int STATUS_CONFLICT = 409;
 
+    // Failures that do not tell whether the engine accepted the order.
+    private static final Set<Integer> STATUSES_WITHOUT_OUTCOME = Set.of(500, 502, 504);
+
     private final AsyncHttpClient http;
 
     private final String address;
@@ -148,8 +152,8 @@
      *
      * @param version staged version
      * @param ordersSeen number of orders that the engine had accepted when its state was read
-     * @return true if the engine accepted the order, false if its state had changed; a fault if the
-     *     order failed or its outcome is unknown
+     * @return true if the engine accepted the order, false if its state had changed; a fault of
+     *     kind {@code REFUSED} if it refused the order, of another kind if the outcome is unknown
      */
     Either<Fault, Boolean> load(WeightVersion version, long ordersSeen) {
         byte[] body = EngineCodec.encodeLoadOrder(version.model(), version.number(), ordersSeen);
@@ -164,6 +168,14 @@
         if (answer.isRight() && answer.get().status() == STATUS_CONFLICT) {
             return Either.right(false);
         }
+        if (answer.isRight() && STATUSES_WITHOUT_OUTCOME.contains(answer.get().status())) {
+            return Either.left(
+                    new Fault(
+                            FaultKind.UNKNOWN_OUTCOME,
+                            "load-order",
+                            address,
+                            "HTTP status " + answer.get().status()));
+        }
         return answer.flatMap(a -> requireSuccess(loadCall, a)).map(a -> true);
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/agent/StagedChunkVerifier.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/StagedChunkVerifier.java
@@ -1,9 +1,9 @@
 package org.papayawalk.daemon.managed.agent;
 
 import java.util.Optional;
+import java.util.function.IntFunction;
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.daemon.managed.weight.WeightVersion;
-import org.papayawalk.daemon.swarm.Swarm;
 import org.papayawalk.log.Event;
 
 /**
@@ -16,41 +16,42 @@
 
     private final LocalEngine engine;
 
-    private final Swarm swarm;
-
     /**
      * Creates a verifier.
      *
      * @param engine engine that holds the staged chunks
-     * @param swarm source of verified chunks for repairs
      */
-    StagedChunkVerifier(LocalEngine engine, Swarm swarm) {
+    StagedChunkVerifier(LocalEngine engine) {
         this.engine = engine;
-        this.swarm = swarm;
     }
 
     /**
      * Verifies all chunks of a version.
      *
      * @param staged version
+     * @param copies verified chunks for repairs, by index; empty where this host has none
      * @return true if the engine holds every chunk as the manifest describes it
      */
-    boolean verify(StagedVersion staged) {
+    boolean verify(StagedVersion staged, IntFunction<Optional<byte[]>> copies) {
         for (int i = 0; i < staged.manifest().chunkCount(); i++) {
-            if (!verifyChunk(staged.version(), staged.manifest(), i)) {
+            if (!verifyChunk(staged.version(), staged.manifest(), i, copies)) {
                 return false;
             }
         }
         return true;
     }
 
-    private boolean verifyChunk(WeightVersion version, Manifest manifest, int index) {
+    private boolean verifyChunk(
+            WeightVersion version,
+            Manifest manifest,
+            int index,
+            IntFunction<Optional<byte[]>> copies) {
         for (int repairs = 0; repairs <= MAX_REPAIRS; repairs++) {
             Optional<byte[]> staged = engine.read(manifest, index);
             if (staged.isPresent() && manifest.matches(index, staged.get())) {
                 return true;
             }
-            Optional<byte[]> verified = swarm.chunk(version.digest(), index).join();
+            Optional<byte[]> verified = copies.apply(index);
             Event.named("staged-chunk-bad")
                     .with("version", version)
                     .with("index", index)
--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -8,7 +8,9 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.place.RequestedVersion;
 import org.papayawalk.core.rollout.SwitchSchedule;
 import org.papayawalk.core.upstream.EngineReport;
@@ -24,8 +26,8 @@
  * Brings the engine to the target version: has the swarm fetch and stage it, verifies what is
  * staged, and orders the engine to load it. Only the agent beside an engine sends it orders, an
  * order names the state of the engine that it is based on, and nothing is staged while an order is
- * decided or in progress. Confined to the control thread; blocking calls run on a worker, one at a
- * time.
+ * decided, in progress, or unanswered and not yet settled. Confined to the control thread; blocking
+ * calls run on a worker, one at a time.
  */
 final class VersionReconciler {
     // Pause between reports of the engine while it does not serve the target version.
@@ -39,9 +41,6 @@
     // Time that it takes to fetch and stage a new version and to switch to it.
     private static final Duration FETCH_AND_SWITCH_TIME = Duration.ofMillis(4800);
 
-    // Time in which the engine may still accept an order that it has not answered.
-    private static final Duration ORDER_SETTLE_TIME = Duration.ofMillis(800);
-
     private final LocalEngine engine;
 
     private final ManagedSwarm swarm;
@@ -74,6 +73,9 @@
     // Start of the engine process as last reported, -1 before the first report.
     private long incarnation = -1;
 
+    // Order that the engine may still accept. Staging is stopped while there is one.
+    private Optional<UnansweredOrder> unansweredOrder = Optional.empty();
+
     // Whether a worker verifies the staged version or sends an order.
     private volatile boolean loadInProgress;
 
@@ -103,7 +105,7 @@
         this.clock = clock;
         this.target = target;
         this.announcer = announcer;
-        this.verifier = new StagedChunkVerifier(engine, swarm.swarm());
+        this.verifier = new StagedChunkVerifier(engine);
     }
 
     /** Starts to poll the engine. */
@@ -153,6 +155,10 @@
         EngineReport report = result.get();
         announcer.reported(targetVersion.model(), report, clock.instant());
         recordIncarnation(report);
+        if (unansweredOrder.isPresent() && !settleOrder(report)) {
+            thread.schedule(POLL_INTERVAL, this::poll);
+            return;
+        }
         if (served.isPresent() && served.get() >= targetVersion.number()) {
             recordServing(targetVersion);
             thread.schedule(SETTLED_POLL_INTERVAL, this::poll);
@@ -168,7 +174,8 @@
             engine.holdStaging(false);
         }
         if (staged.isPresent() && !report.loading() && !alreadyServed && switchDue(served)) {
-            verifyAndLoad(staged.get(), report);
+            StagedVersion version = staged.get();
+            verifyAndLoad(version, i -> cachedChunk(version.version(), i), report);
         }
         thread.schedule(POLL_INTERVAL, this::poll);
     }
@@ -253,34 +260,85 @@
         return !at.isAfter(clock.instant());
     }
 
-    private void verifyAndLoad(StagedVersion stagedVersion, EngineReport report) {
+    // Repeats an order that the engine has not answered, until one copy of it is accepted: then the
+    // engine refuses all others, as they are based on an outdated number of orders. Returns whether
+    // the order is settled.
+    private boolean settleOrder(EngineReport report) {
+        UnansweredOrder order = unansweredOrder.orElseThrow();
+        if (loadInProgress) {
+            return false;
+        }
+        if (!order.open().isSettledBy(report, clock.instant())) {
+            if (!report.loading()) {
+                verifyAndLoad(order.staged(), order::copy, report);
+            }
+            return false;
+        }
+        unansweredOrder = Optional.empty();
+        engine.holdStaging(false);
+        engine.resumeStaging();
+        Event.named("load-order-settled")
+                .with("version", order.staged().version())
+                .with("orders", report.orders())
+                .info();
+        return true;
+    }
+
+    private Optional<byte[]> cachedChunk(WeightVersion version, int index) {
+        return swarm.swarm().chunk(version.digest(), index).join();
+    }
+
+    private void verifyAndLoad(
+            StagedVersion version, IntFunction<Optional<byte[]>> copies, EngineReport report) {
         if (loadInProgress) {
             return;
         }
         loadInProgress = true;
-        // An order without an answer may still be accepted, so staging resumes later in that case.
-        Runnable resume = engine::resumeStaging;
         work.execute(
                 () -> {
-                    Either<Fault, Boolean> accepted = Either.right(false);
+                    Optional<Either<Fault, Boolean>> outcome = Optional.empty();
                     engine.stopStaging();
                     try {
-                        if (verifier.verify(stagedVersion)) {
-                            announcer.loadOrdered(stagedVersion.version(), report, clock.instant());
-                            accepted = orderLoad(stagedVersion.version(), report);
+                        if (verifier.verify(version, copies)) {
+                            announcer.loadOrdered(version.version(), report, clock.instant());
+                            outcome = Optional.of(orderLoad(version.version(), report));
                         }
                     } finally {
-                        loadInProgress = false;
-                        thread.schedule(
-                                accepted.fold(f -> ORDER_SETTLE_TIME, t -> Duration.ZERO), resume);
-                    }
-                    if (!accepted.getOrElse(false)) {
-                        engine.holdStaging(false);
-                        announcer.loadNotAccepted();
+                        Optional<UnansweredOrder> unanswered =
+                                outcome.filter(VersionReconciler::isUnanswered)
+                                        .map(
+                                                f ->
+                                                        UnansweredOrder.of(
+                                                                version,
+                                                                report,
+                                                                copies,
+                                                                clock.instant()));
+                        boolean accepted = outcome.filter(o -> o.getOrElse(false)).isPresent();
+                        thread.execute(() -> loadEnded(accepted, unanswered));
                     }
                 });
     }
 
+    private static boolean isUnanswered(Either<Fault, Boolean> outcome) {
+        return outcome.isLeft() && outcome.getLeft().kind() == FaultKind.UNKNOWN_OUTCOME;
+    }
+
+    private void loadEnded(boolean accepted, Optional<UnansweredOrder> unanswered) {
+        loadInProgress = false;
+        boolean first = unansweredOrder.isEmpty();
+        unansweredOrder = unanswered.or(() -> unansweredOrder);
+        if (unanswered.isEmpty() || !first) {
+            engine.resumeStaging();
+        }
+        if (accepted) {
+            return;
+        }
+        announcer.loadNotAccepted();
+        if (unansweredOrder.isEmpty()) {
+            engine.holdStaging(false);
+        }
+    }
+
     private Either<Fault, Boolean> orderLoad(WeightVersion version, EngineReport report) {
         Either<Fault, Boolean> accepted = engine.load(version, report.orders());
         Event.named("load-ordered")
