--- a/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeUpstream.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.papayawalk.support.FreePort;
 import org.papayawalk.support.Threads;
 
 /** Fake server behind an entry. The mode decides what it does with requests. Thread-safe. */
@@ -22,12 +21,6 @@
     /** Number of events in a complete stream. */
     public static final int EVENTS = 6;
 
-    /**
-     * Part of the path of a poison request, on which servers in mode {@link Mode#DIES_OF_POISON}
-     * stop.
-     */
-    public static final String POISON = "poison";
-
     /** What the server does with a request. */
     public enum Mode {
         /** Answers completely. */
@@ -55,7 +48,7 @@
         HELD,
         /** Answers 500. */
         ERROR,
-        /** Stops listening on a poison request, answers others completely. */
+        /** Stops listening on poison, answers others completely, on the path /advice/ as stream. */
         DIES_OF_POISON,
         /** Streams all events. */
         STREAM,
@@ -231,7 +224,7 @@
         withheldHeader = "Retry-After: " + text + "\r\n";
     }
 
-    /** Makes answers state from now on that the server takes requests, as after a new start. */
+    /** Makes answers state from now on that the server takes requests, as after a start. */
     public void restart() {
         withheldHeader = "";
     }
@@ -290,12 +283,9 @@
         switch (presentMode()) {
             case WHOLE -> write(out, response(200, id, body, ""));
             case DIES_OF_POISON -> {
-                if (request.line().contains(POISON)) {
-                    listener.close();
-                    FreePort.awaitRefusal(listener.getLocalPort());
-                    return false;
-                }
-                write(out, response(200, id, body, ""));
+                boolean streamed = request.line().contains("/advice/");
+                String answer = streamed ? wholeStream(request, id) : response(200, id, body, "");
+                return Poison.answer(request, out, answer, listener);
             }
             case HELD -> {
                 Threads.await(releaseLatch);
@@ -310,7 +300,7 @@
             case NOT_RUN -> write(out, response(503, id, "", "X-Not-Executed: 1\r\n"));
             case BARE_503 -> write(out, response(503, id, "", ""));
             case ERROR -> write(out, response(500, id, "failure", ""));
-            case STREAM -> write(out, stream(request, id, EVENTS) + "0\r\n\r\n");
+            case STREAM -> write(out, wholeStream(request, id));
             case CUT -> {
                 write(out, response(200, id, body, "").replaceFirst(".{4}$", ""));
                 return false;
@@ -350,7 +340,7 @@
             socket.setSoTimeout(0);
         }
         begunNanos.add(System.nanoTime());
-        write(socket.getOutputStream(), stream(request, id, EVENTS) + "0\r\n\r\n");
+        write(socket.getOutputStream(), wholeStream(request, id));
         return true;
     }
 
@@ -372,15 +362,13 @@
         return ResponseText.response(status, stampHeaders(id) + extraHeaders, body);
     }
 
-    private String stream(Seen request, String id, int upTo) {
-        return ResponseText.stream(stampHeaders(id), request.lastEventId(), upTo);
+    private String wholeStream(Seen request, String id) {
+        int after = request.lastEventId();
+        return ResponseText.stream(stampHeaders(id), after, EVENTS) + "0\r\n\r\n";
     }
 
     private String stampHeaders(String id) {
-        return "X-Request-Id: "
-                + id
-                + "\r\nX-Server-Stamp: code\r\nX-Server-Load: 1,0,4\r\n"
-                + limitHeader
-                + withheldHeader;
+        String stamp = "X-Request-Id: %s\r\nX-Server-Stamp: code\r\nX-Server-Load: 1,0,4\r\n";
+        return stamp.formatted(id) + limitHeader + withheldHeader;
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/PoisonRequestTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/PoisonRequestTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.papayawalk.daemon.managed.FakeUpstream;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
+import org.papayawalk.daemon.managed.Poison;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -73,18 +74,18 @@
     @Test
     public void poisonRequestCrashesFewServers() {
         for (int i = 0; i < POISON_REQUESTS; i++) {
-            send("/read/" + FakeUpstream.POISON);
+            send("/read/" + Poison.PATH);
         }
         long crashed = servers.stream().filter(PoisonRequestTest::receivedPoison).count();
         assertTrue(
                 crashed <= MAX_CRASHED_SERVERS,
                 crashed + " of " + servers.size() + " servers crashed");
         ManagedEntryFixture.await(() -> send("/read/hello") == 200);
-        assertEquals(send("/read/" + FakeUpstream.POISON), 503);
+        assertEquals(send("/read/" + Poison.PATH), 503);
     }
 
     private static boolean receivedPoison(FakeUpstream server) {
-        return server.seen().stream().anyMatch(s -> s.line().contains(FakeUpstream.POISON));
+        return server.seen().stream().anyMatch(s -> s.line().contains(Poison.PATH));
     }
 
     private int send(String target) {
