Order a load only on a verification that is recent and of one engine state

Cause: an agent reads the staged chunks back one after the other and sends the order after the last one, whatever happened in between. If the engine is restarted without its staged chunks meanwhile, it has accepted as many orders as before, none, and accepts the order. A chunk that turns bad while later reads wait for their timeouts, or while the machine is suspended, is loaded more than 3 s later. Class of fault: a check is acted on without asking whether it still holds.

Ruled out: that expectedRev alone excludes it (0 before and 0 after a restart), and that the monotonic clock alone gives the age (it stands still while a machine is suspended).

Change: the report is read again after the verification. The order is sent only if the start of the engine and its count of orders are those that the decision is based on, and the verification began at most 2 s ago by the monotonic clock and by the time of day (core: StagedVerification). A time of day that was set back means another verification. Otherwise the next report leads to another one, and a hold of staging stays. VerifiedLoad takes verification and order over from VersionReconciler; nothing stands between the check and the order. Left open: what changes while the order is on its way.

FakeEngine reports its start, can lose all at a restart, and can hold the reads of one chunk of a whole staged version; what it refused or counted before, it still does.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import org.papayawalk.core.Fault;
-import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.place.RequestedVersion;
 import org.papayawalk.core.rollout.SwitchSchedule;
 import org.papayawalk.core.upstream.EngineReport;
@@ -55,7 +54,7 @@
 
     private final EngineAnnouncer announcer;
 
-    private final StagedChunkVerifier verifier;
+    private final VerifiedLoad load;
 
     private Optional<WeightVersion> fetching = Optional.empty();
 
@@ -105,7 +104,7 @@
         this.clock = clock;
         this.target = target;
         this.announcer = announcer;
-        this.verifier = new StagedChunkVerifier(engine);
+        this.load = new VerifiedLoad(engine, announcer, clock, InstantSource.system());
     }
 
     /** Starts to poll the engine. */
@@ -296,59 +295,44 @@
         loadInProgress = true;
         work.execute(
                 () -> {
-                    Optional<Either<Fault, Boolean>> outcome = Optional.empty();
+                    LoadOutcome outcome = LoadOutcome.UNVERIFIED;
                     engine.stopStaging();
                     try {
-                        if (verifier.verify(version, copies)) {
-                            announcer.loadOrdered(version.version(), report, clock.instant());
-                            outcome = Optional.of(orderLoad(version.version(), report));
-                        }
+                        outcome = load.verifyAndOrder(version, copies, report);
                     } finally {
+                        LoadOutcome ended = outcome;
                         Optional<UnansweredOrder> unanswered =
-                                outcome.filter(VersionReconciler::isUnanswered)
+                                Optional.of(version)
+                                        .filter(v -> ended == LoadOutcome.UNANSWERED)
                                         .map(
-                                                f ->
+                                                v ->
                                                         UnansweredOrder.of(
-                                                                version,
+                                                                v,
                                                                 report,
                                                                 copies,
                                                                 clock.instant()));
-                        boolean accepted = outcome.filter(o -> o.getOrElse(false)).isPresent();
-                        thread.execute(() -> loadEnded(accepted, unanswered));
+                        thread.execute(() -> loadEnded(ended, unanswered));
                     }
                 });
     }
 
-    private static boolean isUnanswered(Either<Fault, Boolean> outcome) {
-        return outcome.isLeft() && outcome.getLeft().kind() == FaultKind.UNKNOWN_OUTCOME;
-    }
-
-    private void loadEnded(boolean accepted, Optional<UnansweredOrder> unanswered) {
+    private void loadEnded(LoadOutcome outcome, Optional<UnansweredOrder> unanswered) {
         loadInProgress = false;
         boolean first = unansweredOrder.isEmpty();
         unansweredOrder = unanswered.or(() -> unansweredOrder);
         if (unanswered.isEmpty() || !first) {
             engine.resumeStaging();
         }
-        if (accepted) {
+        if (outcome == LoadOutcome.ACCEPTED) {
             return;
         }
         announcer.loadNotAccepted();
-        if (unansweredOrder.isEmpty()) {
+        // After an outdated verification, the next report leads to another one.
+        if (unansweredOrder.isEmpty() && outcome != LoadOutcome.OUTDATED) {
             engine.holdStaging(false);
         }
     }
 
-    private Either<Fault, Boolean> orderLoad(WeightVersion version, EngineReport report) {
-        Either<Fault, Boolean> accepted = engine.load(version, report.orders());
-        Event.named("load-ordered")
-                .with("version", version)
-                .with("orders_seen", report.orders())
-                .with("outcome", accepted.fold(Fault::toString, t -> "taken=" + t))
-                .info();
-        return accepted;
-    }
-
     private void recordServing(WeightVersion version) {
         if (settled) {
             return;
--- a/src/test/java/org/papayawalk/daemon/managed/agent/FakeEngine.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/FakeEngine.java
@@ -61,6 +61,18 @@
     // Orders that are still to be held on their own.
     private int ordersToHold;
 
+    // Start of the process as reported; each restart increases it.
+    private long born = 1;
+
+    // Reads of a staged chunk that arrived while they were held.
+    private int heldReads;
+
+    // Index of the chunk whose reads are held once a whole version is staged.
+    private int heldIndex;
+
+    // Holds reads of the chunk while its count is 1.
+    private volatile CountDownLatch readGate = new CountDownLatch(0);
+
     // Holds orders while its count is 1.
     private volatile CountDownLatch orderGate = new CountDownLatch(0);
 
@@ -127,9 +139,50 @@
 
     /** Loses the loaded version, as a restart of the engine does. */
     synchronized void restart() {
+        born++;
         loaded.add(0);
     }
 
+    /** Loses all that is loaded, staged and counted, as a loss of power does. */
+    synchronized void restartWithoutStagedChunks() {
+        born++;
+        loaded.clear();
+        staged.clear();
+    }
+
+    /**
+     * Makes a staged chunk corrupt.
+     *
+     * @param index index of the chunk
+     */
+    synchronized void corruptStaged(int index) {
+        staged.put(index, new byte[CHUNK_BYTES]);
+    }
+
+    /**
+     * Holds reads of a staged chunk from now on, while chunks of all indexes are staged.
+     *
+     * @param index index of the chunk
+     */
+    synchronized void holdReads(int index) {
+        readGate = new CountDownLatch(1);
+        heldIndex = index;
+    }
+
+    /** Answers the held reads, with what is staged then, and those that follow. */
+    void releaseReads() {
+        readGate.countDown();
+    }
+
+    /**
+     * Returns how many reads arrived while they were held.
+     *
+     * @return number of reads
+     */
+    synchronized int heldReads() {
+        return heldReads;
+    }
+
     /**
      * Returns the version that is served.
      *
@@ -204,6 +257,9 @@
         if (target.equals("/order")) {
             awaitOrderGate();
         }
+        if (target.startsWith("/stage-get/")) {
+            awaitReadGate(number(target, "digestCount"));
+        }
         byte[] answer = handle(target, body);
         int failure = target.equals("/order") ? 409 : 404;
         exchange.sendResponseHeaders(
@@ -222,8 +278,22 @@
             ordersToHold--;
             heldOrders++;
         }
+        await(orderGate);
+    }
+
+    private void awaitReadGate(int index) throws IOException {
+        synchronized (this) {
+            if (readGate.getCount() == 0 || index != heldIndex || staged.size() < CHUNKS) {
+                return;
+            }
+            heldReads++;
+        }
+        await(readGate);
+    }
+
+    private static void await(CountDownLatch gate) throws IOException {
         try {
-            orderGate.await();
+            gate.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException(e);
@@ -263,7 +333,9 @@
 
     private String report() {
         String models = serving() == 0 ? "" : "{\"name\":\"m\",\"version\":" + serving() + "}";
-        return "{\"models\":["
+        return "{\"born\":"
+                + born
+                + ",\"models\":["
                 + models
                 + "],\"busy\":false,\"sequence\":"
                 + loaded.size()
