Keep what an earlier process staged while its order may be open

Cause: an agent is killed while the engine holds its order to load version 2, and started again. The new process knows nothing of the order. If version 3 is named by then, it stages that over version 2, and the engine accepts the order and loads what it finds. Class of fault: what a process has begun outlives it, and the next one does not ask.

Ruled out: that the search for staged chunks at the start prevents it (it only spares fetching chunks of the wanted version), and keeping a record of the order (the engine holds all that is needed: an open order means that its version is staged completely).

Change: the chunks found at the start stay as they are if they may be another version than the wanted one, unless the engine serves the version just before the wanted one, until its count of orders has changed or 12 s have passed since the start (the longest that an engine was seen to hold an order is 9.4 s). Nothing waits if nothing is staged, or if a chunk of the wanted version is. Two cases beyond that: a version that is found whole and is superseded before it is loaded counts as another one too, and so does a staging area of which no chunk could be read. The decisions are EarlierOrder and StagedAtStart in core; GuardedStagingArea asks them before each write of the swarm.

Cost: an engine that serves nothing waits up to 12 s for a version that was named while engine and agent were both away, if an older version is staged. Left open: an order for a version newer than the one that the new process knows, while the engine serves the version just before that.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -28,6 +28,8 @@
 
     private static final int STATUS_CONFLICT = 409;
 
+    private static final int STATUS_NOT_FOUND = 404;
+
     // Failures that do not tell whether the engine accepted the order.
     private static final Set<Integer> STATUSES_WITHOUT_OUTCOME = Set.of(500, 502, 504);
 
@@ -44,6 +46,9 @@
     // Set while a staged version has to be loaded before a newer one may be staged.
     private volatile boolean stagingHeld;
 
+    // Empty before the first report.
+    private volatile Optional<EngineReport> lastReport = Optional.empty();
+
     /**
      * Creates a client.
      *
@@ -104,10 +109,25 @@
 
     @Override
     public Optional<byte[]> read(Manifest manifest, int index) {
+        return readStaged(manifest, index).getOrElse(Optional.empty());
+    }
+
+    /**
+     * Reads a staged chunk.
+     *
+     * @param manifest manifest of a version of the model
+     * @param index index of the chunk
+     * @return unverified bytes, empty if the engine says that none are staged; fault if it is not
+     *     known what is staged
+     */
+    Either<Fault, Optional<byte[]>> readStaged(Manifest manifest, int index) {
         String target = EngineCodec.stagedChunkTarget(manifest.model(), index);
-        return call(AsyncHttpRequest.get(address, target, CALL_TIMEOUT))
-                .map(AsyncHttpResponse::body)
-                .toJavaOptional();
+        AsyncHttpRequest call = AsyncHttpRequest.get(address, target, CALL_TIMEOUT);
+        Either<Fault, AsyncHttpResponse> answer = http.send(call).join();
+        if (answer.isRight() && answer.get().status() == STATUS_NOT_FOUND) {
+            return Either.right(Optional.empty());
+        }
+        return answer.flatMap(a -> requireSuccess(call, a)).map(a -> Optional.of(a.body()));
     }
 
     /**
@@ -143,7 +163,17 @@
                                 return Either.left(
                                         Fault.of(FaultKind.CORRUPT, "read-report", address, e));
                             }
-                        });
+                        })
+                .peek(r -> lastReport = Optional.of(r));
+    }
+
+    /**
+     * Returns the last state of the engine that was read.
+     *
+     * @return report, empty before the first one
+     */
+    Optional<EngineReport> lastReport() {
+        return lastReport;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
@@ -51,7 +51,8 @@
                                                 "the settings give no address of the engine; an"
                                                         + " agent needs its IP address and port"));
         LocalEngine engine = new LocalEngine(node.http(), upstream);
-        ManagedSwarm swarm = new ManagedSwarm(node, service(), origin, engine, work);
+        GuardedStagingArea stagingArea = new GuardedStagingArea(engine, node.clock());
+        ManagedSwarm swarm = new ManagedSwarm(node, service(), origin, stagingArea, work);
         node.runAsAgent(swarm.handler());
         TargetVersion target = new PlatformTargetVersion(node, service(), origin);
         VersionReconciler reconciler =
--- a/src/test/java/org/papayawalk/daemon/managed/agent/ManagedAgentFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/ManagedAgentFixture.java
@@ -26,6 +26,9 @@
     /** Serves as engine and as origin. */
     private final FakeEngine engine = new FakeEngine();
 
+    /** Agent that was started last. */
+    private ManagedNode agent;
+
     /**
      * Starts the fakes; {@link #startAgent} starts the agent.
      *
@@ -57,7 +60,16 @@
                 """
                         .formatted(FreePort.find(), 0, store.address(), engine.address());
         byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
-        new ManagedAgentRole(new ManagedNode(ManagedSettingsCodec.decode(bytes))).start();
+        agent = new ManagedNode(ManagedSettingsCodec.decode(bytes));
+        new ManagedAgentRole(agent).start();
+    }
+
+    /**
+     * Ends the agent that was started last, as a kill does: it tells nobody and cleans up nothing.
+     */
+    void killAgent() {
+        agent.thread().close();
+        agent.runtime().close();
     }
 
     /**
