Keep an order's chunks before it is sent, and bound its repeats

* The chunks for repairs were taken after the timeout of the order.
Two newer versions in those 1.5 s empty the cache; a chunk that turns bad then cannot be staged again while the engine may still accept the order.
They are taken before the order is sent now, and a failure to take them no longer leaves staging stopped.
* Each unanswered repeat renewed the order.
An engine that answers reports but never this order kept every later version out for ever.
It is repeated for 15 s and expires after 30 s, 15 s after the last repeat; engines were seen to hold orders for 10 s.

Test: OpenOrderTest checks both bounds (the old code had no bound on repeats). No test shows the first gap in a running agent.

--- a/src/main/java/org/papayawalk/core/weight/OpenOrder.java
+++ b/src/main/java/org/papayawalk/core/weight/OpenOrder.java
@@ -9,21 +9,37 @@
  * while it has accepted exactly the orders on which this one is based. Immutable.
  *
  * @param ordersSeen number of orders that the engine had accepted when this one was decided
- * @param sentAt when the order, or the last repeat of it, was sent
+ * @param sentAt when the order was decided first; repeats of it do not count
  */
 public record OpenOrder(long ordersSeen, Instant sentAt) {
-    /** Far more than the seconds for which an engine may hold an order that it does not answer. */
-    private static final Duration MAX_LIFETIME = Duration.ofSeconds(30);
+    /** Longest time from a repeat to its acceptance; engines were seen to hold orders for 10 s. */
+    private static final Duration MAX_DELAY = Duration.ofSeconds(15);
+
+    /** Time in which the order is repeated, so that one copy of it is accepted. */
+    private static final Duration REPEATED_FOR = Duration.ofSeconds(15);
+
+    /**
+     * Returns whether the order may be repeated.
+     *
+     * @param now present time
+     * @return false if the engine has left all copies unanswered for long
+     */
+    public boolean mayBeRepeated(Instant now) {
+        return now.isBefore(sentAt.plus(REPEATED_FOR));
+    }
 
     /**
-     * Returns whether the engine can no longer accept the order. That the engine was restarted does
-     * not settle it, as the new process may have accepted as many orders as the one before.
+     * Returns whether the engine can no longer accept the order. An order ends with the process it
+     * was sent to. It counts as open all the same if the new process has accepted as many orders,
+     * which costs no more than one load of its version.
      *
      * @param report report that the engine made after the order was sent
      * @param now present time
-     * @return true if the engine has accepted another number of orders, or if the order has expired
+     * @return true if the engine has accepted another number of orders, or if the last repeat is
+     *     too old to be accepted
      */
     public boolean isSettledBy(EngineReport report, Instant now) {
-        return report.orders() != ordersSeen || sentAt.plus(MAX_LIFETIME).isBefore(now);
+        return report.orders() != ordersSeen
+                || sentAt.plus(REPEATED_FOR).plus(MAX_DELAY).isBefore(now);
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -267,8 +267,9 @@
         if (loadInProgress) {
             return false;
         }
-        if (!order.open().isSettledBy(report, clock.instant())) {
-            if (!report.loading()) {
+        Instant now = clock.instant();
+        if (!order.open().isSettledBy(report, now)) {
+            if (!report.loading() && order.open().mayBeRepeated(now)) {
                 verifyAndLoad(order.staged(), order::copy, report);
             }
             return false;
@@ -293,34 +294,27 @@
             return;
         }
         loadInProgress = true;
+        Instant sentAt = unansweredOrder.map(o -> o.open().sentAt()).orElseGet(clock::instant);
         work.execute(
                 () -> {
                     LoadOutcome outcome = LoadOutcome.UNVERIFIED;
+                    // Kept before the order is sent, as the cache may drop them afterwards.
+                    UnansweredOrder order = UnansweredOrder.of(version, report, copies, sentAt);
                     engine.stopStaging();
                     try {
-                        outcome = load.verifyAndOrder(version, copies, report);
+                        outcome = load.verifyAndOrder(version, order::copy, report);
                     } finally {
                         LoadOutcome ended = outcome;
-                        Optional<UnansweredOrder> unanswered =
-                                Optional.of(version)
-                                        .filter(v -> ended == LoadOutcome.UNANSWERED)
-                                        .map(
-                                                v ->
-                                                        UnansweredOrder.of(
-                                                                v,
-                                                                report,
-                                                                copies,
-                                                                clock.instant()));
-                        thread.execute(() -> loadEnded(ended, unanswered));
+                        thread.execute(() -> loadEnded(ended, order));
                     }
                 });
     }
 
-    private void loadEnded(LoadOutcome outcome, Optional<UnansweredOrder> unanswered) {
+    private void loadEnded(LoadOutcome outcome, UnansweredOrder order) {
         loadInProgress = false;
-        boolean first = unansweredOrder.isEmpty();
-        unansweredOrder = unanswered.or(() -> unansweredOrder);
-        if (unanswered.isEmpty() || !first) {
+        if (outcome == LoadOutcome.UNANSWERED && unansweredOrder.isEmpty()) {
+            unansweredOrder = Optional.of(order);
+        } else {
             engine.resumeStaging();
         }
         if (outcome == LoadOutcome.ACCEPTED) {
--- a/src/test/java/org/papayawalk/core/weight/OpenOrderTest.java
+++ b/src/test/java/org/papayawalk/core/weight/OpenOrderTest.java
@@ -32,10 +32,18 @@
         assertFalse(ORDER.isSettledBy(report(2, 9), SENT_AT.plusSeconds(3)));
     }
 
-    /** An order that cannot be repeated does not stop staging for ever. */
+    /** An order that the engine never answers does not stop staging for ever. */
     @Test
     public void orderExpires() {
-        assertTrue(ORDER.isSettledBy(report(2, 1), SENT_AT.plusSeconds(60)));
+        assertFalse(ORDER.isSettledBy(report(2, 1), SENT_AT.plusSeconds(30)));
+        assertTrue(ORDER.isSettledBy(report(2, 1), SENT_AT.plusSeconds(31)));
+    }
+
+    /** The last repeat is sent long enough before the order expires. */
+    @Test
+    public void orderIsNotRepeatedShortlyBeforeItExpires() {
+        assertTrue(ORDER.mayBeRepeated(SENT_AT.plusSeconds(14)));
+        assertFalse(ORDER.mayBeRepeated(SENT_AT.plusSeconds(15)));
     }
 
     private static EngineReport report(long orders, long incarnation) {
