Order no load while an unanswered write may spoil the version

If a newer version was staged and verified meanwhile, it loads that with a chunk of the older one.

Ruled out: the check of chunks before the order, as the write comes after it.

A refused connection counts as not sent, for writes and for orders.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/LoadOutcome.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LoadOutcome.java
@@ -16,6 +16,6 @@
      */
     UNVERIFIED,
 
-    /** No order was sent, as the verification was outdated when it ended. */
+    /** No order was sent, as a verification was outdated when it ended or proves nothing yet. */
     OUTDATED
 }
--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -14,6 +15,7 @@
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.upstream.EngineReport;
 import org.papayawalk.core.weight.Manifest;
+import org.papayawalk.core.weight.OpenWrites;
 import org.papayawalk.daemon.managed.weight.WeightVersion;
 import org.papayawalk.daemon.swarm.StagingArea;
 import org.papayawalk.http.AsyncHttpClient;
@@ -37,6 +39,10 @@
 
     private final String address;
 
+    private final InstantSource clock;
+
+    private final OpenWrites openWrites = new OpenWrites();
+
     // The read lock is held while a chunk is staged; the write lock waits for chunks in flight.
     private final ReadWriteLock stagingLock = new ReentrantReadWriteLock();
 
@@ -54,10 +60,12 @@
      *
      * @param http HTTP client
      * @param address IP address and port of the engine
+     * @param clock monotonic clock
      */
-    LocalEngine(AsyncHttpClient http, String address) {
+    LocalEngine(AsyncHttpClient http, String address, InstantSource clock) {
         this.http = http;
         this.address = address;
+        this.clock = clock;
     }
 
     @Override
@@ -103,10 +111,36 @@
     boolean stage(Manifest manifest, int index, byte[] data) {
         String target = EngineCodec.stageChunkTarget(manifest.model(), index);
         return call(new AsyncHttpRequest(address, HttpMethod.PUT, target, data, CALL_TIMEOUT))
-                .peekLeft(f -> Event.named("stage-failed").with("fault", f).warn())
+                .peekLeft(f -> recordFailedWrite(manifest, index, f))
                 .isRight();
     }
 
+    /**
+     * Returns whether a write that was not answered may still replace a chunk of a version.
+     *
+     * @param manifest manifest of the version
+     * @return true if a verification of the version proves nothing yet
+     */
+    boolean hasOpenWrites(Manifest manifest) {
+        return openWrites.maySpoil(manifest, clock.instant());
+    }
+
+    private void recordReport(EngineReport report) {
+        boolean restarted =
+                lastReport.filter(r -> r.incarnation() != report.incarnation()).isPresent();
+        if (restarted) {
+            openWrites.engineRestarted();
+        }
+        lastReport = Optional.of(report);
+    }
+
+    private void recordFailedWrite(Manifest manifest, int index, Fault fault) {
+        Event.named("stage-failed").with("fault", fault).warn();
+        if (fault.kind() == FaultKind.UNKNOWN_OUTCOME) {
+            openWrites.add(index, manifest.chunks().get(index), clock.instant());
+        }
+    }
+
     @Override
     public Optional<byte[]> read(Manifest manifest, int index) {
         return readStaged(manifest, index).getOrElse(Optional.empty());
@@ -164,7 +198,7 @@
                                         Fault.of(FaultKind.CORRUPT, "read-report", address, e));
                             }
                         })
-                .peek(r -> lastReport = Optional.of(r));
+                .peek(this::recordReport);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
@@ -50,7 +50,7 @@
                                         new IOException(
                                                 "the settings give no address of the engine; an"
                                                         + " agent needs its IP address and port"));
-        LocalEngine engine = new LocalEngine(node.http(), upstream);
+        LocalEngine engine = new LocalEngine(node.http(), upstream, node.clock());
         GuardedStagingArea stagingArea = new GuardedStagingArea(engine, node.clock());
         ManagedSwarm swarm = new ManagedSwarm(node, service(), origin, stagingArea, work);
         node.runAsAgent(swarm.handler());
--- a/src/main/java/org/papayawalk/daemon/managed/agent/VerifiedLoad.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VerifiedLoad.java
@@ -59,6 +59,9 @@
             StagedVersion staged, IntFunction<Optional<byte[]>> copies, EngineReport basis) {
         StagedVerification verification =
                 new StagedVerification(basis, clock.instant(), timeOfDay.instant());
+        if (engine.hasOpenWrites(staged.manifest())) {
+            return LoadOutcome.OUTDATED;
+        }
         if (!verifier.verify(staged, copies)) {
             return LoadOutcome.UNVERIFIED;
         }
--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -162,7 +162,9 @@
             String reason = "no complete response within " + request.timeout().toMillis() + " ms";
             return new Fault(FaultKind.UNKNOWN_OUTCOME, step, request.address(), reason);
         }
-        return Fault.of(FaultKind.UNKNOWN_OUTCOME, step, request.address(), failure);
+        boolean sent = !ConnectFailures.provesNoListener(failure);
+        FaultKind kind = sent ? FaultKind.UNKNOWN_OUTCOME : FaultKind.UNREACHABLE;
+        return Fault.of(kind, step, request.address(), failure);
     }
 
     /** Connection with at most one request in progress. Requests are sent from any thread. */
--- a/src/test/java/org/papayawalk/daemon/managed/agent/FakeEngine.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/FakeEngine.java
@@ -58,6 +58,8 @@
     // Orders that arrived while orders were held.
     private int heldOrders;
 
+    private final CallGate writes = new CallGate();
+
     // Orders that are still to be held on their own.
     private int ordersToHold;
 
@@ -201,6 +203,15 @@
         return corruptLoads;
     }
 
+    /**
+     * Returns the gate of the calls that stage a chunk.
+     *
+     * @return gate that lets all calls pass at first
+     */
+    CallGate writes() {
+        return writes;
+    }
+
     /** Holds orders from now on. */
     synchronized void holdOrders() {
         orderGate = new CountDownLatch(1);
@@ -260,6 +271,9 @@
         if (target.startsWith("/stage-get/")) {
             awaitReadGate(number(target, "digestCount"));
         }
+        if (target.startsWith("/stage-put/")) {
+            writes.pass();
+        }
         byte[] answer = handle(target, body);
         int failure = target.equals("/order") ? 409 : 404;
         exchange.sendResponseHeaders(
