Weigh evidence for and against each part of prompts

Decision only, not used yet. The registry counts the crashes in which a part was involved since a request with it was last answered completely; parts that cannot be told apart are tried one at a time, a refused one is tried again later by one entry.

--- /dev/null
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -0,0 +1,238 @@
+package org.papayawalk.core.suspect;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.papayawalk.core.id.PromptPartId;
+import org.papayawalk.core.id.UpstreamProcess;
+
+/**
+ * Detects parts of prompts that crash each upstream that begins to answer a request with them, in
+ * requests that are otherwise all different. When an upstream crashes, each part of each request
+ * that it was answering is involved; a complete answer clears the parts of its request. So what
+ * remains is the part that is never answered. Parts that cannot be told apart yet are tried one
+ * request at a time. Recording is idempotent, as entries tell each other what they observe. Bounded
+ * in the number of parts. Thread-safe.
+ */
+public final class PromptPartRegistry {
+    private static final int MAX_SUSPICIONS = 2048;
+
+    private static final int MAX_ANSWERED = 8192;
+
+    /** Bound of the parts that are told to another entry at a time. */
+    private static final int MAX_SHARED = 256;
+
+    /** Time between trials of the same part at one entry, in which a trial mostly ends. */
+    private static final Duration TRIAL_INTERVAL = Duration.ofMillis(1500);
+
+    private static final Duration RETENTION = Duration.ofMinutes(10);
+
+    /** Lead in crashes from which a part is told from others that were involved as well. */
+    private static final int DECISIVE_LEAD = 3;
+
+    /** Common crashes from which one part may explain the crashes of another. */
+    private static final int MIN_COMMON_CRASHES = 2;
+
+    private final Predicate<PromptPartId> triesAgain;
+
+    private final Map<PromptPartId, PartSuspicion> suspicions = new HashMap<>();
+
+    /** Last complete answer by part, least recently answered first. */
+    private final Map<PromptPartId, Instant> answered = new LinkedHashMap<>(16, 0.75f, true);
+
+    private final Map<PromptPartId, Instant> trials = new HashMap<>();
+
+    /**
+     * Creates an empty registry.
+     *
+     * @param triesAgain whether this entry is the one that tries a refused part again after a while
+     */
+    public PromptPartRegistry(Predicate<PromptPartId> triesAgain) {
+        this.triesAgain = triesAgain;
+    }
+
+    /**
+     * Records that an upstream process crashed while it was answering a request.
+     *
+     * @param parts parts of the prompt that other requests may share
+     * @param process crashed process
+     * @param now present time
+     */
+    public synchronized void recordCrash(
+            Collection<PromptPartId> parts, UpstreamProcess process, Instant now) {
+        parts.forEach(p -> addCrash(p, process, now, now));
+    }
+
+    /**
+     * Records that a request was answered completely by one upstream.
+     *
+     * @param parts parts of the prompt that other requests may share
+     * @param now present time
+     */
+    public synchronized void recordAnswer(Collection<PromptPartId> parts, Instant now) {
+        parts.forEach(p -> addAnswer(p, now));
+    }
+
+    /**
+     * Returns the verdict about a request.
+     *
+     * @param parts parts of the prompt that other requests may share
+     * @param now present time
+     * @return verdict by what this entry and others have observed
+     */
+    public synchronized PartVerdict verdict(Collection<PromptPartId> parts, Instant now) {
+        PartVerdict verdict = PartVerdict.CLEAR;
+        for (PromptPartId part : parts) {
+            PartSuspicion suspicion = suspicions.get(part);
+            if (suspicion == null || !suspicion.isSuspected(now)) {
+                continue;
+            }
+            if (suspicion.isRefused(now)
+                    && !isRetryDue(part, suspicion, now)
+                    && !hasRival(suspicion, parts, now)) {
+                return PartVerdict.REFUSED;
+            }
+            verdict = PartVerdict.TRIAL;
+        }
+        return verdict;
+    }
+
+    /**
+     * Begins a trial of a request whose verdict is {@link PartVerdict#TRIAL}.
+     *
+     * @param parts parts of the prompt that other requests may share
+     * @param now present time
+     * @return false if a trial of one of the suspected parts has begun just before
+     */
+    public synchronized boolean beginTrial(Collection<PromptPartId> parts, Instant now) {
+        trials.values().removeIf(t -> !t.plus(TRIAL_INTERVAL).isAfter(now));
+        List<PromptPartId> suspected = parts.stream().filter(p -> isSuspected(p, now)).toList();
+        if (suspected.stream().anyMatch(trials::containsKey)) {
+            return false;
+        }
+        suspected.forEach(p -> trials.put(p, now));
+        return true;
+    }
+
+    /**
+     * Returns the delay after which a request that was refused for its parts may be sent again.
+     *
+     * @param parts parts of the prompt that other requests may share
+     * @param now present time
+     * @return time until a refused part is tried again, at least the time between two trials
+     */
+    public synchronized Duration retryAfter(Collection<PromptPartId> parts, Instant now) {
+        return parts.stream()
+                .map(suspicions::get)
+                .filter(s -> s != null && s.isRefused(now))
+                .map(s -> Duration.between(now, s.retryAt()))
+                .max(Comparator.naturalOrder())
+                .filter(d -> d.compareTo(TRIAL_INTERVAL) > 0)
+                .orElse(TRIAL_INTERVAL);
+    }
+
+    /**
+     * Returns what to tell other entries.
+     *
+     * @param now present time
+     * @return evidence on the parts with crashes, those that count most first, bounded in number
+     */
+    public synchronized List<PartEvidence> evidence(Instant now) {
+        Comparator<Map.Entry<PromptPartId, PartSuspicion>> order =
+                Comparator.comparing(e -> e.getValue().processes().size());
+        return suspicions.entrySet().stream()
+                .sorted(order.thenComparing(e -> e.getValue().lastCrash()).reversed())
+                .limit(MAX_SHARED)
+                .map(e -> evidence(e.getKey(), e.getValue(), now))
+                .toList();
+    }
+
+    /**
+     * Adds what another entry has told.
+     *
+     * @param evidence evidence of the other entry
+     * @param now present time
+     */
+    public synchronized void merge(Collection<PartEvidence> evidence, Instant now) {
+        for (PartEvidence e : evidence) {
+            e.crashAges().forEach((p, age) -> addCrash(e.part(), p, now.minus(age), now));
+            e.answerAge().ifPresent(age -> addAnswer(e.part(), now.minus(age)));
+        }
+    }
+
+    private static PartEvidence evidence(PromptPartId part, PartSuspicion suspicion, Instant now) {
+        Map<UpstreamProcess, Duration> ages = new HashMap<>();
+        suspicion.crashes().forEach((p, at) -> ages.put(p, age(at, now)));
+        Optional<Duration> answerAge = suspicion.answeredAt().map(at -> age(at, now));
+        return new PartEvidence(part, ages, answerAge);
+    }
+
+    private static Duration age(Instant at, Instant now) {
+        return at.isAfter(now) ? Duration.ZERO : Duration.between(at, now);
+    }
+
+    private void addCrash(PromptPartId part, UpstreamProcess process, Instant at, Instant now) {
+        if (!suspicions.containsKey(part)) {
+            makeRoom(now);
+            suspicions.put(part, new PartSuspicion());
+            Optional.ofNullable(answered.get(part))
+                    .ifPresent(a -> suspicions.get(part).recordAnswer(a));
+        }
+        suspicions.get(part).recordCrash(process, at);
+    }
+
+    private void addAnswer(PromptPartId part, Instant at) {
+        answered.merge(part, at, (a, b) -> a.isAfter(b) ? a : b);
+        if (answered.size() > MAX_ANSWERED) {
+            answered.remove(answered.keySet().iterator().next());
+        }
+        PartSuspicion suspicion = suspicions.get(part);
+        if (suspicion != null) {
+            suspicion.recordAnswer(at);
+        }
+    }
+
+    // Drops outdated evidence, and if that is not enough the part with the fewest crashes.
+    private void makeRoom(Instant now) {
+        suspicions.values().removeIf(s -> s.lastCrash().plus(RETENTION).isBefore(now));
+        if (suspicions.size() < MAX_SUSPICIONS) {
+            return;
+        }
+        Comparator<PromptPartId> order =
+                Comparator.comparing(p -> suspicions.get(p).processes().size());
+        suspicions.keySet().stream()
+                .min(order.thenComparing(p -> suspicions.get(p).lastCrash()))
+                .ifPresent(suspicions::remove);
+    }
+
+    private boolean isSuspected(PromptPartId part, Instant now) {
+        PartSuspicion suspicion = suspicions.get(part);
+        return suspicion != null && suspicion.isSuspected(now);
+    }
+
+    private boolean isRetryDue(PromptPartId part, PartSuspicion suspicion, Instant now) {
+        return !suspicion.retryAt().isAfter(now) && triesAgain.test(part);
+    }
+
+    // Returns whether a part that the request lacks may be what crashed the same upstreams.
+    private boolean hasRival(PartSuspicion suspicion, Collection<PromptPartId> parts, Instant now) {
+        Set<UpstreamProcess> crashed = suspicion.processes();
+        return suspicions.entrySet().stream()
+                .filter(e -> !parts.contains(e.getKey()) && e.getValue().isSuspected(now))
+                .map(e -> e.getValue().processes())
+                .anyMatch(p -> isRival(p, crashed));
+    }
+
+    private static boolean isRival(Set<UpstreamProcess> other, Set<UpstreamProcess> crashed) {
+        long common = other.stream().filter(crashed::contains).count();
+        return common >= MIN_COMMON_CRASHES && other.size() > crashed.size() - DECISIVE_LEAD;
+    }
+}
