Tell other entries what an answer clears, not when it was

Cause: entries told each other the age of the last complete answer. Each message takes up to 1 s, and its time is taken from its arrival; as the latest answer counts, it grew younger with each entry that passed it on, also back to the first. So an answer of before the trouble followed the crashes and cleared them one after the other, above all for a part that was answered before it became bad. Ruled out: keeping the earliest time told, as a new answer has to replace an old one. Change: evidence names the processes whose crash is cleared by an answer that some entry saw after it. Sets only grow, so merging in any order and again changes nothing. The counted crashes are kept instead of computed for each verdict.

--- a/src/main/java/org/papayawalk/core/suspect/CrashLimits.java
+++ b/src/main/java/org/papayawalk/core/suspect/CrashLimits.java
@@ -12,10 +12,26 @@
  */
 record CrashLimits(int suspectedFrom, int refusedFrom, Duration minAge) {
 
+    /**
+     * Returns whether a part runs as trials only.
+     *
+     * @param crashes crashes that count against the part
+     * @param firstCrash first of them
+     * @param now present time
+     * @return true if there are enough, and for long enough
+     */
     boolean suspects(int crashes, Instant firstCrash, Instant now) {
         return crashes >= suspectedFrom && !firstCrash.plus(minAge).isAfter(now);
     }
 
+    /**
+     * Returns whether a part is refused.
+     *
+     * @param crashes crashes that count against the part
+     * @param firstCrash first of them
+     * @param now present time
+     * @return true if there are enough, and for long enough
+     */
     boolean refuses(int crashes, Instant firstCrash, Instant now) {
         return crashes >= refusedFrom && !firstCrash.plus(minAge).isAfter(now);
     }
--- a/src/main/java/org/papayawalk/core/suspect/PartEvidence.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartEvidence.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import org.papayawalk.core.id.PromptPartId;
 import org.papayawalk.core.id.UpstreamProcess;
 
@@ -12,14 +12,19 @@
  *
  * @param part part
  * @param crashAges time since the crash of each process that was answering a request with the part
- * @param answerAge time since the last complete answer to a request with the part, empty if none is
- *     known
+ * @param cleared those of the processes after whose crash a request with the part was answered
+ *     completely; not told as a time, which would grow younger with each entry that passes it on
+ * @param answered whether a request with the part was ever answered completely
  */
 public record PartEvidence(
-        PromptPartId part, Map<UpstreamProcess, Duration> crashAges, Optional<Duration> answerAge) {
+        PromptPartId part,
+        Map<UpstreamProcess, Duration> crashAges,
+        Set<UpstreamProcess> cleared,
+        boolean answered) {
 
-    /** Copies the ages. */
+    /** Copies the collections. */
     public PartEvidence {
         crashAges = Map.copyOf(crashAges);
+        cleared = Set.copyOf(cleared);
     }
 }
--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.papayawalk.core.id.UpstreamProcess;
 
@@ -33,43 +32,110 @@
 
     private static final int MAX_DOUBLINGS = 6;
 
+    /** Last crash of each process, also of those that do not count. */
     private final Map<UpstreamProcess, Instant> crashes = new HashMap<>();
 
-    /** Last complete answer; {@link Instant#MIN} if none is known. */
+    /** Processes whose crash does not count, as an answer was complete after it. */
+    private final Set<UpstreamProcess> cleared = new HashSet<>();
+
+    /** Processes whose crash counts against the part. */
+    private final Set<UpstreamProcess> counted = new HashSet<>();
+
+    /** Whether an answer was ever complete. */
+    private boolean answered;
+
+    /** Last complete answer that this entry has seen; {@link Instant#MIN} if none. */
     private Instant answeredAt = Instant.MIN;
 
-    /** Records a crash; returns false if it is known. */
-    boolean recordCrash(UpstreamProcess process, Instant at) {
-        return crashes.putIfAbsent(process, at) == null;
+    /**
+     * Records a crash unless it is known.
+     *
+     * @param process crashed process
+     * @param at when it crashed
+     */
+    void recordCrash(UpstreamProcess process, Instant at) {
+        if (crashes.putIfAbsent(process, at) == null && !cleared.contains(process)) {
+            if (at.isAfter(answeredAt)) {
+                counted.add(process);
+            } else {
+                cleared.add(process);
+            }
+        }
     }
 
+    /**
+     * Records a complete answer that this entry has seen.
+     *
+     * @param at when it was complete
+     */
     void recordAnswer(Instant at) {
+        answered = true;
         if (at.isAfter(answeredAt)) {
             answeredAt = at;
         }
+        Set<UpstreamProcess> before = new HashSet<>(counted);
+        before.removeIf(p -> crashes.get(p).isAfter(answeredAt));
+        clear(before);
     }
 
-    /** Returns the processes whose crash counts against the part. */
+    /** Notes that another entry has seen a complete answer at some time. */
+    void noteAnswered() {
+        answered = true;
+    }
+
+    /**
+     * Records that an answer was complete after crashes.
+     *
+     * @param processes crashed processes
+     */
+    void clear(Set<UpstreamProcess> processes) {
+        cleared.addAll(processes);
+        counted.removeAll(processes);
+    }
+
+    /**
+     * Returns the processes whose crash counts against the part.
+     *
+     * @return processes, to be read only
+     */
     Set<UpstreamProcess> processes() {
-        Set<UpstreamProcess> counted = new HashSet<>();
-        crashes.forEach(
-                (p, at) -> {
-                    if (at.isAfter(answeredAt)) {
-                        counted.add(p);
-                    }
-                });
         return counted;
     }
 
+    /**
+     * Returns the processes whose crash does not count any more.
+     *
+     * @return copy of the set
+     */
+    Set<UpstreamProcess> cleared() {
+        return Set.copyOf(cleared);
+    }
+
+    /**
+     * Returns whether requests with the part run as trials only.
+     *
+     * @param now present time
+     * @return true if enough crashes count against the part
+     */
     boolean isSuspected(Instant now) {
-        return limits().suspects(processes().size(), firstCrash(), now);
+        return limits().suspects(counted.size(), firstCrash(), now);
     }
 
+    /**
+     * Returns whether requests with the part are refused.
+     *
+     * @param now present time
+     * @return true if enough crashes count against the part
+     */
     boolean isRefused(Instant now) {
-        return limits().refuses(processes().size(), firstCrash(), now);
+        return limits().refuses(counted.size(), firstCrash(), now);
     }
 
-    /** Returns when the part, if refused, is tried again. */
+    /**
+     * Returns when the part, if refused, is tried again.
+     *
+     * @return time after the last crash that grows with the number of trials
+     */
     Instant retryAt() {
         List<Instant> times = crashes.values().stream().sorted().toList();
         int trials = 0;
@@ -82,27 +148,39 @@
                 .plus(FIRST_RETRY_DELAY.multipliedBy(1L << Math.min(trials, MAX_DOUBLINGS)));
     }
 
+    /**
+     * Returns the last crash, whether it counts or not.
+     *
+     * @return time, {@link Instant#MIN} if there is none
+     */
     Instant lastCrash() {
         return crashes.values().stream().max(Instant::compareTo).orElse(Instant.MIN);
     }
 
+    /**
+     * Returns all crashes.
+     *
+     * @return time of each by process
+     */
     Map<UpstreamProcess, Instant> crashes() {
         return Map.copyOf(crashes);
     }
 
-    Optional<Instant> answeredAt() {
-        return answeredAt.equals(Instant.MIN) ? Optional.empty() : Optional.of(answeredAt);
+    /**
+     * Returns whether an answer was ever complete.
+     *
+     * @return true if this entry or another has seen one
+     */
+    boolean isAnswered() {
+        return answered;
     }
 
     private CrashLimits limits() {
-        return answeredAt.equals(Instant.MIN) ? UNKNOWN_PART : ANSWERED_PART;
+        return answered ? ANSWERED_PART : UNKNOWN_PART;
     }
 
     // Returns the first crash that counts against the part.
     private Instant firstCrash() {
-        return crashes.values().stream()
-                .filter(t -> t.isAfter(answeredAt))
-                .min(Instant::compareTo)
-                .orElse(Instant.MAX);
+        return counted.stream().map(crashes::get).min(Instant::compareTo).orElse(Instant.MAX);
     }
 }
--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -164,15 +164,20 @@
     public synchronized void merge(Collection<PartEvidence> evidence, Instant now) {
         for (PartEvidence e : evidence) {
             e.crashAges().forEach((p, age) -> addCrash(e.part(), p, now.minus(age), now));
-            e.answerAge().ifPresent(age -> addAnswer(e.part(), now.minus(age)));
+            PartSuspicion suspicion = suspicions.get(e.part());
+            if (suspicion != null) {
+                suspicion.clear(e.cleared());
+                if (e.answered()) {
+                    suspicion.noteAnswered();
+                }
+            }
         }
     }
 
     private static PartEvidence evidence(PromptPartId part, PartSuspicion suspicion, Instant now) {
         Map<UpstreamProcess, Duration> ages = new HashMap<>();
         suspicion.crashes().forEach((p, at) -> ages.put(p, age(at, now)));
-        Optional<Duration> answerAge = suspicion.answeredAt().map(at -> age(at, now));
-        return new PartEvidence(part, ages, answerAge);
+        return new PartEvidence(part, ages, suspicion.cleared(), suspicion.isAnswered());
     }
 
     private static Duration age(Instant at, Instant now) {
