Let one entry try doubtful parts once the matter is settled

Cause: a refused part that another part may explain ran as a trial at each entry every 1.5 s, with no end; with 4 to 12 entries that is far more than three requests. Two crashes in common made one part the rival of another, so that two bad parts at once were rivals for good. Ruled out: the same limit for each entry; it depends on the number of entries. Change: any entry tries until 2 s after the fourth crash, later only the one that tries again, 2 s after the last crash and then at growing intervals. A rival has to explain all crashes but two. Parts in all requests of a kind may now be refused for long.

--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.papayawalk.core.id.UpstreamProcess;
@@ -27,8 +26,11 @@
     /** Time without a crash after which a refused part is tried again; doubles with each trial. */
     private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(20);
 
-    /** Crashes further apart than this belong to different trials of a refused part. */
-    private static final Duration TRIAL_GAP = Duration.ofSeconds(10);
+    /** The same for the first trial while another part may explain the crashes. */
+    private static final Duration DOUBTFUL_RETRY_DELAY = Duration.ofSeconds(2);
+
+    /** Time after the crash from which an unknown part is refused; later crashes are of trials. */
+    private static final Duration SETTLING_TIME = Duration.ofSeconds(2);
 
     private static final int MAX_DOUBLINGS = 6;
 
@@ -131,21 +133,36 @@
         return limits().refuses(counted.size(), firstCrash(), now);
     }
 
+    /**
+     * Returns until when any entry may try requests with the part while another part may explain
+     * its crashes.
+     *
+     * @return time, {@link Instant#MAX} if few crashes count
+     */
+    Instant settledAt() {
+        return counted.stream()
+                .map(crashes::get)
+                .sorted()
+                .skip(UNKNOWN_PART.refusedFrom() - 1)
+                .findFirst()
+                .map(t -> t.plus(SETTLING_TIME))
+                .orElse(Instant.MAX);
+    }
+
     /**
      * Returns when the part, if refused, is tried again.
      *
+     * @param doubtful whether another part may explain its crashes
      * @return time after the last crash that grows with the number of trials
      */
-    Instant retryAt() {
-        List<Instant> times = crashes.values().stream().sorted().toList();
-        int trials = 0;
-        for (int i = 1; i < times.size(); i++) {
-            if (times.get(i - 1).plus(TRIAL_GAP).isBefore(times.get(i))) {
-                trials++;
-            }
+    Instant retryAt(boolean doubtful) {
+        Instant settledAt = settledAt();
+        long trials = counted.stream().filter(p -> crashes.get(p).isAfter(settledAt)).count();
+        if (trials == 0 && doubtful) {
+            return lastCrash().plus(DOUBTFUL_RETRY_DELAY);
         }
-        return lastCrash()
-                .plus(FIRST_RETRY_DELAY.multipliedBy(1L << Math.min(trials, MAX_DOUBLINGS)));
+        long doublings = Math.min(Math.max(0, trials - 1), MAX_DOUBLINGS);
+        return lastCrash().plus(FIRST_RETRY_DELAY.multipliedBy(1L << doublings));
     }
 
     /**
--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -35,7 +35,7 @@
 
     private static final Duration RETENTION = Duration.ofMinutes(10);
 
-    /** Lead in crashes from which a part is told from others that were involved as well. */
+    /** Crashes without another part from which that part does not explain them. */
     private static final int DECISIVE_LEAD = 3;
 
     /** Common crashes from which one part may explain the crashes of another. */
@@ -95,9 +95,7 @@
             if (suspicion == null || !suspicion.isSuspected(now)) {
                 continue;
             }
-            if (suspicion.isRefused(now)
-                    && !isRetryDue(part, suspicion, now)
-                    && !hasRival(suspicion, parts, now)) {
+            if (suspicion.isRefused(now) && !isTrialDue(part, suspicion, parts, now)) {
                 return PartVerdict.REFUSED;
             }
             verdict = PartVerdict.TRIAL;
@@ -133,7 +131,7 @@
         return parts.stream()
                 .map(suspicions::get)
                 .filter(s -> s != null && s.isRefused(now))
-                .map(s -> Duration.between(now, s.retryAt()))
+                .map(s -> Duration.between(now, s.retryAt(false)))
                 .max(Comparator.naturalOrder())
                 .filter(d -> d.compareTo(TRIAL_INTERVAL) > 0)
                 .orElse(TRIAL_INTERVAL);
@@ -223,8 +221,17 @@
         return suspicion != null && suspicion.isSuspected(now);
     }
 
-    private boolean isRetryDue(PromptPartId part, PartSuspicion suspicion, Instant now) {
-        return !suspicion.retryAt().isAfter(now) && triesAgain.test(part);
+    // While it is not settled what crashes the upstreams any entry tries, later only one.
+    private boolean isTrialDue(
+            PromptPartId part,
+            PartSuspicion suspicion,
+            Collection<PromptPartId> parts,
+            Instant now) {
+        if (suspicion.retryAt(false).isAfter(now) && !hasRival(suspicion, parts, now)) {
+            return false;
+        }
+        return suspicion.settledAt().isAfter(now)
+                || (!suspicion.retryAt(true).isAfter(now) && triesAgain.test(part));
     }
 
     // Returns whether a part that the request lacks may be what crashed the same upstreams.
@@ -237,7 +244,7 @@
     }
 
     private static boolean isRival(Set<UpstreamProcess> other, Set<UpstreamProcess> crashed) {
-        long common = other.stream().filter(crashed::contains).count();
-        return common >= MIN_COMMON_CRASHES && other.size() > crashed.size() - DECISIVE_LEAD;
+        long common = crashed.stream().filter(other::contains).count();
+        return common >= MIN_COMMON_CRASHES && crashed.size() - common < DECISIVE_LEAD;
     }
 }
