Let an answer speak for the time at which it began

Cause: a part that turns bad has requests in progress that began before; their complete answers cleared the first crashes, and the next crashes counted from none. Change: recordAnswer takes the begin of the answer. The emulated entry states it.

--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -46,7 +46,7 @@
     /** Whether an answer was ever complete. */
     private boolean answered;
 
-    /** Last complete answer that this entry has seen; {@link Instant#MIN} if none. */
+    /** Begin of the last complete answer that this entry saw; {@link Instant#MIN} if none. */
     private Instant answeredAt = Instant.MIN;
 
     /**
@@ -68,7 +68,7 @@
     /**
      * Records a complete answer that this entry has seen.
      *
-     * @param at when it was complete
+     * @param at when it began
      */
     void recordAnswer(Instant at) {
         answered = true;
--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -72,13 +72,14 @@
     }
 
     /**
-     * Records that a request was answered completely by one upstream.
+     * Records that a request was answered completely by one upstream. This speaks for its parts at
+     * the time at which the answer began, and not for one that has become bad since.
      *
      * @param parts parts of the prompt that other requests may share
-     * @param now present time
+     * @param begunAt when the answer began
      */
-    public synchronized void recordAnswer(Collection<PromptPartId> parts, Instant now) {
-        parts.forEach(p -> addAnswer(p, now));
+    public synchronized void recordAnswer(Collection<PromptPartId> parts, Instant begunAt) {
+        parts.forEach(p -> addAnswer(p, begunAt));
     }
 
     /**
--- a/src/test/java/org/papayawalk/core/suspect/PartsEmulation.java
+++ b/src/test/java/org/papayawalk/core/suspect/PartsEmulation.java
@@ -160,7 +160,8 @@
             return;
         }
         attempt.request.begun = true;
-        onEntry(attempt.entry, link(), () -> attempt.begun = true);
+        PartsEntry e = attempt.entry;
+        onEntry(e, link(), () -> attempt.begunAt = e.clock(now));
         for (BadPart b : scenario.badParts()) {
             if (b.crashes(attempt.request, now)) {
                 after(random.nextInt(20, 201), () -> crash(u, attempt, b));
@@ -174,7 +175,7 @@
         if (!attempt.lost) {
             u.attempts.remove(attempt);
             PartsEntry e = attempt.entry;
-            onEntry(e, link(), () -> e.registry.recordAnswer(attempt.request.parts, e.clock(now)));
+            onEntry(e, link(), () -> e.registry.recordAnswer(attempt.request.parts, attempt.begunAt));
         }
     }
 
@@ -201,7 +202,7 @@
     }
 
     private void lose(PartsUpstream.Attempt a) {
-        if (a.begun) {
+        if (a.begunAt != null) {
             a.entry.registry.recordCrash(a.request.parts, a.process, a.entry.clock(now));
         }
         if (!a.request.resent) {
--- a/src/test/java/org/papayawalk/core/suspect/PartsUpstream.java
+++ b/src/test/java/org/papayawalk/core/suspect/PartsUpstream.java
@@ -1,5 +1,6 @@
 package org.papayawalk.core.suspect;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import org.papayawalk.core.id.UpstreamId;
@@ -67,8 +68,8 @@
         /** Whether the process has ended before the answer was complete. */
         boolean lost;
 
-        /** Whether the entry knows that the answer has begun. */
-        boolean begun;
+        /** When the answer began by the clock of the entry; null if it does not know of it. */
+        Instant begunAt;
 
         /**
          * Creates an attempt.
