Judge the refused parts of a request together

Cause: after an outage of all upstreams each popular part is refused until it is tried, and each has another entry that may try it. A request carries several, so none of the entries might. Change: a part that was answered before does not stop the trial of another one that leads by three crashes and explains its own. A part without any answer has no rivals among answered ones. Two early trials instead of one.

--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -29,6 +29,9 @@
     /** The same for the first trial while another part may explain the crashes. */
     private static final Duration DOUBTFUL_RETRY_DELAY = Duration.ofSeconds(2);
 
+    /** Number of such early trials. */
+    private static final int DOUBTFUL_TRIALS = 2;
+
     /** Time after the crash from which an unknown part is refused; later crashes are of trials. */
     private static final Duration SETTLING_TIME = Duration.ofSeconds(2);
 
@@ -158,7 +161,7 @@
     Instant retryAt(boolean doubtful) {
         Instant settledAt = settledAt();
         long trials = counted.stream().filter(p -> crashes.get(p).isAfter(settledAt)).count();
-        if (trials == 0 && doubtful) {
+        if (doubtful && trials < DOUBTFUL_TRIALS) {
             return lastCrash().plus(DOUBTFUL_RETRY_DELAY);
         }
         long doublings = Math.min(Math.max(0, trials - 1), MAX_DOUBLINGS);
--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -90,18 +91,16 @@
      * @return verdict by what this entry and others have observed
      */
     public synchronized PartVerdict verdict(Collection<PromptPartId> parts, Instant now) {
-        PartVerdict verdict = PartVerdict.CLEAR;
-        for (PromptPartId part : parts) {
-            PartSuspicion suspicion = suspicions.get(part);
-            if (suspicion == null || !suspicion.isSuspected(now)) {
-                continue;
-            }
-            if (suspicion.isRefused(now) && !isTrialDue(part, suspicion, parts, now)) {
-                return PartVerdict.REFUSED;
-            }
-            verdict = PartVerdict.TRIAL;
+        List<PromptPartId> suspected = parts.stream().filter(p -> isSuspected(p, now)).toList();
+        if (suspected.isEmpty()) {
+            return PartVerdict.CLEAR;
         }
-        return verdict;
+        Set<PromptPartId> refused = new HashSet<>(suspected);
+        refused.removeIf(p -> !suspicions.get(p).isRefused(now));
+        Set<PromptPartId> due = new HashSet<>(refused);
+        due.removeIf(p -> !isTrialDue(p, parts, now));
+        boolean tried = refused.stream().allMatch(p -> due.contains(p) || isExplained(p, due));
+        return tried ? PartVerdict.TRIAL : PartVerdict.REFUSED;
     }
 
     /**
@@ -224,10 +223,8 @@
 
     // While it is not settled what crashes the upstreams any entry tries, later only one.
     private boolean isTrialDue(
-            PromptPartId part,
-            PartSuspicion suspicion,
-            Collection<PromptPartId> parts,
-            Instant now) {
+            PromptPartId part, Collection<PromptPartId> parts, Instant now) {
+        PartSuspicion suspicion = suspicions.get(part);
         if (suspicion.retryAt(false).isAfter(now) && !hasRival(suspicion, parts, now)) {
             return false;
         }
@@ -235,11 +232,26 @@
                 || (!suspicion.retryAt(true).isAfter(now) && triesAgain.test(part));
     }
 
+    // A part that was answered before may stand in a trial of another that crashed more upstreams,
+    // among them nearly all of its own: if it were at fault, the other would not lead.
+    private boolean isExplained(PromptPartId part, Set<PromptPartId> due) {
+        PartSuspicion suspicion = suspicions.get(part);
+        Set<UpstreamProcess> crashed = suspicion.processes();
+        return suspicion.isAnswered()
+                && due.stream()
+                        .map(d -> suspicions.get(d).processes())
+                        .anyMatch(
+                                p ->
+                                        p.size() - crashed.size() >= DECISIVE_LEAD
+                                                && isRival(p, crashed));
+    }
+
     // Returns whether a part that the request lacks may be what crashed the same upstreams.
     private boolean hasRival(PartSuspicion suspicion, Collection<PromptPartId> parts, Instant now) {
         Set<UpstreamProcess> crashed = suspicion.processes();
         return suspicions.entrySet().stream()
                 .filter(e -> !parts.contains(e.getKey()) && e.getValue().isSuspected(now))
+                .filter(e -> suspicion.isAnswered() || !e.getValue().isAnswered())
                 .map(e -> e.getValue().processes())
                 .anyMatch(p -> isRival(p, crashed));
     }
