Let several parts explain the crashes of one

Cause: with three bad parts at once the part of a kind of requests was in the crashes of all three, and no single one explained all but two. Change: rivals explain crashes together. Trials count from 1.5 s after the matter is settled.

--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -32,7 +32,10 @@
     /** Number of such early trials. */
     private static final int DOUBTFUL_TRIALS = 2;
 
-    /** Time after the crash from which an unknown part is refused; later crashes are of trials. */
+    /** Time in which requests that were sent before may still crash upstreams. */
+    private static final Duration TRIAL_TIME = Duration.ofMillis(1500);
+
+    /** Time after the crash from which an unknown part is refused. */
     private static final Duration SETTLING_TIME = Duration.ofSeconds(2);
 
     private static final int MAX_DOUBLINGS = 6;
@@ -159,8 +162,8 @@
      * @return time after the last crash that grows with the number of trials
      */
     Instant retryAt(boolean doubtful) {
-        Instant settledAt = settledAt();
-        long trials = counted.stream().filter(p -> crashes.get(p).isAfter(settledAt)).count();
+        Instant from = counted.size() < UNKNOWN_PART.refusedFrom() ? Instant.MAX : settledAt().plus(TRIAL_TIME);
+        long trials = counted.stream().filter(p -> crashes.get(p).isAfter(from)).count();
         if (doubtful && trials < DOUBTFUL_TRIALS) {
             return lastCrash().plus(DOUBTFUL_RETRY_DELAY);
         }
--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -243,21 +243,23 @@
                         .anyMatch(
                                 p ->
                                         p.size() - crashed.size() >= DECISIVE_LEAD
-                                                && isRival(p, crashed));
+                                                && crashed.size() - commonCrashes(p, crashed)
+                                                        < DECISIVE_LEAD);
     }
 
-    // Returns whether a part that the request lacks may be what crashed the same upstreams.
+    // Returns whether parts that the request lacks may be what crashed the same upstreams.
     private boolean hasRival(PartSuspicion suspicion, Collection<PromptPartId> parts, Instant now) {
-        Set<UpstreamProcess> crashed = suspicion.processes();
-        return suspicions.entrySet().stream()
+        Set<UpstreamProcess> unexplained = new HashSet<>(suspicion.processes());
+        suspicions.entrySet().stream()
                 .filter(e -> !parts.contains(e.getKey()) && e.getValue().isSuspected(now))
                 .filter(e -> suspicion.isAnswered() || !e.getValue().isAnswered())
                 .map(e -> e.getValue().processes())
-                .anyMatch(p -> isRival(p, crashed));
+                .filter(p -> commonCrashes(p, suspicion.processes()) >= MIN_COMMON_CRASHES)
+                .forEach(unexplained::removeAll);
+        return unexplained.size() < Math.min(DECISIVE_LEAD, suspicion.processes().size());
     }
 
-    private static boolean isRival(Set<UpstreamProcess> other, Set<UpstreamProcess> crashed) {
-        long common = crashed.stream().filter(other::contains).count();
-        return common >= MIN_COMMON_CRASHES && crashed.size() - common < DECISIVE_LEAD;
+    private static long commonCrashes(Set<UpstreamProcess> some, Set<UpstreamProcess> others) {
+        return some.stream().filter(others::contains).count();
     }
 }
