--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -46,43 +46,35 @@
     /** Processes whose crash does not count, as an answer was complete after it. */
     private final Set<UpstreamProcess> cleared = new HashSet<>();
 
-    /** Processes whose crash counts against the part. */
-    private final Set<UpstreamProcess> counted = new HashSet<>();
+    /** When this entry learned of each crash that counts against the part. */
+    private final Map<UpstreamProcess, Instant> counted = new HashMap<>();
 
     /** Whether an answer was ever complete. */
     private boolean answered;
 
-    /** Begin of the last complete answer that this entry saw; {@link Instant#MIN} if none. */
-    private Instant answeredAt = Instant.MIN;
-
     /**
      * Records a crash unless it is known.
      *
      * @param process crashed process
      * @param at when it crashed
+     * @param now present time
      */
-    void recordCrash(UpstreamProcess process, Instant at) {
+    void recordCrash(UpstreamProcess process, Instant at, Instant now) {
         if (crashes.putIfAbsent(process, at) == null && !cleared.contains(process)) {
-            if (at.isAfter(answeredAt)) {
-                counted.add(process);
-            } else {
-                cleared.add(process);
-            }
+            counted.put(process, now);
         }
     }
 
     /**
-     * Records a complete answer that this entry has seen.
+     * Records a complete answer that this entry has seen. It clears the crashes that were known
+     * here when it began: times told by others are too uncertain to compare.
      *
-     * @param at when it began
+     * @param begunAt when it began
      */
-    void recordAnswer(Instant at) {
+    void recordAnswer(Instant begunAt) {
         answered = true;
-        if (at.isAfter(answeredAt)) {
-            answeredAt = at;
-        }
-        Set<UpstreamProcess> before = new HashSet<>(counted);
-        before.removeIf(p -> crashes.get(p).isAfter(answeredAt));
+        Set<UpstreamProcess> before = new HashSet<>(counted.keySet());
+        before.removeIf(p -> !counted.get(p).isBefore(begunAt));
         clear(before);
     }
 
@@ -98,7 +90,7 @@
      */
     void clear(Set<UpstreamProcess> processes) {
         cleared.addAll(processes);
-        counted.removeAll(processes);
+        counted.keySet().removeAll(processes);
     }
 
     /**
@@ -107,7 +99,7 @@
      * @return processes, to be read only
      */
     Set<UpstreamProcess> processes() {
-        return counted;
+        return counted.keySet();
     }
 
     /**
@@ -146,7 +138,7 @@
      * @return time, {@link Instant#MAX} if few crashes count
      */
     Instant settledAt() {
-        return counted.stream()
+        return counted.keySet().stream()
                 .map(crashes::get)
                 .sorted()
                 .skip(UNKNOWN_PART.refusedFrom() - 1)
@@ -163,7 +155,7 @@
      */
     Instant retryAt(boolean doubtful) {
         Instant from = counted.size() < UNKNOWN_PART.refusedFrom() ? Instant.MAX : settledAt().plus(TRIAL_TIME);
-        long trials = counted.stream().filter(p -> crashes.get(p).isAfter(from)).count();
+        long trials = counted.keySet().stream().filter(p -> crashes.get(p).isAfter(from)).count();
         if (doubtful && trials < DOUBTFUL_TRIALS) {
             return lastCrash().plus(DOUBTFUL_RETRY_DELAY);
         }
@@ -204,6 +196,6 @@
 
     // Returns the first crash that counts against the part.
     private Instant firstCrash() {
-        return counted.stream().map(crashes::get).min(Instant::compareTo).orElse(Instant.MAX);
+        return counted.keySet().stream().map(crashes::get).min(Instant::compareTo).orElse(Instant.MAX);
     }
 }
--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -186,10 +186,11 @@
         if (!suspicions.containsKey(part)) {
             makeRoom(now);
             suspicions.put(part, new PartSuspicion());
-            Optional.ofNullable(answered.get(part))
-                    .ifPresent(a -> suspicions.get(part).recordAnswer(a));
+            if (answered.containsKey(part)) {
+                suspicions.get(part).noteAnswered();
+            }
         }
-        suspicions.get(part).recordCrash(process, at);
+        suspicions.get(part).recordCrash(process, at, now);
     }
 
     private void addAnswer(PromptPartId part, Instant at) {
