--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -154,7 +154,10 @@
      * @return time after the last crash that grows with the number of trials
      */
     Instant retryAt(boolean doubtful) {
-        Instant from = counted.size() < UNKNOWN_PART.refusedFrom() ? Instant.MAX : settledAt().plus(TRIAL_TIME);
+        Instant from =
+                counted.size() < UNKNOWN_PART.refusedFrom()
+                        ? Instant.MAX
+                        : settledAt().plus(TRIAL_TIME);
         long trials = counted.keySet().stream().filter(p -> crashes.get(p).isAfter(from)).count();
         if (doubtful && trials < DOUBTFUL_TRIALS) {
             return lastCrash().plus(DOUBTFUL_RETRY_DELAY);
@@ -196,6 +199,9 @@
 
     // Returns the first crash that counts against the part.
     private Instant firstCrash() {
-        return counted.keySet().stream().map(crashes::get).min(Instant::compareTo).orElse(Instant.MAX);
+        return counted.keySet().stream()
+                .map(crashes::get)
+                .min(Instant::compareTo)
+                .orElse(Instant.MAX);
     }
 }
--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.papayawalk.core.id.PromptPartId;
@@ -144,6 +143,7 @@
      * @return evidence on the parts with crashes, those that count most first, bounded in number
      */
     public synchronized List<PartEvidence> evidence(Instant now) {
+        suspicions.values().removeIf(s -> s.lastCrash().plus(RETENTION).isBefore(now));
         Comparator<Map.Entry<PromptPartId, PartSuspicion>> order =
                 Comparator.comparing(e -> e.getValue().processes().size());
         return suspicions.entrySet().stream()
@@ -172,6 +172,15 @@
         }
     }
 
+    /**
+     * Returns how many parts are held.
+     *
+     * @return number of parts with crashes or answers, bounded
+     */
+    synchronized int size() {
+        return suspicions.size() + answered.size() + trials.size();
+    }
+
     private static PartEvidence evidence(PromptPartId part, PartSuspicion suspicion, Instant now) {
         Map<UpstreamProcess, Duration> ages = new HashMap<>();
         suspicion.crashes().forEach((p, at) -> ages.put(p, age(at, now)));
@@ -184,7 +193,7 @@
 
     private void addCrash(PromptPartId part, UpstreamProcess process, Instant at, Instant now) {
         if (!suspicions.containsKey(part)) {
-            makeRoom(now);
+            makeRoom();
             suspicions.put(part, new PartSuspicion());
             if (answered.containsKey(part)) {
                 suspicions.get(part).noteAnswered();
@@ -204,17 +213,19 @@
         }
     }
 
-    // Drops outdated evidence, and if that is not enough the part with the fewest crashes.
-    private void makeRoom(Instant now) {
-        suspicions.values().removeIf(s -> s.lastCrash().plus(RETENTION).isBefore(now));
+    // Drops the parts with the fewest crashes, several at a time, as this sorts them all.
+    private void makeRoom() {
         if (suspicions.size() < MAX_SUSPICIONS) {
             return;
         }
         Comparator<PromptPartId> order =
                 Comparator.comparing(p -> suspicions.get(p).processes().size());
-        suspicions.keySet().stream()
-                .min(order.thenComparing(p -> suspicions.get(p).lastCrash()))
-                .ifPresent(suspicions::remove);
+        List<PromptPartId> dropped =
+                suspicions.keySet().stream()
+                        .sorted(order.thenComparing(p -> suspicions.get(p).lastCrash()))
+                        .limit(MAX_SUSPICIONS / 8)
+                        .toList();
+        suspicions.keySet().removeAll(new HashSet<>(dropped));
     }
 
     private boolean isSuspected(PromptPartId part, Instant now) {
@@ -223,8 +234,7 @@
     }
 
     // While it is not settled what crashes the upstreams any entry tries, later only one.
-    private boolean isTrialDue(
-            PromptPartId part, Collection<PromptPartId> parts, Instant now) {
+    private boolean isTrialDue(PromptPartId part, Collection<PromptPartId> parts, Instant now) {
         PartSuspicion suspicion = suspicions.get(part);
         if (suspicion.retryAt(false).isAfter(now) && !hasRival(suspicion, parts, now)) {
             return false;
