Read the parts of a request's prompt at the platform's edge

Callers list the parts of a prompt in order, X-Prompt-Prefix; the last belongs to the request itself or to its session. RequestMetadata has the others, in order and without duplicates. Malformed entries are left out, the first 32 parts are kept.

--- a/src/main/java/org/papayawalk/core/call/RequestMetadata.java
+++ b/src/main/java/org/papayawalk/core/call/RequestMetadata.java
@@ -1,8 +1,10 @@
 package org.papayawalk.core.call;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.papayawalk.core.id.PromptPartId;
 
 /**
  * Metadata of a request, as stated by its caller. Immutable.
@@ -16,6 +18,8 @@
  * @param maxAnswerTokens maximum length of the answer in tokens, 0 if not stated
  * @param lastEventId id of the last event that the caller received from this stream, empty if the
  *     stream is not resumed
+ * @param promptParts parts of the prompt that other requests may share, in order and without
+ *     duplicates; the last part is left out, as it belongs to this request or its session
  */
 public record RequestMetadata(
         String requestId,
@@ -24,7 +28,13 @@
         Optional<String> model,
         int promptTokens,
         int maxAnswerTokens,
-        Optional<String> lastEventId) {
+        Optional<String> lastEventId,
+        List<PromptPartId> promptParts) {
+
+    /** Copies the parts. */
+    public RequestMetadata {
+        promptParts = List.copyOf(promptParts);
+    }
 
     /**
      * Returns the timeout of the request.
--- a/src/main/java/org/papayawalk/platform/HeaderCodec.java
+++ b/src/main/java/org/papayawalk/platform/HeaderCodec.java
@@ -3,8 +3,11 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -12,11 +15,13 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.papayawalk.core.call.AttemptParameters;
 import org.papayawalk.core.call.ReportedLoad;
 import org.papayawalk.core.call.RequestMetadata;
 import org.papayawalk.core.call.ResponseMetadata;
+import org.papayawalk.core.id.PromptPartId;
 
 /** Headers of requests and responses on the managed platform. Stateless; thread-safe. */
 public final class HeaderCodec {
@@ -50,6 +55,12 @@
     /** Prompt tokens and maximum answer tokens of a request, separated by a comma. */
     private static final String TOKENS = "X-Token-Usage";
 
+    /** Parts of the prompt in order, each its id and number of tokens, separated by commas. */
+    private static final String PROMPT_PARTS = "X-Prompt-Prefix";
+
+    /** Further parts of a prompt are left out. */
+    private static final int MAX_PROMPT_PARTS = 32;
+
     /** Authentication code that a server puts on its own responses. */
     private static final String SERVER_STAMP = "X-Server-Stamp";
 
@@ -97,6 +108,8 @@
     private static final Pattern DECIMAL =
             Pattern.compile(" *([0-9]{1,20}([.][0-9]{0,30})?|[.][0-9]{1,30})(e[+-]?[0-9]{1,2})? *");
 
+    private static final Pattern PROMPT_PART = Pattern.compile("([0-9A-Fa-f]{1,64}):[0-9]{1,9}");
+
     private HeaderCodec() {}
 
     /**
@@ -114,7 +127,8 @@
                 Optional.ofNullable(headers.get(MODEL)),
                 tokens.length > 0 ? tokens[0] : 0,
                 tokens.length > 1 ? tokens[1] : 0,
-                Optional.ofNullable(headers.get(LAST_EVENT_ID)));
+                Optional.ofNullable(headers.get(LAST_EVENT_ID)),
+                sharedPromptParts(headers.getAll(PROMPT_PARTS)));
     }
 
     /**
@@ -194,6 +208,26 @@
         }
     }
 
+    // Decodes all parts but the last. Lines of the same header continue each other; entries that
+    // are
+    // empty do not count, and those that are malformed are left out.
+    private static List<PromptPartId> sharedPromptParts(List<String> lines) {
+        List<String> entries =
+                lines.stream()
+                        .flatMap(l -> Arrays.stream(l.split(",")))
+                        .map(String::strip)
+                        .filter(e -> !e.isEmpty())
+                        .toList();
+        Set<PromptPartId> parts = new LinkedHashSet<>();
+        for (String entry : entries.subList(0, Math.max(0, entries.size() - 1))) {
+            Matcher matcher = PROMPT_PART.matcher(entry);
+            if (matcher.matches() && parts.size() < MAX_PROMPT_PARTS) {
+                parts.add(new PromptPartId(matcher.group(1)));
+            }
+        }
+        return List.copyOf(parts);
+    }
+
     private static OptionalLong millis(String text) {
         int[] numbers = parseNumbers(text);
         return numbers.length == 1 ? OptionalLong.of(numbers[0]) : OptionalLong.empty();
--- a/src/test/java/org/papayawalk/platform/HeaderCodecTest.java
+++ b/src/test/java/org/papayawalk/platform/HeaderCodecTest.java
@@ -4,12 +4,19 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.papayawalk.core.id.PromptPartId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Decodes what servers state, in the forms in which decimal numbers are written. */
+/**
+ * Decodes what servers state, in the forms in which decimal numbers are written, and the parts of
+ * prompts that callers state.
+ */
 public final class HeaderCodecTest {
 
     /**
@@ -82,4 +89,67 @@
                         .retryAfter();
         assertEquals(delay.map(Duration::toMillis).orElse(-1L), Long.valueOf(millis));
     }
+
+    /**
+     * Returns lines of the header that lists the parts of a prompt, with the parts that other
+     * requests may share.
+     *
+     * @return rows of lines and ids
+     */
+    @DataProvider
+    public Object[][] promptParts() {
+        String longest = "a".repeat(64);
+        return new Object[][] {
+            {List.of(), List.of()},
+            {List.of(""), List.of()},
+            {List.of("5c1e07a2:800"), List.of()},
+            {List.of("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), List.of("5c1e07a2", "91bd3f06")},
+            {List.of("b:1,A0:2,c:3"), List.of("b", "A0")},
+            {List.of("a:1,b:2,a:1,c:3"), List.of("a", "b")},
+            {List.of(" a:1 ,\tb:2 , c:3 "), List.of("a", "b")},
+            {List.of("a:1,b:2,"), List.of("a")},
+            {List.of(",,a:1,,b:2"), List.of("a")},
+            {List.of("a:1,b:2", "c:3,d:4"), List.of("a", "b", "c")},
+            {List.of("a:1", "b:2"), List.of("a")},
+            {List.of("a:1", ""), List.of()},
+            {List.of("a,b:,:3,d:-4,e:x,f:1:2,g:1,a b:1,c :1,c: 1,d:1,e:1"), List.of("d")},
+            {List.of("a:1,b:9999999999,c:1"), List.of("a")},
+            {List.of("a:1,?"), List.of("a")},
+            {List.of(longest + ":1,b" + longest + ":1,c:1"), List.of(longest)},
+        };
+    }
+
+    /**
+     * Decodes the parts of a prompt.
+     *
+     * @param lines lines of the header
+     * @param ids ids of the parts that other requests may share
+     */
+    @Test(dataProvider = "promptParts")
+    public void promptPartsAreDecoded(List<String> lines, List<String> ids) {
+        assertEquals(decodedParts(lines), ids);
+    }
+
+    /** Of a very long list the first parts are decoded. */
+    @Test
+    public void promptPartsAreBounded() {
+        List<String> hundred = IntStream.range(100, 200).mapToObj(Integer::toString).toList();
+        assertEquals(decodedParts(List.of(header(hundred))), hundred.subList(0, 32));
+        List<String> exact = hundred.subList(0, 33);
+        assertEquals(decodedParts(List.of(header(exact))), hundred.subList(0, 32));
+    }
+
+    // Returns the header for the parts of a prompt.
+    private static String header(List<String> ids) {
+        return ids.stream().map(i -> i + ":10").collect(Collectors.joining(","));
+    }
+
+    private static List<String> decodedParts(List<String> lines) {
+        return HeaderCodec.requestMetadata(
+                        new DefaultHttpHeaders(false).set("X-Prompt-Prefix", lines))
+                .promptParts()
+                .stream()
+                .map(PromptPartId::value)
+                .toList();
+    }
 }
