Refuse requests with a part of their prompts that crashes upstreams

Cause: evidence was kept by request, and no two of these requests are alike. Class of fault: a guard recognizes what it guards against by something that the next case does not share.

Change: PoisonGuard asks the registry of parts when a request comes and before each attempt, and repeats a request that an upstream may have run only if its parts are clear. A crash counts if the upstream had begun to answer.

Test: PoisonPartTest failed before (16 of 16 servers crashed, 8 allowed) and passes. It now waits for the refusal, as one entry learns from another; the bounds are as before, and it still fails on the code before (the refusal never comes within 10 s).

--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
@@ -144,6 +144,8 @@
                     ViewQuery.newBuilder().setEntry(StateSyncMessages.entryAddress(self, domain));
             query.addAllLostRuns(StateSyncMessages.lostRuns(evidence.suspects(), clock.instant()));
             query.addAllLimits(StateSyncMessages.limits(evidence.limits(), clock.instant()));
+            query.addAllPromptParts(
+                    PromptPartMessages.encode(evidence.promptParts(), clock.instant()));
             if (q.rows()) {
                 StateSyncMessages.addMarks(query, state);
             }
@@ -300,6 +302,7 @@
         state.recordPeerStoreHealth(reply.getStoreWellMillis());
         StateSyncMessages.apply(reply.getLostRunsList(), evidence.suspects(), now);
         StateSyncMessages.apply(reply.getLimitsList(), evidence.limits(), now);
+        PromptPartMessages.apply(reply.getPromptPartsList(), evidence.promptParts(), now);
         StateSyncMessages.apply(reply, state, target);
         StateSyncMessages.apply(reply.getRequestedWeightsList(), state, toldAt);
         return true;
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
@@ -86,6 +86,7 @@
         }
         StateSyncMessages.apply(query.getLostRunsList(), evidence.suspects(), now);
         StateSyncMessages.apply(query.getLimitsList(), evidence.limits(), now);
+        PromptPartMessages.apply(query.getPromptPartsList(), evidence.promptParts(), now);
         PendingQuery p = new PendingQuery(message.getCall(), query, from);
         boolean atOnce = query.getWaitMillis() == 0 || pending.size() >= MAX_PENDING;
         if (answer(p, atOnce)) {
@@ -122,6 +123,7 @@
         if (pendingQuery.query.hasEntry()) {
             reply.addAllLostRuns(StateSyncMessages.lostRuns(evidence.suspects(), now));
             reply.addAllLimits(StateSyncMessages.limits(evidence.limits(), now));
+            reply.addAllPromptParts(PromptPartMessages.encode(evidence.promptParts(), now));
         }
         pendingQuery.from.send(
                 Envelope.newBuilder().setCall(pendingQuery.call).setViewReply(reply).build());
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -1,6 +1,5 @@
 package org.papayawalk.daemon.managed.entry;
 
-import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
@@ -21,25 +20,15 @@
 import org.papayawalk.core.place.WindowedRetryBudget;
 import org.papayawalk.core.place.WithheldUpstreams;
 import org.papayawalk.core.settings.ManagedSettings;
-import org.papayawalk.core.suspect.SuspectRegistry;
-import org.papayawalk.core.upstream.UpstreamRegistration;
 import org.papayawalk.http.BufferBudget;
-import org.papayawalk.http.ConnectFailures;
-import org.papayawalk.http.Connector;
 import org.papayawalk.log.Event;
 
 /**
  * State and services that all exchanges of one entry share. Confined to the event loop thread,
- * except {@link #suspects()}, {@link #limits()} and {@link #bufferBudget()}, which are thread-safe.
+ * except {@link #limits()}, {@link #bufferBudget()} and the registries of {@link #poison()}, which
+ * are thread-safe.
  */
 final class EntryContext {
-    private static final int CRASHES_BEFORE_REFUSAL = 3;
-
-    /** Time for which a crash counts against a request. */
-    private static final Duration CRASH_RETENTION = Duration.ofSeconds(60);
-
-    private static final int CRASH_CHECK_TIMEOUT_MILLIS = 300;
-
     /** Bound of all responses that are buffered at the same time, in bytes. */
     private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
 
@@ -58,8 +47,7 @@
 
     private final RandomGenerator random = new SplittableRandom();
 
-    private final SuspectRegistry suspects =
-            new SuspectRegistry(CRASHES_BEFORE_REFUSAL, CRASH_RETENTION);
+    private final PoisonGuard poison;
 
     private final UpstreamLimits limits;
 
@@ -100,6 +88,7 @@
         this.clock = clock;
         this.otherEntries = otherEntries;
         this.metrics = metrics;
+        this.poison = new PoisonGuard(loop, clock, new HostId(settings.ip()), otherEntries);
         this.limits = new UpstreamLimits(new HostId(settings.ip()), otherEntries);
         WithheldUpstreams withheld = new WithheldUpstreams();
         this.statements = new UpstreamStatements(limits, withheld);
@@ -149,12 +138,12 @@
     }
 
     /**
-     * Returns the registry of suspects: poison requests, which crash the upstreams that run them.
+     * Returns the guard against requests that crash the upstreams that run them.
      *
-     * @return thread-safe registry
+     * @return guard, whose registries are thread-safe
      */
-    SuspectRegistry suspects() {
-        return suspects;
+    PoisonGuard poison() {
+        return poison;
     }
 
     /**
@@ -291,27 +280,6 @@
         event.info();
     }
 
-    /**
-     * Checks whether an upstream crashed while it ran a request, and counts the crash against the
-     * request. The upstream counts as crashed if it resets a new connection. One that does not
-     * respond may be cut off or frozen, which is no fault of the request.
-     *
-     * @param fingerprint fingerprint of the request
-     * @param upstream upstream whose connection was lost
-     */
-    void checkForCrash(String fingerprint, UpstreamRegistration upstream) {
-        Connector.connect(
-                loop,
-                upstream.address(),
-                CRASH_CHECK_TIMEOUT_MILLIS,
-                Channel::close,
-                cause -> {
-                    if (ConnectFailures.provesNoListener(cause)) {
-                        recordCrash(fingerprint, upstream);
-                    }
-                });
-    }
-
     /**
      * Adds an open connection of a caller.
      *
@@ -375,18 +343,6 @@
         return refusesRequests;
     }
 
-    private void recordCrash(String fingerprint, UpstreamRegistration upstream) {
-        Instant now = clock.instant();
-        String process = upstream.process().toString();
-        if (suspects.recordCrash(fingerprint, process, now)) {
-            Event.named("request-suspected")
-                    .with("fingerprint", fingerprint)
-                    .with("upstream", process)
-                    .with("verdict", suspects.verdict(fingerprint, now))
-                    .warn();
-        }
-    }
-
     private static long elapsedMillis(RequestRecord request, Instant at) {
         return Duration.between(request.receivedAt(), at).toMillis();
     }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -20,7 +20,6 @@
 import org.papayawalk.core.place.AttemptResult;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.RequestTiming;
-import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.UpstreamRegistration;
 import org.papayawalk.platform.HeaderCodec;
 
@@ -36,9 +35,6 @@
     /** Retry delay while the entry stops; short because callers reach another entry. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(50);
 
-    /** Retry delay for callers of a poison request. */
-    private static final Duration POISON_RETRY_AFTER = Duration.ofSeconds(5);
-
     /** Largest priority value that upstreams accept; 0 is the most urgent. */
     private static final int LOWEST_UPSTREAM_PRIORITY = 9;
 
@@ -57,7 +53,8 @@
     /** Request as authorized under the desired state; null until then. */
     private AuthorizedRequest authorized;
 
-    private String fingerprint = "";
+    /** Null until the request is authorized. */
+    private RequestSignature signature;
 
     /** Null until the request is authorized. */
     private RequestTiming timing;
@@ -120,11 +117,11 @@
             return;
         }
         authorized = decision.get();
-        fingerprint = Fingerprints.of(request, metadata);
-        if (isPoison(now)) {
-            completion.refuse(
-                    "poison request: too many upstreams crashed while running it",
-                    POISON_RETRY_AFTER);
+        signature =
+                new RequestSignature(Fingerprints.of(request, metadata), metadata.promptParts());
+        Optional<Duration> poisonDelay = entry.poison().admit(signature, now);
+        if (poisonDelay.isPresent()) {
+            completion.refuse(PoisonGuard.REASON, poisonDelay.get());
             return;
         }
         RouteRule route = authorized.route();
@@ -211,13 +208,12 @@
     }
 
     /**
-     * Returns the fingerprint of the request.
+     * Returns what the request is recognized by.
      *
-     * @return text that is equal for requests with the same content, empty before the request is
-     *     authorized
+     * @return signature, null before the request is authorized
      */
-    String fingerprint() {
-        return fingerprint;
+    RequestSignature signature() {
+        return signature;
     }
 
     /**
@@ -230,12 +226,18 @@
     }
 
     /**
-     * Starts an attempt if an upstream has capacity.
+     * Starts an attempt if an upstream has capacity. Ends a request that has become known as poison
+     * while it waited.
      *
      * @param now present time
-     * @return true if an attempt was started
+     * @return true if an attempt was started or the request is about to end
      */
     boolean trySend(Instant now) {
+        if (entry.poison().isRefused(signature, now)) {
+            // Ends later, because the queue that holds the request is being scanned.
+            entry.loop().execute(this::endAsPoison);
+            return true;
+        }
         Optional<PlacementCandidate> candidate = choice.next(now);
         if (candidate.isEmpty()) {
             return false;
@@ -263,7 +265,7 @@
      * @return false if another attempt is not allowed or would have to wait
      */
     boolean canRepeat(Instant now) {
-        return !isPoison(now)
+        return entry.poison().mayRepeat(signature, now)
                 && choice.canRepeat(now)
                 && entry.queue(authorized.service()).precedesAll(this, now);
     }
@@ -303,6 +305,8 @@
     /** Ends the request because its stream is complete. */
     void streamCompleted() {
         attempt = null;
+        Instant now = entry.clock().instant();
+        entry.poison().answered(signature, stream.firstEventAt().orElse(now));
         completion.completeStream();
     }
 
@@ -342,7 +346,11 @@
         boolean allowed = !mayHaveRun || authorized.route().retryable();
         boolean inTime = timing.leavesTime(Duration.ZERO, now);
         DispatchQueue queue = entry.queue(authorized.service());
-        if (!allowed || !inTime || !choice.hasAttemptsLeft() || isPoison(now)) {
+        boolean poison =
+                mayHaveRun
+                        ? !entry.poison().mayRepeat(signature, now)
+                        : entry.poison().isRefused(signature, now);
+        if (!allowed || !inTime || !choice.hasAttemptsLeft() || poison) {
             endUnanswered(reason, queue.retryAfter(this, now));
             return;
         }
@@ -373,9 +381,11 @@
         }
     }
 
-    // True if the request has crashed too many upstreams to be sent to another one.
-    private boolean isPoison(Instant now) {
-        return entry.suspects().verdict(fingerprint, now) == SuspectRegistry.Verdict.REFUSED;
+    private void endAsPoison() {
+        if (!isCompleted()) {
+            Instant now = entry.clock().instant();
+            endUnanswered(PoisonGuard.REASON, entry.poison().retryAfter(signature, now));
+        }
     }
 
     private void abandonAttempt(AttemptResult result) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -75,7 +75,10 @@
     @Override
     public void start() throws IOException {
         node.state().addListener(this::snapshotChanged);
-        node.runAsEntry(new SharedEvidence(entry.suspects(), entry.limits()), relay.handler());
+        PoisonGuard poison = entry.poison();
+        SharedEvidence evidence =
+                new SharedEvidence(poison.suspects(), entry.limits(), poison.promptParts());
+        node.runAsEntry(evidence, relay.handler());
         node.storeCalls().register(registry);
         StatusEndpoint status =
                 new StatusEndpoint(node.runtime().group(), () -> ready && !stopping, registry);
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -234,7 +234,7 @@
         // The head alone states that the request did not run.
         boolean mayHaveRun = connected && !notRun;
         if (mayHaveRun) {
-            entry.checkForCrash(exchange.fingerprint(), candidate.upstream());
+            entry.poison().connectionLost(exchange.signature(), head != null, candidate.upstream());
         }
         exchange.attemptFailed(mayHaveRun, connected, candidate.upstream().id() + ": " + reason);
     }
--- a/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
@@ -15,6 +15,7 @@
 import org.papayawalk.core.id.UpstreamId;
 import org.papayawalk.core.id.UpstreamProcess;
 import org.papayawalk.core.limit.UpstreamLimits;
+import org.papayawalk.core.suspect.PromptPartRegistry;
 import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.platform.ManagedSettingsCodec;
@@ -89,8 +90,8 @@
         connected = node("front-1", control, control, store.address());
         isolated = node("front-2", FreePort.find(), control, "127.0.0.1:1");
         agent = node("side-1", FreePort.find(), control, "127.0.0.1:1");
-        connected.runAsEntry(new SharedEvidence(connectedEvidence, connectedLimits), NO_WEIGHTS);
-        isolated.runAsEntry(new SharedEvidence(isolatedEvidence, isolatedLimits), NO_WEIGHTS);
+        connected.runAsEntry(evidence(connectedEvidence, connectedLimits), NO_WEIGHTS);
+        isolated.runAsEntry(evidence(isolatedEvidence, isolatedLimits), NO_WEIGHTS);
         agent.runAsAgent(NO_WEIGHTS);
     }
 
@@ -196,6 +197,10 @@
                 TIMEOUT_MILLIS, () -> connected.entryCount() == 2 && isolated.entryCount() == 2);
     }
 
+    private static SharedEvidence evidence(SuspectRegistry suspects, UpstreamLimits limits) {
+        return new SharedEvidence(suspects, limits, new PromptPartRegistry(p -> false));
+    }
+
     // Returns the version of the desired state at a daemon, 0 if it has none.
     private static long version(ManagedNode node) {
         return node.state().snapshot().desired().map(DesiredState::version).orElse(0L);
--- a/src/test/java/org/papayawalk/daemon/managed/entry/PoisonPartTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/PoisonPartTest.java
@@ -89,16 +89,17 @@
         for (int i = 0; i < POISON_REQUESTS; i++) {
             send(i % 2 == 0 ? fixture.caller() : secondEntry, poison);
         }
-        long crashed = servers.stream().filter(PoisonPartTest::receivedPoison).count();
-        assertTrue(
-                crashed <= MAX_CRASHED_SERVERS,
-                crashed + " of " + servers.size() + " servers crashed");
         String sound = FIRST_PART + "," + COMPANION_PART;
         for (TestCaller caller : List.of(fixture.caller(), secondEntry)) {
             ManagedEntryFixture.await(() -> send(caller, sound) == 200);
+            // Refused at the latest when the entries have told each other of the crashes.
+            ManagedEntryFixture.await(() -> send(caller, poison) == 503);
             assertEquals(send(caller, sound), 200);
-            assertEquals(send(caller, poison), 503);
         }
+        long crashed = servers.stream().filter(PoisonPartTest::receivedPoison).count();
+        assertTrue(
+                crashed <= MAX_CRASHED_SERVERS,
+                crashed + " of " + servers.size() + " servers crashed");
     }
 
     private static boolean receivedPoison(FakeUpstream server) {
