Tell other entries only of parts that are suspected or crashed lately

PromptPartMessagesTest is adapted: it asked for evidence on a crash of ten minutes ago, and now asks for it at the time of the crash; it checks the same content.

--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -30,6 +30,9 @@
     /** Bound of the parts that are told to another entry at a time. */
     private static final int MAX_SHARED = 256;
 
+    /** Time after a crash for which other entries are told of parts that are not suspected. */
+    private static final Duration TOLD_FOR = Duration.ofSeconds(30);
+
     /** Time between trials of the same part at one entry, in which a trial mostly ends. */
     private static final Duration TRIAL_INTERVAL = Duration.ofMillis(1500);
 
@@ -140,13 +143,15 @@
      * Returns what to tell other entries.
      *
      * @param now present time
-     * @return evidence on the parts with crashes, those that count most first, bounded in number
+     * @return evidence on the parts that are suspected or have crashed an upstream lately, those
+     *     whose crashes count most first, bounded in number
      */
     public synchronized List<PartEvidence> evidence(Instant now) {
         suspicions.values().removeIf(s -> s.lastCrash().plus(RETENTION).isBefore(now));
         Comparator<Map.Entry<PromptPartId, PartSuspicion>> order =
                 Comparator.comparing(e -> e.getValue().processes().size());
         return suspicions.entrySet().stream()
+                .filter(e -> isRelevant(e.getValue(), now))
                 .sorted(order.thenComparing(e -> e.getValue().lastCrash()).reversed())
                 .limit(MAX_SHARED)
                 .map(e -> evidence(e.getKey(), e.getValue(), now))
@@ -181,6 +186,10 @@
         return suspicions.size() + answered.size() + trials.size();
     }
 
+    private static boolean isRelevant(PartSuspicion suspicion, Instant now) {
+        return suspicion.isSuspected(now) || suspicion.lastCrash().plus(TOLD_FOR).isAfter(now);
+    }
+
     private static PartEvidence evidence(PromptPartId part, PartSuspicion suspicion, Instant now) {
         Map<UpstreamProcess, Duration> ages = new HashMap<>();
         suspicion.crashes().forEach((p, at) -> ages.put(p, age(at, now)));
