Spare upstreams after three failed trials of a part

Crashes of the first 1.5 s of trials did not count as trials.

Change: after three trials the next is 10 minutes later; before, 10, 20 and 40 s instead of 20 and 40.

--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -24,7 +24,7 @@
     private static final CrashLimits ANSWERED_PART = new CrashLimits(5, 7, Duration.ofSeconds(1));
 
     /** Time without a crash after which a refused part is tried again; doubles with each trial. */
-    private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(20);
+    private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(10);
 
     /** The same for the first trial while another part may explain the crashes. */
     private static final Duration DOUBTFUL_RETRY_DELAY = Duration.ofSeconds(2);
@@ -33,12 +33,16 @@
     private static final int DOUBTFUL_TRIALS = 2;
 
     /** Time in which requests that were sent before may still crash upstreams. */
-    private static final Duration TRIAL_TIME = Duration.ofMillis(1500);
+    private static final Duration TRIAL_TIME = Duration.ofSeconds(1);
 
     /** Time after the crash from which an unknown part is refused. */
     private static final Duration SETTLING_TIME = Duration.ofSeconds(2);
 
-    private static final int MAX_DOUBLINGS = 6;
+    /** Trials of a part after which upstreams are spared for long. */
+    private static final int MAX_TRIALS = 3;
+
+    /** Time without a crash after which a part is tried again that has failed so many trials. */
+    private static final Duration LAST_RETRY_DELAY = Duration.ofMinutes(10);
 
     /** Last crash of each process, also of those that do not count. */
     private final Map<UpstreamProcess, Instant> crashes = new HashMap<>();
@@ -159,11 +163,13 @@
                         ? Instant.MAX
                         : settledAt().plus(TRIAL_TIME);
         long trials = counted.keySet().stream().filter(p -> crashes.get(p).isAfter(from)).count();
+        if (trials >= MAX_TRIALS) {
+            return lastCrash().plus(LAST_RETRY_DELAY);
+        }
         if (doubtful && trials < DOUBTFUL_TRIALS) {
             return lastCrash().plus(DOUBTFUL_RETRY_DELAY);
         }
-        long doublings = Math.min(Math.max(0, trials - 1), MAX_DOUBLINGS);
-        return lastCrash().plus(FIRST_RETRY_DELAY.multipliedBy(1L << doublings));
+        return lastCrash().plus(FIRST_RETRY_DELAY.multipliedBy(1L << trials));
     }
 
     /**
