Let the engine stand-in crash after its first token

Cause: the stand-in crashes under a poison request before it answers, so no test on loopback could see an engine that stops when it has begun a streamed answer. Change: the word poison-part in a prompt crashes the stand-in at the first token of a stream. Ruled out: crashing later under the present word, as the requests trial counts on its crash before the answer.

--- a/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
@@ -29,12 +29,16 @@
 /**
  * Model engine that generates reproducible text at a fixed rate. Implements the prefix cache,
  * resumed streams, cancellation, staging of versions and engine commands. A prompt with the word
- * {@value #POISON} is a poison request, which crashes the engine. Thread-safe.
+ * {@value #POISON} is a poison request, which crashes the engine before its answer; one with the
+ * word {@value #POISON_PART} crashes it at the first token of a stream. Thread-safe.
  */
 public final class EngineStandIn implements HttpRequestHandler {
     /** Word that makes a prompt a poison request. */
     public static final String POISON = "poison-pill";
 
+    /** Word that crashes the engine when it has begun a streamed answer. */
+    public static final String POISON_PART = "poison-part";
+
     private static final String STAGING_PATH_PREFIX = "/v1/engine/staging/";
     private static final int MAX_CACHED_PROMPTS = 64;
 
@@ -226,9 +230,7 @@
         int resumeFrom = parseIntOr(header(request, CallerHeaders.RESUME_FROM), 0);
         int crashesAtStart = crashes.get();
         if (prompt.contains(POISON)) {
-            versions.crash();
-            crashes.incrementAndGet();
-            throw new ConnectionClosedException("engine crashed by a poison request");
+            throw crash();
         }
         response.setCode(200);
         response.setHeader(CallerHeaders.MODEL_DIGEST, version.value());
@@ -251,6 +253,9 @@
                 Object delta = Map.of("content", EngineText.token(g.version(), g.prompt(), i));
                 Object choice = Map.of("index", 0, "delta", delta);
                 writeEvent(out, new String(Json.write(Map.of("choices", List.of(choice)))));
+                if (g.prompt().contains(POISON_PART)) {
+                    throw crash();
+                }
                 FaultInjector.sleep(settings.tokenMillis());
             }
             if (g.resumeFrom() <= g.tokens()) {
@@ -275,6 +280,12 @@
         }
     }
 
+    private ConnectionClosedException crash() {
+        versions.crash();
+        crashes.incrementAndGet();
+        return new ConnectionClosedException("engine crashed by a poison request");
+    }
+
     private void failIfCrashed(Generation g) throws IOException {
         if (crashes.get() != g.crashesAtStart()) {
             throw new ConnectionClosedException("engine crashed while the request was running");
