Refuse bad messages of chats at stand-alone entries

Cause: the stand-alone entry weighs crashes by the fingerprint of the request alone. Ruled out: parts by the whole list of messages, as the last one is always new; evidence for requests whose answer had not begun, as they may have been waiting at the engine; an answer that continues the stream of another engine as evidence for its parts, as no engine gave all of it. The entry refuses a chat with a refused part as not run, with the time until it is tried again; runs chats with suspected parts as trials; and does not repeat one that ran unless its parts are clear. Crashes count if the head of the answer had come; complete answers of status 200 clear parts by the time of their first data. The crash detector takes the incarnation of its probe, so that requests between a crash and the next regular probe are counted under the new process. Services, non-idempotent calls and other endpoints have no parts. Not covered: a chat that is not streamed crashes the engine before its head, so no evidence on its parts comes from it. An entry that starts hears only of later crashes.

--- a/src/main/java/org/papayawalk/daemon/standalone/agent/AgentCall.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/AgentCall.java
@@ -1,11 +1,13 @@
 package org.papayawalk.daemon.standalone.agent;
 
 import java.time.Instant;
+import java.util.List;
 import org.papayawalk.adapter.standalone.StreamingResponse;
 import org.papayawalk.core.admit.Ticket;
 import org.papayawalk.wire.PeerServerConnection;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.ResponseEnd;
+import org.papayawalk.wire.proto.ResponseHead;
 import org.papayawalk.wire.proto.UpstreamRequest;
 
 /**
@@ -30,6 +32,9 @@
     /** Null until the request is forwarded. */
     private volatile Instant forwardedAt;
 
+    /** Whether the head of the upstream's response was sent to the entry. */
+    private volatile boolean answerBegun;
+
     /** Incarnation of the upstream that got the request, 0 until the request is forwarded. */
     private volatile long incarnation;
 
@@ -100,6 +105,27 @@
         entry.send(reply.setCall(callNumber()).build());
     }
 
+    /**
+     * Sends the head of the response, with which the answer begins.
+     *
+     * @param head head without connection headers
+     */
+    void sendHead(ResponseHead head) {
+        answerBegun = true;
+        send(Envelope.newBuilder().setResponseHead(head));
+    }
+
+    /**
+     * Returns what the entries are told of the request if the upstream crashes while it runs.
+     *
+     * @return request with the parts of its prompt, without them if its answer has not begun
+     */
+    RunningRequest running() {
+        return new RunningRequest(
+                request().getFingerprint(),
+                answerBegun ? request().getPromptPartsList() : List.of());
+    }
+
     /**
      * Sends the end message, which must be the last message of the call.
      *
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/AgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/AgentRole.java
@@ -103,7 +103,7 @@
                         newHttpCaller(PROBE_READ_TIMEOUT, 2, true), upstream, node.clock());
         HostId self = node.self().host();
         IdempotencyTable onceTable = new IdempotencyTable(node.platform().table(), node.clock());
-        crashDetector = new ProbingCrashDetector(node, probe, this::runningFingerprints);
+        crashDetector = new ProbingCrashDetector(node, probe, this::runningRequests);
         Forwarder forwarder =
                 new Forwarder(
                         newHttpCaller(UPSTREAM_READ_TIMEOUT, MAX_UPSTREAM_CONNECTIONS, true),
@@ -273,8 +273,8 @@
         gateway.recordState(state);
     }
 
-    private List<String> runningFingerprints() {
-        return gateway.runningFingerprints();
+    private List<RunningRequest> runningRequests() {
+        return gateway.runningRequests();
     }
 
     // Returns the agents of model fleets that want the version and are presumed alive.
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
@@ -186,7 +186,7 @@
         long sequence = 0;
         try {
             InputStream body = stream.body();
-            call.send(Envelope.newBuilder().setResponseHead(toResponseHead(stream)));
+            call.sendHead(toResponseHead(stream));
             byte[] buffer = new byte[BUFFER_BYTES];
             int n = body.read(buffer);
             while (n >= 0) {
@@ -241,7 +241,7 @@
             ResponseHead head = toResponseHead(stream);
             idempotencyGuard.storeAnswer(
                     r.getOnceKey(), started.get(), toStoredAnswer(stream, data));
-            call.send(Envelope.newBuilder().setResponseHead(head));
+            call.sendHead(head);
             call.send(toDataMessage(0, data, data.length));
             return new Result(CallCompletion.ANSWERED, 1);
         } catch (IOException e) {
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/ProbingCrashDetector.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/ProbingCrashDetector.java
@@ -23,7 +23,7 @@
 
     private final UpstreamProbe probe;
 
-    private final Supplier<List<String>> runningFingerprints;
+    private final Supplier<List<RunningRequest>> runningRequests;
 
     private final AtomicLong reportedIncarnation = new AtomicLong();
 
@@ -35,14 +35,13 @@
      *
      * @param node services shared by the parts of the daemon
      * @param probe health probe of the upstream
-     * @param runningFingerprints provides the fingerprints of the requests in flight to the
-     *     upstream
+     * @param runningRequests provides the requests in flight to the upstream
      */
     ProbingCrashDetector(
-            Node node, UpstreamProbe probe, Supplier<List<String>> runningFingerprints) {
+            Node node, UpstreamProbe probe, Supplier<List<RunningRequest>> runningRequests) {
         this.node = node;
         this.probe = probe;
-        this.runningFingerprints = runningFingerprints;
+        this.runningRequests = runningRequests;
     }
 
     /**
@@ -65,19 +64,20 @@
         if (state.isRight() && state.get().incarnation() == incarnation) {
             return false;
         }
+        // Requests sent before the next regular probe belong to the new process.
+        state.peek(s -> recordIncarnation(s.incarnation()));
         if (announcedCrash.getAndSet(incarnation) != incarnation) {
             Event.named("upstream-crashed").with("incarnation", incarnation).warn();
-            runningFingerprints
-                    .get()
-                    .forEach(fingerprint -> notifyEntries(fingerprint, incarnation));
+            runningRequests.get().forEach(r -> notifyEntries(r, incarnation));
         }
         return true;
     }
 
-    private void notifyEntries(String fingerprint, long incarnation) {
+    private void notifyEntries(RunningRequest request, long incarnation) {
         CrashNotice notice =
                 CrashNotice.newBuilder()
-                        .setFingerprint(fingerprint)
+                        .setFingerprint(request.fingerprint())
+                        .addAllPromptParts(request.promptParts())
                         .setHost(node.self().host().value())
                         .setUpstreamIncarnation(incarnation)
                         .build();
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/UpstreamGateway.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/UpstreamGateway.java
@@ -257,14 +257,14 @@
     }
 
     /**
-     * Returns the fingerprints of the requests that were forwarded and have not ended.
+     * Returns the requests that were forwarded and have not ended.
      *
-     * @return distinct fingerprints
+     * @return distinct requests
      */
-    public synchronized List<String> runningFingerprints() {
+    public synchronized List<RunningRequest> runningRequests() {
         return running.stream()
                 .filter(c -> c.forwardedAt() != null)
-                .map(c -> c.request().getFingerprint())
+                .map(AgentCall::running)
                 .distinct()
                 .toList();
     }
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/Dispatcher.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/Dispatcher.java
@@ -123,6 +123,7 @@
                         .setPath(request.path())
                         .setBody(ByteString.copyFrom(request.body()))
                         .setFingerprint(request.fingerprint());
+        request.promptParts().forEach(p -> message.addPromptParts(p.value()));
         for (HttpHeader h : request.headers()) {
             message.addHeaders(Header.newBuilder().setName(h.name()).setValue(h.value()));
         }
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/EntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/EntryRole.java
@@ -8,6 +8,8 @@
 import org.papayawalk.adapter.standalone.BlockingHttpServer;
 import org.papayawalk.core.id.ConfigVersion;
 import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.id.PromptPartId;
+import org.papayawalk.core.member.HostRole;
 import org.papayawalk.core.member.Member;
 import org.papayawalk.core.port.ObjectStore;
 import org.papayawalk.core.rollout.RolloutStep;
@@ -32,6 +34,7 @@
 
     private final Node node;
     private final SuspectRegistry suspects = new SuspectRegistry(MAX_CRASHES, CRASH_RETENTION);
+    private final PromptPartGuard promptParts;
     private final CallerEndpoint endpoint;
     private final BlockingHttpServer server;
     private volatile boolean draining;
@@ -49,8 +52,14 @@
             throws IOException {
         this.node = node;
         Dispatcher dispatcher = new Dispatcher(node);
+        promptParts = new PromptPartGuard(node.self().host(), this::otherEntries);
         EntryServices services =
-                new EntryServices(dispatcher, new TokenBucketRetryBudget(), suspects, node.clock());
+                new EntryServices(
+                        dispatcher,
+                        new TokenBucketRetryBudget(),
+                        suspects,
+                        promptParts,
+                        node.clock());
         IdempotencyTable table = new IdempotencyTable(node.platform().table(), node.clock());
         AtMostOnceCalls atMostOnceCalls =
                 new AtMostOnceCalls(
@@ -118,12 +127,16 @@
         CrashNotice n = message.getCrashNotice();
         Instant now = node.clock().instant();
         HostId host = new HostId(n.getHost());
+        List<PromptPartId> parts = PromptParts.ofMessage(n.getPromptPartsList());
+        promptParts.recordCrash(parts, host, n.getUpstreamIncarnation(), now);
         if (suspects.recordCrash(
                 n.getFingerprint(), host + "/" + n.getUpstreamIncarnation(), now)) {
             Event.named("request-suspected")
                     .with("fingerprint", n.getFingerprint())
                     .with("host", host)
                     .with("verdict", suspects.verdict(n.getFingerprint(), now))
+                    .with("parts", parts)
+                    .with("parts_verdict", promptParts.verdict(parts, now))
                     .warn();
         }
     }
@@ -158,4 +171,12 @@
     public void close() {
         server.close();
     }
+
+    private List<HostId> otherEntries() {
+        Instant now = node.clock().instant();
+        return node.members().stream()
+                .filter(m -> m.record().role() == HostRole.ENTRY && m.presumedAlive(now))
+                .map(Member::host)
+                .toList();
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/EntryServices.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/EntryServices.java
@@ -10,10 +10,12 @@
  * @param dispatcher dispatcher of requests to agents
  * @param retryBudget limit on the retries of all calls together
  * @param suspects registry of suspected poison requests
+ * @param promptParts evidence on parts of prompts that crash upstreams
  * @param clock clock that deadlines are compared with
  */
 record EntryServices(
         Dispatcher dispatcher,
         TokenBucketRetryBudget retryBudget,
         SuspectRegistry suspects,
+        PromptPartGuard promptParts,
         InstantSource clock) {}
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/ParsedRequest.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/ParsedRequest.java
@@ -5,6 +5,7 @@
 import org.papayawalk.adapter.standalone.HttpHeader;
 import org.papayawalk.core.admit.Priority;
 import org.papayawalk.core.config.FleetPlan;
+import org.papayawalk.core.id.PromptPartId;
 import org.papayawalk.core.id.TeamId;
 
 /**
@@ -22,6 +23,7 @@
  * @param affinityKey key for prefix cache affinity, or empty for none
  * @param retryable whether the request may be dispatched again after an upstream may have run it
  * @param idempotencyKey key of a non-idempotent call, or empty for other calls
+ * @param promptParts parts of its prompt that other requests may share, empty if it is not a chat
  */
 record ParsedRequest(
         FleetPlan plan,
@@ -35,4 +37,5 @@
         String fingerprint,
         String affinityKey,
         boolean retryable,
-        String idempotencyKey) {}
+        String idempotencyKey,
+        List<PromptPartId> promptParts) {}
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/PromptPartGuard.java
@@ -0,0 +1,94 @@
+package org.papayawalk.daemon.standalone.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.papayawalk.core.RendezvousHash;
+import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.id.PromptPartId;
+import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.core.id.UpstreamProcess;
+import org.papayawalk.core.suspect.PartVerdict;
+import org.papayawalk.core.suspect.PromptPartRegistry;
+
+/**
+ * Keeps requests with a part of a prompt that crashes upstreams from reaching further ones.
+ * Thread-safe. A request without parts is never refused.
+ */
+final class PromptPartGuard {
+    /** Reason of a refusal. */
+    static final String REASON =
+            "poison request: upstreams crashed while they answered requests with the same message";
+
+    private final PromptPartRegistry registry;
+
+    /**
+     * Creates a guard without evidence.
+     *
+     * @param self host of this entry
+     * @param entries provides the hosts of the running entries, with or without this one
+     */
+    PromptPartGuard(HostId self, Supplier<List<HostId>> entries) {
+        registry =
+                new PromptPartRegistry(
+                        part -> RendezvousHash.rank(self, entries.get(), part.value()) == 0);
+    }
+
+    /**
+     * Decides whether a request may be dispatched. The first dispatch of a request with a suspected
+     * part begins a trial.
+     *
+     * @param parts parts of the prompt of the request
+     * @param attempts number of earlier dispatches
+     * @param mayHaveRun whether an upstream may have run the request
+     * @param now present time
+     * @return empty if it may be dispatched, otherwise the delay after which its caller may retry
+     */
+    Optional<Duration> admit(
+            Collection<PromptPartId> parts, int attempts, boolean mayHaveRun, Instant now) {
+        boolean admitted =
+                switch (registry.verdict(parts, now)) {
+                    case CLEAR -> true;
+                    case TRIAL -> attempts == 0 ? registry.beginTrial(parts, now) : !mayHaveRun;
+                    case REFUSED -> false;
+                };
+        return admitted ? Optional.empty() : Optional.of(registry.retryAfter(parts, now));
+    }
+
+    /**
+     * Records that an upstream process crashed after it had begun to answer a request.
+     *
+     * @param parts parts of the prompt of the request
+     * @param host host of the upstream
+     * @param incarnation incarnation of the crashed process
+     * @param now present time
+     */
+    void recordCrash(Collection<PromptPartId> parts, HostId host, long incarnation, Instant now) {
+        registry.recordCrash(
+                parts, new UpstreamProcess(new UpstreamId(host.value()), incarnation), now);
+    }
+
+    /**
+     * Records that one upstream has answered a request completely.
+     *
+     * @param parts parts of the prompt of the request
+     * @param begunAt when the answer began
+     */
+    void recordAnswer(Collection<PromptPartId> parts, Instant begunAt) {
+        registry.recordAnswer(parts, begunAt);
+    }
+
+    /**
+     * Returns the verdict about parts, for the log.
+     *
+     * @param parts parts of a prompt
+     * @param now present time
+     * @return verdict
+     */
+    PartVerdict verdict(Collection<PromptPartId> parts, Instant now) {
+        return registry.verdict(parts, now);
+    }
+}
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
@@ -38,6 +38,9 @@
     /** Delay for the caller if the agent names none. */
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
+    /** Status of a response that answers the prompt. */
+    private static final int STATUS_OK = 200;
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final EntryServices services;
@@ -66,6 +69,15 @@
 
     private boolean mayRetry = true;
 
+    /** Whether the upstream of the current attempt has begun to answer. */
+    private boolean answerBegun;
+
+    /** When the first data of the answer of the current attempt came, or null. */
+    private Instant firstDataAt;
+
+    /** Whether the current attempt continues the stream of another one. */
+    private boolean resumed;
+
     /** Response to the caller if there is no further attempt. */
     private ErrorResponse lastError =
             ErrorResponse.notRun("no host of the fleet is available for the request", RETRY_AFTER);
@@ -101,7 +113,6 @@
                         body.toByteArray());
             }
             if (message.hasResponseHead()) {
-                head = message.getResponseHead();
                 if (isEventStream()) {
                     pinnedVersion = attempt.candidate().serving();
                     return new CallerResponse.Streaming(
@@ -169,6 +180,12 @@
             setError(reason, services.suspects().retryAfter(request.fingerprint(), now));
             return false;
         }
+        Optional<Duration> partsDelay =
+                services.promptParts().admit(request.promptParts(), attempts, mayHaveRun, now);
+        if (partsDelay.isPresent()) {
+            setError(PromptPartGuard.REASON, partsDelay.get());
+            return false;
+        }
         Optional<RouteCandidate> candidate =
                 services.dispatcher().choose(request, pinnedVersion, triedHosts);
         if (candidate.isEmpty() || (attempts > 0 && !services.retryBudget().tryAcquire())) {
@@ -179,6 +196,9 @@
         head = null;
         body.reset();
         events.discardPartial();
+        answerBegun = false;
+        firstDataAt = null;
+        resumed = events.eventCount() > 0;
         boolean suspect = verdict == SuspectRegistry.Verdict.SUSPECT;
         attempt =
                 services.dispatcher()
@@ -206,6 +226,13 @@
         }
         if (!result.message().hasResponseEnd()) {
             mayHaveRun = true;
+            answerBegun = true;
+            if (result.message().hasResponseHead()) {
+                head = result.message().getResponseHead();
+            }
+            if (firstDataAt == null && result.message().hasResponseData()) {
+                firstDataAt = services.clock().instant();
+            }
             return result.message();
         }
         ResponseEnd end = result.message().getResponseEnd();
@@ -220,6 +247,9 @@
             handleTruncatedStream();
             return null;
         }
+        if (head.getStatus() == STATUS_OK && firstDataAt != null && !resumed) {
+            services.promptParts().recordAnswer(request.promptParts(), firstDataAt);
+        }
         return result.message();
     }
 
@@ -234,12 +264,7 @@
     private void handleFailedEnd(ResponseEnd end) {
         boolean ran = end.getOutcome() != ResponseEnd.Outcome.NOT_RUN;
         if (end.getUpstreamCrashed()) {
-            // The crash notice sent to all entries may arrive only after the next dispatch.
-            services.suspects()
-                    .recordCrash(
-                            request.fingerprint(),
-                            attempt.candidate().host() + "/" + end.getUpstreamIncarnation(),
-                            services.clock().instant());
+            recordCrash(attempt.candidate().host(), end.getUpstreamIncarnation());
         }
         mayHaveRun |= ran;
         mayRetry = ran ? request.retryable() : end.getTryElsewhere();
@@ -249,6 +274,15 @@
         attempt = null;
     }
 
+    // The crash notice sent to all entries may arrive only after the next dispatch.
+    private void recordCrash(HostId host, long incarnation) {
+        Instant now = services.clock().instant();
+        services.suspects().recordCrash(request.fingerprint(), host + "/" + incarnation, now);
+        if (answerBegun) {
+            services.promptParts().recordCrash(request.promptParts(), host, incarnation, now);
+        }
+    }
+
     private void handleTruncatedStream() {
         mayRetry = request.retryable();
         String reason =
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/RequestParser.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/RequestParser.java
@@ -150,7 +150,8 @@
                 fingerprint(team(http), "POST", CHAT_PATH, body),
                 Digest.of(prefix.getBytes(StandardCharsets.UTF_8)).shortText(),
                 true,
-                "");
+                "",
+                PromptParts.of(messages));
     }
 
     private ParsedRequest parseService(
@@ -187,7 +188,8 @@
                 fingerprint(team(http), method, path, body),
                 "",
                 retryable,
-                nonIdempotent ? key : "");
+                nonIdempotent ? key : "",
+                List.of());
     }
 
     private static FleetPlan servicePlan(Configuration configuration, String name)
