Tell an entry again of cleared crashes that it still counts

A part was told to others until 30 s after its last crash, and those with the most counted crashes first; a part that an answer had cleared counts none. An entry that missed the answer, or was one of 256 parts away, never learned of it.

Change: a part is also told for 30 s after another entry counted a crash that is cleared here, and all crashes of a part count for the order.

Test: lateClearReachesAnEntryThatStillCountsTheCrashes failed before (expected CLEAR, found REFUSED).

--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -56,6 +56,9 @@
     /** Whether an answer was ever complete. */
     private boolean answered;
 
+    /** When another entry last told a crash as counting that does not count here. */
+    private Instant contradictedAt = Instant.MIN;
+
     /**
      * Records a crash unless it is known.
      *
@@ -97,6 +100,27 @@
         counted.keySet().removeAll(processes);
     }
 
+    /**
+     * Notes what another entry counts, which is to be told if it does not count here.
+     *
+     * @param processes processes whose crash counts against the part there
+     * @param now present time
+     */
+    void noteCounted(Set<UpstreamProcess> processes, Instant now) {
+        if (processes.stream().anyMatch(cleared::contains)) {
+            contradictedAt = now;
+        }
+    }
+
+    /**
+     * Returns when another entry last counted a crash that does not count here.
+     *
+     * @return time, {@link Instant#MIN} if none did
+     */
+    Instant contradictedAt() {
+        return contradictedAt;
+    }
+
     /**
      * Returns the processes whose crash counts against the part.
      *
--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -143,13 +143,13 @@
      * Returns what to tell other entries.
      *
      * @param now present time
-     * @return evidence on the parts that are suspected or have crashed an upstream lately, those
-     *     whose crashes count most first, bounded in number
+     * @return evidence on the parts that are suspected, have crashed an upstream lately or are
+     *     judged otherwise by another entry; those with the most crashes first, bounded in number
      */
     public synchronized List<PartEvidence> evidence(Instant now) {
         suspicions.values().removeIf(s -> s.lastCrash().plus(RETENTION).isBefore(now));
         Comparator<Map.Entry<PromptPartId, PartSuspicion>> order =
-                Comparator.comparing(e -> e.getValue().processes().size());
+                Comparator.comparing(e -> e.getValue().crashes().size());
         return suspicions.entrySet().stream()
                 .filter(e -> isRelevant(e.getValue(), now))
                 .sorted(order.thenComparing(e -> e.getValue().lastCrash()).reversed())
@@ -169,6 +169,9 @@
             e.crashAges().forEach((p, age) -> addCrash(e.part(), p, now.minus(age), now));
             PartSuspicion suspicion = suspicions.get(e.part());
             if (suspicion != null) {
+                Set<UpstreamProcess> counted = new HashSet<>(e.crashAges().keySet());
+                counted.removeAll(e.cleared());
+                suspicion.noteCounted(counted, now);
                 suspicion.clear(e.cleared());
                 if (e.answered()) {
                     suspicion.noteAnswered();
@@ -187,7 +190,9 @@
     }
 
     private static boolean isRelevant(PartSuspicion suspicion, Instant now) {
-        return suspicion.isSuspected(now) || suspicion.lastCrash().plus(TOLD_FOR).isAfter(now);
+        return suspicion.isSuspected(now)
+                || suspicion.lastCrash().plus(TOLD_FOR).isAfter(now)
+                || suspicion.contradictedAt().plus(TOLD_FOR).isAfter(now);
     }
 
     private static PartEvidence evidence(PromptPartId part, PartSuspicion suspicion, Instant now) {
--- a/src/test/java/org/papayawalk/core/suspect/PromptPartRegistryTest.java
+++ b/src/test/java/org/papayawalk/core/suspect/PromptPartRegistryTest.java
@@ -64,6 +64,20 @@
         assertEquals(fresh.verdict(List.of(POPULAR), at(1600)), PartVerdict.CLEAR);
     }
 
+    /** An entry that missed an answer learns of it when it tells crashes that were cleared. */
+    @Test
+    public void lateClearReachesAnEntryThatStillCountsTheCrashes() {
+        PromptPartRegistry here = new PromptPartRegistry(p -> true);
+        PromptPartRegistry there = new PromptPartRegistry(p -> false);
+        IntStream.range(0, 5).forEach(i -> here.recordCrash(List.of(POPULAR), process(i), at(i)));
+        there.merge(here.evidence(at(10)), at(10));
+        here.recordAnswer(List.of(POPULAR), at(33_000));
+        assertEquals(there.verdict(List.of(POPULAR), at(34_000)), PartVerdict.REFUSED);
+        here.merge(there.evidence(at(34_000)), at(34_000));
+        there.merge(here.evidence(at(34_100)), at(34_100));
+        assertEquals(there.verdict(List.of(POPULAR), at(34_200)), PartVerdict.CLEAR);
+    }
+
     /** An answer that began before the crash does not speak against it. */
     @Test
     public void answerBegunBeforeCrashClearsNothing() {
