Take only begun or successful answers as proof for parts of prompts

A stream now counts from its first event, and not without one; a successful answer that was not streamed counts from the receipt of its request.

No test of its own; PoisonPartTest, PoisonRequestTest and ManagedEntryRoleTest pass.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/BufferedResponse.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/BufferedResponse.java
@@ -1,6 +1,7 @@
 package org.papayawalk.daemon.managed.entry;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 
 /**
  * Complete response of an upstream. Immutable by convention: callers do not modify the bytes.
@@ -20,6 +21,15 @@
         return head.status().code() >= MIN_SERVER_ERROR_STATUS;
     }
 
+    /**
+     * Returns whether the upstream has served the request.
+     *
+     * @return true for a status of class 2xx
+     */
+    boolean isSuccess() {
+        return head.status().codeClass() == HttpStatusClass.SUCCESS;
+    }
+
     /**
      * Returns whether callers take the status to mean that the request did not run. A response with
      * such a status is not forwarded if the upstream does not state explicitly that the request did
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -305,8 +305,7 @@
     /** Ends the request because its stream is complete. */
     void streamCompleted() {
         attempt = null;
-        Instant now = entry.clock().instant();
-        entry.poison().answered(signature, stream.firstEventAt().orElse(now));
+        stream.firstEventAt().ifPresent(t -> entry.poison().answered(signature, t));
         completion.completeStream();
     }
 
@@ -326,6 +325,9 @@
             attemptFailed(true, true, reason);
         } else {
             attempt = null;
+            if (response.isSuccess()) {
+                entry.poison().answered(signature, request.receivedAt());
+            }
             completion.forwardResponse(response);
         }
     }
