Let only the watcher under test call the table that a test counts

Cause, traced in its log: daemons of earlier tests in the same process go on calling the closed ports of their stores; the system gave such a port to the store of this test. At the moment at which it started, two of them report store-regained after 415 and 410 failed calls (312 s), then poll the table "op", which the test counts.

Ruled out: the watcher, whose code is unchanged; the load alone, as the calls are those of the other daemons.

Change: the test uses a table that no daemon knows. It checks the same counts. The daemons of earlier tests still run; other tests that count polls of "op" or "servers" could be hit the same way.

--- a/src/test/java/org/papayawalk/daemon/managed/TableWatcherCheckTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/TableWatcherCheckTest.java
@@ -24,7 +24,8 @@
 public final class TableWatcherCheckTest {
     private static final long TIMEOUT_MILLIS = 10_000;
 
-    private static final String TABLE = "op";
+    // No daemon polls it: one of an earlier test may still call the port of its store.
+    private static final String TABLE = "checked";
 
     private static final Duration MAX_STALENESS = Duration.ofSeconds(6);
 
