Do not count standstills of the entry as silence of upstreams

What callers saw: after a pause of the entry's own process or event loop, a request that its upstream had answered in time was given up with "no data received for 1000 ms". It was sent elsewhere or, where no upstream had room, ended with 502.

Cause: the event loop runs the timers that became due during a pause before its next read if the pause came while it handled a connection. The answer then lies unread in the socket, and the whole pause counts as silence.

Change: the event loop ticks every 50 ms. RunningTime is the present time without gaps of 150 ms or more between two ticks. Silence, events and the pace of a body are measured in it, and nothing is decided until the second tick after a standstill, as the loop reads between any two. The deadline and the last moment for a repeat stay in present time, so that they bound how long a standstill can put off a decision.

Result: StandstillTest holds the loop in a read for 1.3 s while the upstream answers. RunningTimeTest and ResponseProgressTest check the rule at given times.

A pause of less than 150 ms still counts.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.papayawalk.core.RunningTime;
 import org.papayawalk.core.desired.EngineSpec;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.ServiceId;
@@ -38,6 +40,8 @@
 
     private final InstantSource clock;
 
+    private final RunningTime runningTime;
+
     private final UpstreamTable upstreams;
 
     /** Hosts of the other running entries, by their IP addresses. */
@@ -86,6 +90,7 @@
         this.settings = settings;
         this.loop = loop;
         this.clock = clock;
+        this.runningTime = new RunningTime(clock.instant());
         this.otherEntries = otherEntries;
         this.metrics = metrics;
         this.poison = new PoisonGuard(loop, clock, new HostId(settings.ip()), otherEntries);
@@ -99,6 +104,13 @@
                         clock,
                         new MinimumVersionRule(settings.limits().versionDeadline()),
                         withheld);
+        long tickMillis = RunningTime.TICK_INTERVAL.toMillis();
+        // The pause between ticks, not their rate, is fixed: the loop reads between any two.
+        loop.scheduleWithFixedDelay(
+                () -> runningTime.tick(clock.instant()),
+                tickMillis,
+                tickMillis,
+                TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -119,6 +131,15 @@
         return clock;
     }
 
+    /**
+     * Returns the time without the standstills of the event loop.
+     *
+     * @return running time for use on the event loop thread only
+     */
+    RunningTime runningTime() {
+        return runningTime;
+    }
+
     /**
      * Returns the bound of the responses that are being buffered.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ResponseProgress.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ResponseProgress.java
@@ -5,12 +5,15 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.papayawalk.core.RunningTime;
 import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.desired.RouteRule;
 
 /**
  * Progress of the response to one attempt. Decides when it has stalled, so that another upstream
- * can still answer in time. Confined to the event loop thread.
+ * can still answer in time. Time in which the entry itself stood still is no silence of an
+ * upstream, and nothing is decided before what came meanwhile is read; the deadline stays. Confined
+ * to the event loop thread.
  */
 final class ResponseProgress {
     /** Time without data after which a stream resumes at another upstream. */
@@ -22,6 +25,8 @@
      */
     private static final int STALL_TIMEOUT_TARGETS = 2;
 
+    private final RunningTime runningTime;
+
     private final Duration stallTimeout;
 
     /** When the response is due. */
@@ -30,10 +35,10 @@
     /** Last moment at which another upstream can answer within the target. */
     private final Instant lastRepeatAt;
 
-    /** When data was last received, or the request was sent. */
+    /** Running time at which data was last received, or the request was sent. */
     private Instant lastDataAt = Instant.MIN;
 
-    /** When the head of the response was received; null until then. */
+    /** Running time at which the head of the response was received; null until then. */
     private Instant headAt;
 
     /** Content-Length, negative if the response states none. */
@@ -49,8 +54,10 @@
      *
      * @param route route of the request
      * @param deadline when the response is due
+     * @param runningTime time without the standstills of the entry
      */
-    ResponseProgress(RouteRule route, Instant deadline) {
+    ResponseProgress(RouteRule route, Instant deadline, RunningTime runningTime) {
+        this.runningTime = runningTime;
         this.deadline = deadline;
         lastRepeatAt = deadline.minus(route.targetLatency());
         stallTimeout =
@@ -65,7 +72,7 @@
      * @param now present time
      */
     void sent(Instant now) {
-        lastDataAt = now;
+        lastDataAt = runningTime.at(now);
     }
 
     /**
@@ -76,10 +83,10 @@
      * @param now present time
      */
     void headReceived(HttpResponse response, boolean streaming, Instant now) {
-        lastDataAt = now;
-        headAt = now;
+        lastDataAt = runningTime.at(now);
+        headAt = lastDataAt;
         statedBytes = HttpUtil.getContentLength(response, -1L);
-        stream = streaming ? new StreamProgress(now) : null;
+        stream = streaming ? new StreamProgress(now, runningTime) : null;
     }
 
     /**
@@ -89,7 +96,7 @@
      * @param now present time
      */
     void dataReceived(int bytes, Instant now) {
-        lastDataAt = now;
+        lastDataAt = runningTime.at(now);
         receivedBytes += bytes;
         if (stream != null) {
             stream.bytesReceived(now);
@@ -122,7 +129,10 @@
      * @return reason for the log, empty if the response has not stalled
      */
     Optional<String> stallReason(Instant now) {
-        if (!lastDataAt.plus(stallTimeout).isAfter(now)) {
+        if (!runningTime.isSettled(now)) {
+            return Optional.empty();
+        }
+        if (!lastDataAt.plus(stallTimeout).isAfter(runningTime.at(now))) {
             return Optional.of("no data received for " + stallTimeout.toMillis() + " ms");
         }
         if (isStuck(now)) {
@@ -142,20 +152,29 @@
      * @return time from now
      */
     Duration untilNextCheck(Instant now) {
+        if (!runningTime.isSettled(now)) {
+            return RunningTime.TICK_INTERVAL;
+        }
         Instant next = lastDataAt.plus(stallTimeout);
         if (stream != null && stream.stuckAt().isBefore(next)) {
             next = stream.stuckAt();
         }
-        boolean repeatEndsBefore = lastRepeatAt.isAfter(now) && lastRepeatAt.isBefore(next);
-        return Duration.between(now, repeatEndsBefore ? lastRepeatAt : next);
+        Duration untilNext = Duration.between(runningTime.at(now), next);
+        Duration untilRepeatEnds = Duration.between(now, lastRepeatAt);
+        boolean repeatEndsBefore =
+                lastRepeatAt.isAfter(now) && untilRepeatEnds.compareTo(untilNext) < 0;
+        return repeatEndsBefore ? untilRepeatEnds : untilNext;
     }
 
     // False for streams, and for a body that has come for less than the stall timeout.
     private boolean isBodyEndless(Instant now) {
-        boolean young = headAt == null || headAt.plus(stallTimeout).isAfter(now);
+        Instant running = runningTime.at(now);
+        boolean young = headAt == null || headAt.plus(stallTimeout).isAfter(running);
         if (stream != null || young || lastRepeatAt.isAfter(now)) {
             return false;
         }
-        return !new BodyPace(headAt, statedBytes, receivedBytes).endsInTime(now, deadline);
+        Instant runningDeadline = running.plus(Duration.between(now, deadline));
+        return !new BodyPace(headAt, statedBytes, receivedBytes)
+                .endsInTime(running, runningDeadline);
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamProgress.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamProgress.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import org.papayawalk.core.RunningTime;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
 
 /**
  * Progress of one upstream's event stream. Only new events are progress: bytes that never end an
- * event and events that come again are not. Confined to the event loop thread.
+ * event and events that come again are not. Standstills of the entry count for nothing. Confined to
+ * the event loop thread.
  */
 final class StreamProgress {
     /** Size limit of an event in bytes. */
@@ -17,10 +19,12 @@
      */
     static final Duration EVENT_TIMEOUT = Duration.ofSeconds(2);
 
-    /** When the last new event came, or the head of the response. */
+    private final RunningTime runningTime;
+
+    /** Running time at which the last new event came, or the head of the response. */
     private Instant lastEventAt;
 
-    /** When bytes were last received. */
+    /** Running time at which bytes were last received. */
     private Instant lastBytesAt;
 
     /** Largest event id of this upstream; negative if there is none. */
@@ -30,10 +34,12 @@
      * Creates the progress of a stream whose head was received.
      *
      * @param now present time
+     * @param runningTime time without the standstills of the entry
      */
-    StreamProgress(Instant now) {
-        lastEventAt = now;
-        lastBytesAt = now;
+    StreamProgress(Instant now, RunningTime runningTime) {
+        this.runningTime = runningTime;
+        lastEventAt = runningTime.at(now);
+        lastBytesAt = lastEventAt;
     }
 
     /**
@@ -42,7 +48,7 @@
      * @param now present time
      */
     void bytesReceived(Instant now) {
-        lastBytesAt = now;
+        lastBytesAt = runningTime.at(now);
     }
 
     /**
@@ -58,7 +64,7 @@
             }
             lastEventId = event.id().getAsLong();
         }
-        lastEventAt = now;
+        lastEventAt = runningTime.at(now);
     }
 
     /**
@@ -69,13 +75,13 @@
      * @return true if bytes came, but no new event within the event timeout
      */
     boolean isStuck(Instant now) {
-        return lastBytesAt.isAfter(lastEventAt) && !stuckAt().isAfter(now);
+        return lastBytesAt.isAfter(lastEventAt) && !stuckAt().isAfter(runningTime.at(now));
     }
 
     /**
      * Returns when the stream is stuck unless a new event comes.
      *
-     * @return time
+     * @return running time
      */
     Instant stuckAt() {
         return lastEventAt.plus(EVENT_TIMEOUT);
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -69,9 +69,7 @@
     /** Last message to the upstream: the opening of a new connection, later the request. */
     private MessageDelays.Sent message;
 
-    /**
-     * Length of the prompt while it is in prefill, relative to the mean prompt; 0 after prefill.
-     */
+    /** Length of the prompt in prefill, relative to the mean prompt; 0 after prefill. */
     private double pendingPrefill;
 
     private boolean done;
@@ -87,7 +85,8 @@
         this.entry = entry;
         this.exchange = exchange;
         this.candidate = candidate;
-        this.progress = new ResponseProgress(route(), exchange.timing().deadline());
+        this.progress =
+                new ResponseProgress(route(), exchange.timing().deadline(), entry.runningTime());
     }
 
     /** Opens a connection and sends the request. */
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
@@ -125,6 +125,16 @@
         return held::countDown;
     }
 
+    /**
+     * Holds the event loop of the first entry while it reads a connection.
+     *
+     * @return hold, ended by {@link HeldRead#close()}
+     * @throws IOException if a port cannot be bound
+     */
+    HeldRead holdReads() throws IOException {
+        return new HeldRead(firstNode.runtime().group());
+    }
+
     private static void awaitLatch(CountDownLatch latch) {
         try {
             latch.await();
