Keep the delays of a busy machine from adding up in slow answers

Cause, traced in the kept log: the entry was punctual; it gave the first upstream 1000 ms for the head of its answer and got the second one's answer after 796 ms more. The fake slept 6 ms after each of 121 bytes, "less than 1 s" in all, but each sleep that ends late adds to all later ones. So the test bounded the speed of the machine.

The entry counts a head as data when it is complete; that is meant, as heads that never end must be left in time (EndlessTrickleTest). Its words "no data" are not exact for a head that comes byte by byte.

Change: each byte has its own time from the start of the answer; bytes still come one by one and take the same time on an idle machine. What is checked stays: the answer is delivered, no request is sent twice.

--- a/src/test/java/org/papayawalk/daemon/managed/SlowWriter.java
+++ b/src/test/java/org/papayawalk/daemon/managed/SlowWriter.java
@@ -40,16 +40,25 @@
         write(out, answer.substring(headLength), BODY_MILLIS / bodyLength);
     }
 
+    // Each byte has a time of its own, so that the delays of a busy machine do not add up.
     private static void write(OutputStream out, String text, long pauseMillis) throws IOException {
+        long startNanos = System.nanoTime();
+        long pauseNanos = TimeUnit.MILLISECONDS.toNanos(pauseMillis);
+        int count = 0;
         for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
             out.write(b);
             out.flush();
-            try {
-                TimeUnit.MILLISECONDS.sleep(pauseMillis);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                throw new IOException(e);
-            }
+            count++;
+            sleep(startNanos + count * pauseNanos - System.nanoTime());
+        }
+    }
+
+    private static void sleep(long nanos) throws IOException {
+        try {
+            TimeUnit.NANOSECONDS.sleep(nanos);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
         }
     }
 }
