Fear open writes of a killed agent before a load

What callers could see: a token from weights that are not those of the version that the engine reports (WHOLE).

Cause: an agent remembers which writes of chunks were not answered, and sends no load order while one of them may still replace a chunk. A process that takes over from a killed one knew of none. A write that was in flight at the kill, and is executed by the engine seconds later, replaced a chunk of a newer version after that was verified.

Ruled out: the wait for an order of the killed process does not cover this, as it does not apply where part of a version is staged.

Change: the new process derives from what was staged and served when it started whether its predecessor may have been writing another version than the wanted one. It does not wait if nothing was staged, if the whole version searched for was, or if that is wanted and is the next one after the served one. An older write of the killed process that was not answered while it lived is still missed in those cases.

--- a/src/main/java/org/papayawalk/core/weight/OpenWrites.java
+++ b/src/main/java/org/papayawalk/core/weight/OpenWrites.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.papayawalk.core.id.Digest;
 
 /**
@@ -16,6 +17,9 @@
 
     private final List<Write> writes = new ArrayList<>();
 
+    /** Writes of an earlier process, empty if it is known to have left none. */
+    private Optional<EarlierWrites> earlier = Optional.empty();
+
     /**
      * Records a write without an answer.
      *
@@ -28,6 +32,15 @@
         writes.add(new Write(index, chunk, now));
     }
 
+    /**
+     * Records what an earlier process may have left open, in place of what was recorded before.
+     *
+     * @param earlierWrites writes of that process
+     */
+    public synchronized void addEarlier(EarlierWrites earlierWrites) {
+        earlier = Optional.of(earlierWrites);
+    }
+
     /**
      * Returns whether a write may still replace a chunk of a version by other bytes.
      *
@@ -37,12 +50,14 @@
      */
     public synchronized boolean maySpoil(Manifest version, Instant now) {
         removeOld(now);
-        return writes.stream().anyMatch(w -> w.spoils(version));
+        return earlier.filter(e -> e.maySpoil(version, now)).isPresent()
+                || writes.stream().anyMatch(w -> w.spoils(version));
     }
 
     /** Forgets all writes, because they end with the process of the engine. */
     public synchronized void engineRestarted() {
         writes.clear();
+        earlier = Optional.empty();
     }
 
     private void removeOld(Instant now) {
--- a/src/main/java/org/papayawalk/core/weight/StagedAtStart.java
+++ b/src/main/java/org/papayawalk/core/weight/StagedAtStart.java
@@ -10,6 +10,24 @@
  */
 public record StagedAtStart(Manifest searched, int matching, int other, int unread) {
 
+    /**
+     * Returns whether nothing was staged.
+     *
+     * @return true if no chunk was staged and all could be read
+     */
+    public boolean isEmpty() {
+        return matching + other + unread == 0;
+    }
+
+    /**
+     * Returns whether the version searched for was staged completely.
+     *
+     * @return true if every chunk of it was found
+     */
+    public boolean isWhole() {
+        return matching == searched.chunkCount();
+    }
+
     /**
      * Returns whether a version other than the wanted one may be staged completely, so that there
      * may be an order for it. One chunk of the version searched for means that no other is.
--- a/src/main/java/org/papayawalk/daemon/managed/agent/GuardedStagingArea.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/GuardedStagingArea.java
@@ -8,6 +8,7 @@
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.upstream.EngineReport;
 import org.papayawalk.core.weight.EarlierOrder;
+import org.papayawalk.core.weight.EarlierWrites;
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.core.weight.StagedAtStart;
 import org.papayawalk.daemon.swarm.StagingArea;
@@ -29,6 +30,9 @@
     // Empty before the first read.
     private Optional<EarlierOrder> earlierOrder = Optional.empty();
 
+    // Version that the engine served at the first read, 0 for none; empty before.
+    private Optional<Integer> servedAtStart = Optional.empty();
+
     // Empty before the first read.
     private Optional<StagedAtStart> found = Optional.empty();
 
@@ -73,13 +77,20 @@
         StagedAtStart before = found.orElseGet(() -> new StagedAtStart(manifest, 0, 0, 0));
         boolean staged = chunk.isRight() && chunk.get().isPresent();
         boolean matches = staged && manifest.matches(index, chunk.get().get());
-        found =
-                Optional.of(
-                        new StagedAtStart(
-                                manifest,
-                                before.matching() + (matches ? 1 : 0),
-                                before.other() + (staged && !matches ? 1 : 0),
-                                before.unread() + (chunk.isLeft() ? 1 : 0)));
+        StagedAtStart after =
+                new StagedAtStart(
+                        manifest,
+                        before.matching() + (matches ? 1 : 0),
+                        before.other() + (staged && !matches ? 1 : 0),
+                        before.unread() + (chunk.isLeft() ? 1 : 0));
+        found = Optional.of(after);
+        int served = servedAtStart.orElseGet(() -> served(manifest));
+        servedAtStart = Optional.of(served);
+        engine.recordEarlierWrites(new EarlierWrites(after, served, startedAt));
+    }
+
+    private int served(Manifest manifest) {
+        return engine.lastReport().map(r -> r.models().getOrDefault(manifest.model(), 0)).orElse(0);
     }
 
     private synchronized boolean hasToWait(Manifest manifest) {
--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -14,6 +14,7 @@
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.upstream.EngineReport;
+import org.papayawalk.core.weight.EarlierWrites;
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.core.weight.OpenWrites;
 import org.papayawalk.daemon.managed.weight.WeightVersion;
@@ -125,6 +126,15 @@
         return openWrites.maySpoil(manifest, clock.instant());
     }
 
+    /**
+     * Records writes that an earlier process of this agent may have left open.
+     *
+     * @param writes writes of that process, as far as they are known now
+     */
+    void recordEarlierWrites(EarlierWrites writes) {
+        openWrites.addEarlier(writes);
+    }
+
     private void recordReport(EngineReport report) {
         boolean restarted =
                 lastReport.filter(r -> r.incarnation() != report.incarnation()).isPresent();
