Take failures of an engine in a write for no proof

What callers could see: a token from weights that are not those of the version that the engine reports (WHOLE).

Cause: a write of a chunk that ends with status 500, 502 or 504 counted as one that the engine does not execute. For load orders, these statuses mean an unknown outcome already.

Change: they mean the same for writes, so that the write is remembered and no other version is ordered while it may be executed. Statuses that refuse a write (403, 503) leave nothing open, as before.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -33,7 +33,7 @@
 
     private static final int STATUS_NOT_FOUND = 404;
 
-    // Failures that do not tell whether the engine accepted the order.
+    // Failures that do not tell whether the engine accepted an order or executes a write.
     private static final Set<Integer> STATUSES_WITHOUT_OUTCOME = Set.of(500, 502, 504);
 
     private final AsyncHttpClient http;
@@ -111,7 +111,12 @@
      */
     boolean stage(Manifest manifest, int index, byte[] data) {
         String target = EngineCodec.stageChunkTarget(manifest.model(), index);
-        return call(new AsyncHttpRequest(address, HttpMethod.PUT, target, data, CALL_TIMEOUT))
+        AsyncHttpRequest write =
+                new AsyncHttpRequest(address, HttpMethod.PUT, target, data, CALL_TIMEOUT);
+        return http.send(write)
+                .join()
+                .flatMap(a -> requireOutcome(write, a))
+                .flatMap(a -> requireSuccess(write, a))
                 .peekLeft(f -> recordFailedWrite(manifest, index, f))
                 .isRight();
     }
@@ -242,31 +247,34 @@
         if (answer.isRight() && answer.get().status() == STATUS_CONFLICT) {
             return Either.right(false);
         }
-        if (answer.isRight() && STATUSES_WITHOUT_OUTCOME.contains(answer.get().status())) {
-            return Either.left(
-                    new Fault(
-                            FaultKind.UNKNOWN_OUTCOME,
-                            "load-order",
-                            address,
-                            "HTTP status " + answer.get().status()));
-        }
-        return answer.flatMap(a -> requireSuccess(loadCall, a)).map(a -> true);
+        return answer.flatMap(a -> requireOutcome(loadCall, a))
+                .flatMap(a -> requireSuccess(loadCall, a))
+                .map(a -> true);
     }
 
     private Either<Fault, AsyncHttpResponse> call(AsyncHttpRequest call) {
         return http.send(call).join().flatMap(a -> requireSuccess(call, a));
     }
 
+    private static Either<Fault, AsyncHttpResponse> requireOutcome(
+            AsyncHttpRequest call, AsyncHttpResponse answer) {
+        if (!STATUSES_WITHOUT_OUTCOME.contains(answer.status())) {
+            return Either.right(answer);
+        }
+        return Either.left(statusFault(FaultKind.UNKNOWN_OUTCOME, call, answer));
+    }
+
     private static Either<Fault, AsyncHttpResponse> requireSuccess(
             AsyncHttpRequest call, AsyncHttpResponse answer) {
         if (answer.isSuccess()) {
             return Either.right(answer);
         }
-        return Either.left(
-                new Fault(
-                        FaultKind.REFUSED,
-                        call.method() + " " + call.target(),
-                        call.address(),
-                        "HTTP status " + answer.status()));
+        return Either.left(statusFault(FaultKind.REFUSED, call, answer));
+    }
+
+    private static Fault statusFault(
+            FaultKind kind, AsyncHttpRequest call, AsyncHttpResponse answer) {
+        String step = call.method() + " " + call.target();
+        return new Fault(kind, step, call.address(), "HTTP status " + answer.status());
     }
 }
