Count only the time in which an engine answers for its open calls

Cause: open orders and writes were taken to have ended a fixed time after they were sent (12 s or 30 s). A freeze of the engine, or of the machine, counted as part of that time, though a frozen engine handles the call only after it has woken. The first report after a freeze of 40 s settled an order that the engine had not decided yet.

Change: the time of open calls advances with the reports that the engine answers, by at most 1 s between two of them. Polls follow each other at 150 or 700 ms, so that it runs like the clock while the engine answers.

An unanswered order of the same process uses the same time; no test freezes an engine for that case.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/GuardedStagingArea.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/GuardedStagingArea.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.time.Instant;
-import java.time.InstantSource;
 import java.util.Optional;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.id.Digest;
@@ -23,8 +22,7 @@
 final class GuardedStagingArea implements StagingArea {
     private final LocalEngine engine;
 
-    private final InstantSource clock;
-
+    // By the time for which the engine answered.
     private final Instant startedAt;
 
     // Empty before the first read.
@@ -46,12 +44,10 @@
      * Creates a guard at the start of the process.
      *
      * @param engine engine beside this process
-     * @param clock monotonic clock
      */
-    GuardedStagingArea(LocalEngine engine, InstantSource clock) {
+    GuardedStagingArea(LocalEngine engine) {
         this.engine = engine;
-        this.clock = clock;
-        this.startedAt = clock.instant();
+        this.startedAt = engine.answeredTime();
     }
 
     @Override
@@ -121,6 +117,6 @@
     private boolean mayBeOpen(EarlierOrder order, Manifest manifest) {
         int wanted = Integer.parseInt(manifest.version());
         EngineReport report = engine.lastReport().orElseThrow();
-        return order.mayBeOpen(wanted, manifest.model(), report, clock.instant());
+        return order.mayBeOpen(wanted, manifest.model(), report, engine.answeredTime());
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.Set;
@@ -14,6 +15,7 @@
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.upstream.EngineReport;
+import org.papayawalk.core.weight.AnsweredTime;
 import org.papayawalk.core.weight.EarlierWrites;
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.core.weight.OpenWrites;
@@ -42,6 +44,8 @@
 
     private final InstantSource clock;
 
+    private final AnsweredTime answeredTime = new AnsweredTime();
+
     private final OpenWrites openWrites = new OpenWrites();
 
     // The read lock is held while a chunk is staged; the write lock waits for chunks in flight.
@@ -128,7 +132,7 @@
      * @return true if a verification of the version proves nothing yet
      */
     boolean hasOpenWrites(Manifest manifest) {
-        return openWrites.maySpoil(manifest, clock.instant());
+        return openWrites.maySpoil(manifest, answeredTime());
     }
 
     /**
@@ -140,7 +144,17 @@
         openWrites.addEarlier(writes);
     }
 
+    /**
+     * Returns the time by which open calls to the engine end, see {@link AnsweredTime}.
+     *
+     * @return time up to the last report
+     */
+    Instant answeredTime() {
+        return answeredTime.present();
+    }
+
     private void recordReport(EngineReport report) {
+        answeredTime.answered(clock.instant());
         boolean restarted =
                 lastReport.filter(r -> r.incarnation() != report.incarnation()).isPresent();
         if (restarted) {
@@ -152,7 +166,7 @@
     private void recordFailedWrite(Manifest manifest, int index, Fault fault) {
         Event.named("stage-failed").with("fault", fault).warn();
         if (fault.kind() == FaultKind.UNKNOWN_OUTCOME) {
-            openWrites.add(index, manifest.chunks().get(index), clock.instant());
+            openWrites.add(index, manifest.chunks().get(index), answeredTime());
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/ManagedAgentRole.java
@@ -51,7 +51,7 @@
                                                 "the settings give no address of the engine; an"
                                                         + " agent needs its IP address and port"));
         LocalEngine engine = new LocalEngine(node.http(), upstream, node.clock());
-        GuardedStagingArea stagingArea = new GuardedStagingArea(engine, node.clock());
+        GuardedStagingArea stagingArea = new GuardedStagingArea(engine);
         ManagedSwarm swarm = new ManagedSwarm(node, service(), origin, stagingArea, work);
         node.runAsAgent(swarm.handler());
         TargetVersion target = new PlatformTargetVersion(node, service(), origin);
--- a/src/main/java/org/papayawalk/daemon/managed/agent/UnansweredOrder.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/UnansweredOrder.java
@@ -24,7 +24,7 @@
      * @param staged version that the engine was ordered to load
      * @param report report that the order is based on
      * @param chunks supplies the verified chunks by index
-     * @param sentAt when the order was sent
+     * @param sentAt when the order was sent, by the time for which the engine answered
      * @return order
      */
     static UnansweredOrder of(
--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -267,7 +267,7 @@
         if (loadInProgress) {
             return false;
         }
-        Instant now = clock.instant();
+        Instant now = engine.answeredTime();
         if (!order.open().isSettledBy(report, now)) {
             if (!report.loading() && order.open().mayBeRepeated(now)) {
                 verifyAndLoad(order.staged(), order::copy, report);
@@ -294,7 +294,8 @@
             return;
         }
         loadInProgress = true;
-        Instant sentAt = unansweredOrder.map(o -> o.open().sentAt()).orElseGet(clock::instant);
+        Instant sentAt =
+                unansweredOrder.map(o -> o.open().sentAt()).orElseGet(engine::answeredTime);
         work.execute(
                 () -> {
                     LoadOutcome outcome = LoadOutcome.UNVERIFIED;
