Read staged chunks four at a time before a load

What callers could see: an engine that never loads a version although all of it is staged.

Cause: a load order needs a verification that began at most 2 s ago, as a chunk that turned bad is excused for 3 s only. The chunks were read one after the other, so that on a host where a read takes long, each verification of 48 chunks was too old when it ended, and was repeated for ever.

Ruled out: accepting an older verification, or checking again only the chunks read first. The first breaks the rule; the second ends only if all chunks are read within the limit anyway.

Change: four reads are in flight at a time. A chunk that does not match is read again on its own and repaired, as before. The limit stays.

A host on which four reads at a time are too slow as well still loads nothing.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -8,6 +8,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.ReadWriteLock;
 import java.util.concurrent.locks.ReentrantReadWriteLock;
@@ -184,9 +185,24 @@
      *     known what is staged
      */
     Either<Fault, Optional<byte[]>> readStaged(Manifest manifest, int index) {
+        return startRead(manifest, index).join();
+    }
+
+    /**
+     * Starts to read a staged chunk. Does not block.
+     *
+     * @param manifest manifest of a version of the model
+     * @param index index of the chunk
+     * @return result as of {@link #readStaged}
+     */
+    CompletableFuture<Either<Fault, Optional<byte[]>>> startRead(Manifest manifest, int index) {
         String target = EngineCodec.stagedChunkTarget(manifest.model(), index);
         AsyncHttpRequest call = AsyncHttpRequest.get(address, target, CALL_TIMEOUT);
-        Either<Fault, AsyncHttpResponse> answer = http.send(call).join();
+        return http.send(call).thenApply(a -> decodeChunk(call, a));
+    }
+
+    private static Either<Fault, Optional<byte[]>> decodeChunk(
+            AsyncHttpRequest call, Either<Fault, AsyncHttpResponse> answer) {
         if (answer.isRight() && answer.get().status() == STATUS_NOT_FOUND) {
             return Either.right(Optional.empty());
         }
--- a/src/main/java/org/papayawalk/daemon/managed/agent/StagedChunkVerifier.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/StagedChunkVerifier.java
@@ -1,7 +1,12 @@
 package org.papayawalk.daemon.managed.agent;
 
+import io.vavr.control.Either;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.IntFunction;
+import java.util.stream.IntStream;
+import org.papayawalk.core.Fault;
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.daemon.managed.weight.WeightVersion;
 import org.papayawalk.log.Event;
@@ -11,6 +16,9 @@
  * corrupt. Calls block; not thread-safe, so at most one worker may use it at a time.
  */
 final class StagedChunkVerifier {
+    // Reads in flight at the same time, so that a verification is short though a read takes long.
+    private static final int READS_AT_ONCE = 4;
+
     // Per chunk.
     private static final int MAX_REPAIRS = 3;
 
@@ -33,14 +41,33 @@
      * @return true if the engine holds every chunk as the manifest describes it
      */
     boolean verify(StagedVersion staged, IntFunction<Optional<byte[]>> copies) {
-        for (int i = 0; i < staged.manifest().chunkCount(); i++) {
-            if (!verifyChunk(staged.version(), staged.manifest(), i, copies)) {
-                return false;
+        int chunks = staged.manifest().chunkCount();
+        for (int from = 0; from < chunks; from += READS_AT_ONCE) {
+            int to = Math.min(chunks, from + READS_AT_ONCE);
+            for (int i : unmatched(staged.manifest(), from, to)) {
+                if (!verifyChunk(staged.version(), staged.manifest(), i, copies)) {
+                    return false;
+                }
             }
         }
         return true;
     }
 
+    // Returns the chunks of a range that were not read as the manifest describes them.
+    private int[] unmatched(Manifest manifest, int from, int to) {
+        List<CompletableFuture<Either<Fault, Optional<byte[]>>>> reads =
+                IntStream.range(from, to).mapToObj(i -> engine.startRead(manifest, i)).toList();
+        return IntStream.range(from, to)
+                .filter(
+                        i ->
+                                reads.get(i - from)
+                                        .join()
+                                        .getOrElse(Optional.empty())
+                                        .filter(d -> manifest.matches(i, d))
+                                        .isEmpty())
+                .toArray();
+    }
+
     private boolean verifyChunk(
             WeightVersion version,
             Manifest manifest,
