Ask the guard again when a waiting request is sent

Requests with a part that crashes upstreams were sent all at once, without a trial, if they had been admitted before the part was suspected and then waited in the queue or for a connection to open.

Cause: the verdict was taken when the request came; at the moment of sending only refusal was looked at. A request that its upstream had not run was sent again without a trial in the same way.

Each request now has a check that is asked whenever it comes, is sent, is written to a connection, or is repeated after an attempt that did not run. While its parts are suspected it is sent only if it begins a trial; it keeps that trial for its later attempts. Otherwise it is refused with the retry delay of its parts.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -8,11 +8,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
-import java.util.OptionalInt;
 import org.papayawalk.core.call.AttemptParameters;
 import org.papayawalk.core.call.RequestMetadata;
 import org.papayawalk.core.desired.AuthorizedRequest;
-import org.papayawalk.core.desired.Caller;
 import org.papayawalk.core.desired.Denial;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.desired.RequestAuthorizer;
@@ -35,9 +33,6 @@
     /** Retry delay while the entry stops; short because callers reach another entry. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(50);
 
-    /** Largest priority value that upstreams accept; 0 is the most urgent. */
-    private static final int LOWEST_UPSTREAM_PRIORITY = 9;
-
     private final EntryContext entry;
 
     private final CallerRequest request;
@@ -54,7 +49,7 @@
     private AuthorizedRequest authorized;
 
     /** Null until the request is authorized. */
-    private RequestSignature signature;
+    private PoisonCheck poison;
 
     /** Null until the request is authorized. */
     private RequestTiming timing;
@@ -117,11 +112,9 @@
             return;
         }
         authorized = decision.get();
-        signature =
-                new RequestSignature(Fingerprints.of(request, metadata), metadata.promptParts());
-        Optional<Duration> poisonDelay = entry.poison().admit(signature, now);
-        if (poisonDelay.isPresent()) {
-            completion.refuse(PoisonGuard.REASON, poisonDelay.get());
+        poison = new PoisonCheck(entry.poison(), RequestSignature.of(request, metadata));
+        if (!poison.permits(now)) {
+            completion.refuse(PoisonGuard.REASON, poison.retryAfter(now));
             return;
         }
         RouteRule route = authorized.route();
@@ -208,12 +201,12 @@
     }
 
     /**
-     * Returns what the request is recognized by.
+     * Returns the check of the request by the crashes of upstreams.
      *
-     * @return signature, null before the request is authorized
+     * @return check, null before the request is authorized
      */
-    RequestSignature signature() {
-        return signature;
+    PoisonCheck poison() {
+        return poison;
     }
 
     /**
@@ -226,22 +219,22 @@
     }
 
     /**
-     * Starts an attempt if an upstream has capacity. Ends a request that has become known as poison
-     * while it waited.
+     * Starts an attempt if an upstream has capacity. Ends a request that may not be sent any more
+     * as its parts have become suspected.
      *
      * @param now present time
      * @return true if an attempt was started or the request is about to end
      */
     boolean trySend(Instant now) {
-        if (entry.poison().isRefused(signature, now)) {
+        Optional<PlacementCandidate> candidate = choice.next(now);
+        if (candidate.isEmpty() && !poison.isRefused(now)) {
+            return false;
+        }
+        if (!poison.permits(now)) {
             // Ends later, because the queue that holds the request is being scanned.
             entry.loop().execute(this::endAsPoison);
             return true;
         }
-        Optional<PlacementCandidate> candidate = choice.next(now);
-        if (candidate.isEmpty()) {
-            return false;
-        }
         attempt = new UpstreamAttempt(entry, this, candidate.get());
         attempts.add(candidate.get().upstream().id());
         attempt.start();
@@ -257,6 +250,20 @@
         return choice;
     }
 
+    /**
+     * Returns why the request may not be written to a connection that has just been opened.
+     *
+     * @param upstream upstream of the connection
+     * @param now present time
+     * @return reason for the log, empty if it may be written
+     */
+    Optional<String> obstacle(UpstreamRegistration upstream, Instant now) {
+        Optional<String> obstacle = choice.obstacle(upstream, now);
+        return obstacle.isPresent() || poison.permits(now)
+                ? obstacle
+                : Optional.of(PoisonGuard.REASON);
+    }
+
     /**
      * Returns whether the attempt in flight may be given up, because the request could be sent to
      * another upstream at once.
@@ -265,7 +272,7 @@
      * @return false if another attempt is not allowed or would have to wait
      */
     boolean canRepeat(Instant now) {
-        return entry.poison().mayRepeat(signature, now)
+        return poison.mayRepeat(now)
                 && choice.canRepeat(now)
                 && entry.queue(authorized.service()).precedesAll(this, now);
     }
@@ -288,24 +295,15 @@
      * @return request, released when it is written
      */
     FullHttpRequest upstreamRequest(PlacementCandidate candidate, Instant now) {
-        UpstreamRegistration upstream = candidate.upstream();
-        Optional<String> model = metadata.model();
-        int priority = Math.min(LOWEST_UPSTREAM_PRIORITY, authorized.priority());
         AttemptParameters parameters =
-                new AttemptParameters(
-                        upstream.id(),
-                        Math.max(1, Duration.between(now, timing.deadline()).toMillis()),
-                        authorized.caller().map(Caller::team),
-                        entry.upstreams().pinnedVersion(upstream, model, now),
-                        model.isPresent() ? OptionalInt.of(priority) : OptionalInt.empty(),
-                        stream.lastEventId());
+                choice.parameters(candidate.upstream(), stream.lastEventId(), now);
         return UpstreamRequests.build(request, parameters);
     }
 
     /** Ends the request because its stream is complete. */
     void streamCompleted() {
         attempt = null;
-        stream.firstEventAt().ifPresent(t -> entry.poison().answered(signature, t));
+        stream.firstEventAt().ifPresent(poison::answered);
         completion.completeStream();
     }
 
@@ -326,7 +324,7 @@
         } else {
             attempt = null;
             if (response.isSuccess()) {
-                entry.poison().answered(signature, request.receivedAt());
+                poison.answered(request.receivedAt());
             }
             completion.forwardResponse(response);
         }
@@ -345,17 +343,17 @@
         attempt = null;
         completion.recordReason(reason);
         attempts.lastEnded(mayHaveRun, reached);
-        boolean allowed = !mayHaveRun || authorized.route().retryable();
+        boolean allowed = !mayHaveRun || (authorized.route().retryable() && poison.mayRepeat(now));
         boolean inTime = timing.leavesTime(Duration.ZERO, now);
         DispatchQueue queue = entry.queue(authorized.service());
-        boolean poison =
-                mayHaveRun
-                        ? !entry.poison().mayRepeat(signature, now)
-                        : entry.poison().isRefused(signature, now);
-        if (!allowed || !inTime || !choice.hasAttemptsLeft() || poison) {
+        if (!allowed || !inTime || !choice.hasAttemptsLeft()) {
             endUnanswered(reason, queue.retryAfter(this, now));
             return;
         }
+        if (!mayHaveRun && !poison.permits(now)) {
+            endUnanswered(reason, poison.retryAfter(now));
+            return;
+        }
         if (reached
                 && !entry.retryBudget(authorized.service()).tryAcquire(entry.entryCount(), now)) {
             endUnanswered(reason + "; no budget for a repeat", queue.retryAfter(this, now));
@@ -386,7 +384,7 @@
     private void endAsPoison() {
         if (!isCompleted()) {
             Instant now = entry.clock().instant();
-            endUnanswered(PoisonGuard.REASON, entry.poison().retryAfter(signature, now));
+            endUnanswered(PoisonGuard.REASON, poison.retryAfter(now));
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -17,6 +17,7 @@
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.desired.CallerLimits;
 import org.papayawalk.core.desired.DesiredState;
+import org.papayawalk.core.suspect.PromptPartRegistry;
 import org.papayawalk.daemon.managed.ManagedNode;
 import org.papayawalk.daemon.managed.ManagedRole;
 import org.papayawalk.daemon.managed.PlatformSnapshot;
@@ -144,6 +145,15 @@
         return entry.bufferBudget().heldBytes();
     }
 
+    /**
+     * Returns the evidence on parts of prompts.
+     *
+     * @return thread-safe registry
+     */
+    PromptPartRegistry promptParts() {
+        return entry.poison().promptParts();
+    }
+
     // The limits are those in force when the connection opens.
     private void initCallerChannel(Channel channel) {
         CallerLimits limits =
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PoisonCheck.java
@@ -0,0 +1,95 @@
+package org.papayawalk.daemon.managed.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.papayawalk.core.upstream.UpstreamRegistration;
+
+/**
+ * Checks whether one request may be sent, by the crashes of upstreams that this entry knows of at
+ * that moment. While a part of its prompt is suspected, the request may be sent only if it has
+ * begun a trial; it begins at most one until the parts are clear again. Confined to the event loop
+ * thread.
+ */
+final class PoisonCheck {
+    private final PoisonGuard guard;
+
+    private final RequestSignature request;
+
+    /** Whether this request has begun a trial of its suspected parts. */
+    private boolean inTrial;
+
+    /**
+     * Creates the check of a request that has begun no trial.
+     *
+     * @param guard evidence of the entry
+     * @param request signature of the request
+     */
+    PoisonCheck(PoisonGuard guard, RequestSignature request) {
+        this.guard = guard;
+        this.request = request;
+    }
+
+    /**
+     * Decides whether the request may be sent now. Begins a trial if it needs one.
+     *
+     * @param now present time
+     * @return false if it is refused or another request has begun a trial just before
+     */
+    boolean permits(Instant now) {
+        if (guard.isRefused(request, now)) {
+            return false;
+        }
+        boolean needed = guard.needsTrial(request, now);
+        inTrial = needed && (inTrial || guard.beginTrial(request, now));
+        return inTrial || !needed;
+    }
+
+    /**
+     * Returns whether the request may not be sent to any upstream.
+     *
+     * @param now present time
+     * @return true if it, or a part of its prompt, has crashed too many upstreams
+     */
+    boolean isRefused(Instant now) {
+        return guard.isRefused(request, now);
+    }
+
+    /**
+     * Returns whether the request, which an upstream may have run, may be sent to another one.
+     *
+     * @param now present time
+     * @return false also if a part of its prompt is only suspected
+     */
+    boolean mayRepeat(Instant now) {
+        return guard.mayRepeat(request, now);
+    }
+
+    /**
+     * Returns when the caller may retry if the request is refused.
+     *
+     * @param now present time
+     * @return delay from now
+     */
+    Duration retryAfter(Instant now) {
+        return guard.retryAfter(request, now);
+    }
+
+    /**
+     * Records that an upstream has answered the request completely.
+     *
+     * @param begunAt when the answer began
+     */
+    void answered(Instant begunAt) {
+        guard.answered(request, begunAt);
+    }
+
+    /**
+     * Checks whether an upstream crashed while it ran the request, and counts the crash.
+     *
+     * @param answerBegun whether the upstream had begun to answer
+     * @param upstream upstream whose connection was lost
+     */
+    void connectionLost(boolean answerBegun, UpstreamRegistration upstream) {
+        guard.connectionLost(request, answerBegun, upstream);
+    }
+}
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PoisonGuard.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PoisonGuard.java
@@ -6,7 +6,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.papayawalk.core.RendezvousHash;
@@ -87,21 +86,25 @@
     }
 
     /**
-     * Decides whether a new request may be sent. A request with a suspected part begins a trial.
+     * Returns whether a request may only run as a trial.
      *
      * @param request signature of the request
      * @param now present time
-     * @return empty if it may be sent, otherwise the delay after which its caller may retry
+     * @return true if a part of its prompt is suspected
      */
-    Optional<Duration> admit(RequestSignature request, Instant now) {
-        if (isRefused(request, now)) {
-            return Optional.of(retryAfter(request, now));
-        }
-        List<PromptPartId> parts = request.promptParts();
-        boolean trial = promptParts.verdict(parts, now) == PartVerdict.TRIAL;
-        return trial && !promptParts.beginTrial(parts, now)
-                ? Optional.of(retryAfter(request, now))
-                : Optional.empty();
+    boolean needsTrial(RequestSignature request, Instant now) {
+        return promptParts.verdict(request.promptParts(), now) == PartVerdict.TRIAL;
+    }
+
+    /**
+     * Begins a trial of a request.
+     *
+     * @param request signature of the request
+     * @param now present time
+     * @return false if a trial of one of the suspected parts has begun just before
+     */
+    boolean beginTrial(RequestSignature request, Instant now) {
+        return promptParts.beginTrial(request.promptParts(), now);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/RequestSignature.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/RequestSignature.java
@@ -1,6 +1,7 @@
 package org.papayawalk.daemon.managed.entry;
 
 import java.util.List;
+import org.papayawalk.core.call.RequestMetadata;
 import org.papayawalk.core.id.PromptPartId;
 
 /**
@@ -14,4 +15,15 @@
     RequestSignature {
         promptParts = List.copyOf(promptParts);
     }
+
+    /**
+     * Returns the signature of a request.
+     *
+     * @param request request as received
+     * @param metadata what its caller states of it
+     * @return signature
+     */
+    static RequestSignature of(CallerRequest request, RequestMetadata metadata) {
+        return new RequestSignature(Fingerprints.of(request, metadata), metadata.promptParts());
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -233,7 +233,7 @@
         // The head alone states that the request did not run.
         boolean mayHaveRun = connected && !notRun;
         if (mayHaveRun) {
-            entry.poison().connectionLost(exchange.signature(), head != null, candidate.upstream());
+            exchange.poison().connectionLost(head != null, candidate.upstream());
         }
         exchange.attemptFailed(mayHaveRun, connected, candidate.upstream().id() + ": " + reason);
     }
@@ -277,7 +277,7 @@
         if (message != null) {
             message.answered(now);
         }
-        Optional<String> obstacle = exchange.choice().obstacle(candidate.upstream(), now);
+        Optional<String> obstacle = exchange.obstacle(candidate.upstream(), now);
         if (obstacle.isPresent()) {
             newConnection.abandon();
             finish(AttemptResult.CANCELLED);
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamChoice.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamChoice.java
@@ -4,8 +4,11 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
+import org.papayawalk.core.call.AttemptParameters;
 import org.papayawalk.core.call.RequestMetadata;
 import org.papayawalk.core.desired.AuthorizedRequest;
+import org.papayawalk.core.desired.Caller;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.RequestTiming;
@@ -17,6 +20,9 @@
  * before the deadline. Confined to the event loop thread.
  */
 final class UpstreamChoice {
+    /** Largest priority value that upstreams accept; 0 is the most urgent. */
+    private static final int LOWEST_UPSTREAM_PRIORITY = 9;
+
     private final EntryContext entry;
 
     private final AuthorizedRequest authorized;
@@ -99,6 +105,27 @@
                 && choose(true, now).isPresent();
     }
 
+    /**
+     * Returns what an attempt states to its upstream.
+     *
+     * @param upstream upstream
+     * @param lastEventId last event that the caller has received
+     * @param now present time
+     * @return parameters of the attempt
+     */
+    AttemptParameters parameters(
+            UpstreamRegistration upstream, Optional<String> lastEventId, Instant now) {
+        Optional<String> model = metadata.model();
+        int priority = Math.min(LOWEST_UPSTREAM_PRIORITY, authorized.priority());
+        return new AttemptParameters(
+                upstream.id(),
+                Math.max(1, Duration.between(now, timing.deadline()).toMillis()),
+                authorized.caller().map(Caller::team),
+                entry.upstreams().pinnedVersion(upstream, model, now),
+                model.isPresent() ? OptionalInt.of(priority) : OptionalInt.empty(),
+                lastEventId);
+    }
+
     private Optional<PlacementCandidate> choose(boolean repeat, Instant now) {
         List<PlacementCandidate> candidates =
                 entry.upstreams().candidates(service(), metadata.model(), now);
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
@@ -199,6 +200,29 @@
         return TestCaller.get(readyPort, "/readiness").status() == 200;
     }
 
+    /**
+     * Returns how many requests the first entry has read.
+     *
+     * @return number since its start
+     */
+    long receivedCount() {
+        return TestCaller.get(readyPort, "/metrics")
+                .body()
+                .lines()
+                .filter(l -> l.startsWith("papayawalk_requests_received_total "))
+                .mapToLong(l -> (long) Double.parseDouble(l.substring(l.indexOf(' '))))
+                .sum();
+    }
+
+    /**
+     * Returns the present time of the first entry.
+     *
+     * @return time by its monotonic clock
+     */
+    Instant now() {
+        return firstNode.clock().instant();
+    }
+
     /**
      * Returns whether the first entry knows an upstream that takes requests.
      *
