Repeat a suspect only once the crash is known

A request that had just crashed its upstream was sent to the next one, although that crash made its part suspected.

Cause: the lost connection began the check whether the upstream still listens, and the repeat was decided in the same turn, before any outcome.

Requests that provably did not run, those without parts and evidence, and attempts that this entry gives up itself, as they stall, are repeated at once as before. The deadline holds meanwhile.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/PoisonCheck.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PoisonCheck.java
@@ -64,6 +64,16 @@
         return guard.mayRepeat(request, now);
     }
 
+    /**
+     * Returns whether the request may be what crashes an upstream that ran it.
+     *
+     * @param now present time
+     * @return true if its prompt has parts, or an upstream has crashed while it ran
+     */
+    boolean mayCrash(Instant now) {
+        return guard.mayCrash(request, now);
+    }
+
     /**
      * Returns when the caller may retry if the request is refused.
      *
@@ -88,8 +98,9 @@
      *
      * @param answerBegun whether the upstream had begun to answer
      * @param upstream upstream whose connection was lost
+     * @param checked called once afterwards, within the timeout of the check
      */
-    void connectionLost(boolean answerBegun, UpstreamRegistration upstream) {
-        guard.connectionLost(request, answerBegun, upstream);
+    void connectionLost(boolean answerBegun, UpstreamRegistration upstream, Runnable checked) {
+        guard.connectionLost(request, answerBegun, upstream, checked);
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PoisonGuard.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PoisonGuard.java
@@ -1,6 +1,5 @@
 package org.papayawalk.daemon.managed.entry;
 
-import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
@@ -131,6 +130,18 @@
                 && promptParts.verdict(request.promptParts(), now) == PartVerdict.CLEAR;
     }
 
+    /**
+     * Returns whether a request may be what crashes an upstream that ran it.
+     *
+     * @param request signature of the request
+     * @param now present time
+     * @return true if its prompt has parts, or an upstream has crashed while it ran
+     */
+    boolean mayCrash(RequestSignature request, Instant now) {
+        return !request.promptParts().isEmpty()
+                || suspects.verdict(request.fingerprint(), now) != SuspectRegistry.Verdict.CLEAR;
+    }
+
     /**
      * Returns when the caller of a refused request may retry.
      *
@@ -162,18 +173,26 @@
      * @param request signature of the request
      * @param answerBegun whether the upstream had begun to answer
      * @param upstream upstream whose connection was lost
+     * @param checked called once afterwards, within the timeout of the check
      */
     void connectionLost(
-            RequestSignature request, boolean answerBegun, UpstreamRegistration upstream) {
+            RequestSignature request,
+            boolean answerBegun,
+            UpstreamRegistration upstream,
+            Runnable checked) {
         Connector.connect(
                 loop,
                 upstream.address(),
                 CRASH_CHECK_TIMEOUT_MILLIS,
-                Channel::close,
+                channel -> {
+                    channel.close();
+                    checked.run();
+                },
                 cause -> {
                     if (ConnectFailures.provesNoListener(cause)) {
                         recordCrash(request, answerBegun, upstream.process());
                     }
+                    checked.run();
                 });
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -26,10 +26,6 @@
     /** Size limit of a response that is buffered before it is forwarded. */
     private static final int MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
 
-    private static final Duration MIN_EXPIRY_CHECK_PAUSE = Duration.ofMillis(5);
-
-    private static final Duration MAX_EXPIRY_CHECK_PAUSE = Duration.ofMillis(500);
-
     private static final Duration REPEAT_CHECK_INTERVAL = Duration.ofMillis(100);
 
     /** Status of an upstream that is not the one addressed. */
@@ -226,16 +222,36 @@
 
     @Override
     public void onFailure(String reason, boolean connected) {
+        end(reason, connected, route().retryable());
+    }
+
+    // A repeat waits until it is known whether the request has crashed its upstream, if it may.
+    private void end(String reason, boolean connected, boolean repeatWaits) {
         if (done) {
             return;
         }
         finish(connected ? AttemptResult.BROKEN : AttemptResult.UNREACHABLE);
+        String text = candidate.upstream().id() + ": " + reason;
         // The head alone states that the request did not run.
-        boolean mayHaveRun = connected && !notRun;
-        if (mayHaveRun) {
-            exchange.poison().connectionLost(head != null, candidate.upstream());
+        if (!connected || notRun) {
+            exchange.attemptFailed(false, connected, text);
+            return;
+        }
+        boolean waits = repeatWaits && exchange.poison().mayCrash(entry.clock().instant());
+        exchange.poison()
+                .connectionLost(
+                        head != null,
+                        candidate.upstream(),
+                        waits ? () -> report(true, text) : () -> {});
+        if (!waits) {
+            report(true, text);
+        }
+    }
+
+    private void report(boolean reached, String reason) {
+        if (!exchange.isCompleted()) {
+            exchange.attemptFailed(reached, reached, reason);
         }
-        exchange.attemptFailed(mayHaveRun, connected, candidate.upstream().id() + ": " + reason);
     }
 
     private void completeStream(BodyEnd end) {
@@ -290,39 +306,19 @@
         if (!done && route().retryable()) {
             schedule(this::checkStall, progress.untilNextCheck(now));
         }
-        withdrawWhenVersionExpires();
+        new VersionExpiryWatch(
+                        entry,
+                        candidate.upstream(),
+                        exchange.metadata().model(),
+                        () -> done || head != null,
+                        () -> withdraw("not begun before the version of its weights expired"))
+                .check();
     }
 
     // Reports later, because the exchange must not be queued again while it is being dispatched.
     private void reportNotSent(String reason) {
         String text = candidate.upstream().id() + ": " + reason;
-        entry.loop()
-                .execute(
-                        () -> {
-                            if (!exchange.isCompleted()) {
-                                exchange.attemptFailed(false, false, text);
-                            }
-                        });
-    }
-
-    // Withdraws the request if it has not begun when the version of the upstream expires. The time
-    // is looked at again and again: it becomes earlier while messages become slower, by at most 2 s
-    // a second, and a new version may be requested meanwhile.
-    private void withdrawWhenVersionExpires() {
-        Optional<String> model = exchange.metadata().model();
-        if (done || head != null || model.isEmpty()) {
-            return;
-        }
-        Instant now = entry.clock().instant();
-        Optional<Instant> at = entry.upstreams().withdrawAt(candidate.upstream(), model, now);
-        Duration left = at.map(t -> Duration.between(now, t)).orElse(MAX_EXPIRY_CHECK_PAUSE);
-        if (left.isZero() || left.isNegative()) {
-            withdraw("not begun before the version of its weights expired");
-            return;
-        }
-        long pause = Math.min(left.toMillis() / 3, MAX_EXPIRY_CHECK_PAUSE.toMillis());
-        long delayMillis = Math.max(pause, MIN_EXPIRY_CHECK_PAUSE.toMillis());
-        schedule(this::withdrawWhenVersionExpires, Duration.ofMillis(delayMillis));
+        entry.loop().execute(() -> report(false, text));
     }
 
     // Ends the attempt without a failure of its upstream. The request may be about to begin there.
@@ -373,7 +369,8 @@
 
     private void fail(String reason) {
         connection.abandon();
-        onFailure(reason, true);
+        // The upstream has kept its connection.
+        end(reason, true, false);
     }
 
     private void schedule(Runnable check, Duration delay) {
