Count crashes after the caller of a trial has left

A caller left while its request ran as the trial of a suspected part. The upstream crashed of it, and the crash counted against no part, so that the trial was repeated as if nothing had happened.

Cause: an attempt that is given up asks no more about its upstream.

If a part of the prompt is suspected and the upstream had begun to answer, the entry now looks once, 300 ms later, whether the upstream still listens. The answer itself is given up at once as before.

A trial that its caller leaves and that crashes nothing is still repeated after 1.5 s: trials are not counted when they begin.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/PoisonCheck.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PoisonCheck.java
@@ -103,4 +103,15 @@
     void connectionLost(boolean answerBegun, UpstreamRegistration upstream, Runnable checked) {
         guard.connectionLost(request, answerBegun, upstream, checked);
     }
+
+    /**
+     * Checks whether an upstream crashes although its answer is no longer awaited, if a part of the
+     * prompt is suspected.
+     *
+     * @param upstream upstream that had begun to answer
+     * @param now present time
+     */
+    void abandoned(UpstreamRegistration upstream, Instant now) {
+        guard.abandoned(request, upstream, now);
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PoisonGuard.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PoisonGuard.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.papayawalk.core.RendezvousHash;
 import org.papayawalk.core.id.HostId;
@@ -35,6 +36,9 @@
 
     private static final int CRASH_CHECK_TIMEOUT_MILLIS = 300;
 
+    /** Time after its answer was abandoned in which an upstream may still crash of it. */
+    private static final int LATE_CRASH_MILLIS = 300;
+
     /** Retry delay for callers of a request that crashed upstreams itself. */
     private static final Duration POISON_RETRY_AFTER = Duration.ofSeconds(5);
 
@@ -196,6 +200,23 @@
                 });
     }
 
+    /**
+     * Checks whether an upstream crashes although its answer is no longer awaited, as the caller
+     * has left. Only for requests with a suspected part, of which few run.
+     *
+     * @param request signature of the request
+     * @param upstream upstream that had begun to answer
+     * @param now present time
+     */
+    void abandoned(RequestSignature request, UpstreamRegistration upstream, Instant now) {
+        if (promptParts.verdict(request.promptParts(), now) != PartVerdict.CLEAR) {
+            loop.schedule(
+                    () -> connectionLost(request, true, upstream, () -> {}),
+                    LATE_CRASH_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void recordCrash(
             RequestSignature request, boolean answerBegun, UpstreamProcess process) {
         Instant now = clock.instant();
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -118,10 +118,14 @@
         if (done) {
             return;
         }
-        finish(progress.isStuck(entry.clock().instant()) ? AttemptResult.BROKEN : result);
+        Instant now = entry.clock().instant();
+        finish(progress.isStuck(now) ? AttemptResult.BROKEN : result);
         if (connection != null) {
             connection.abandon();
         }
+        if (head != null) {
+            exchange.poison().abandoned(candidate.upstream(), now);
+        }
     }
 
     /**
@@ -225,7 +229,7 @@
         end(reason, connected, route().retryable());
     }
 
-    // A repeat waits until it is known whether the request has crashed its upstream, if it may.
+    // A repeat may have to wait until it is known whether the request has crashed its upstream.
     private void end(String reason, boolean connected, boolean repeatWaits) {
         if (done) {
             return;
@@ -369,7 +373,6 @@
 
     private void fail(String reason) {
         connection.abandon();
-        // The upstream has kept its connection.
         end(reason, true, false);
     }
 
