Keep a version whole after the last copy of an open order

Cause: an order without an answer is repeated for 15 s, each time after a verification, and counts as open for 15 s more. In the latter time nothing was verified, although the engine may accept the last copy.

Change: what is staged is verified and repaired until the order is settled, also when the order itself is repeated no more.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/LoadOutcome.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LoadOutcome.java
@@ -16,6 +16,9 @@
      */
     UNVERIFIED,
 
+    /** No order was sent, as only a verification was due; it succeeded. */
+    VERIFIED,
+
     /** No order was sent, as a verification was outdated when it ended or proves nothing yet. */
     OUTDATED
 }
--- a/src/main/java/org/papayawalk/daemon/managed/agent/VerifiedLoad.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VerifiedLoad.java
@@ -53,10 +53,14 @@
      * @param staged version
      * @param copies verified chunks for repairs, by index; empty where this host has none
      * @param basis report that the order is based on
+     * @param mayOrder whether to send the order, or only verify and repair what is staged
      * @return outcome
      */
     LoadOutcome verifyAndOrder(
-            StagedVersion staged, IntFunction<Optional<byte[]>> copies, EngineReport basis) {
+            StagedVersion staged,
+            IntFunction<Optional<byte[]>> copies,
+            EngineReport basis,
+            boolean mayOrder) {
         StagedVerification verification =
                 new StagedVerification(basis, clock.instant(), timeOfDay.instant());
         if (engine.hasOpenWrites(staged.manifest())) {
@@ -65,6 +69,9 @@
         if (!verifier.verify(staged, copies)) {
             return LoadOutcome.UNVERIFIED;
         }
+        if (!mayOrder) {
+            return LoadOutcome.VERIFIED;
+        }
         Either<Fault, EngineReport> latest = engine.report();
         announcer.loadOrdered(staged.version(), basis, clock.instant());
         // Nothing may come between this check and the order.
--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -174,7 +174,7 @@
         }
         if (staged.isPresent() && !report.loading() && !alreadyServed && switchDue(served)) {
             StagedVersion version = staged.get();
-            verifyAndLoad(version, i -> cachedChunk(version.version(), i), report);
+            verifyAndLoad(version, i -> cachedChunk(version.version(), i), report, true);
         }
         thread.schedule(POLL_INTERVAL, this::poll);
     }
@@ -260,8 +260,9 @@
     }
 
     // Repeats an order that the engine has not answered, until one copy of it is accepted: then the
-    // engine refuses all others, as they are based on an outdated number of orders. Returns whether
-    // the order is settled.
+    // engine refuses all others, as they are based on an outdated number of orders. After the last
+    // copy, the version is kept whole, as that one may be accepted too. Returns whether the order
+    // is settled.
     private boolean settleOrder(EngineReport report) {
         UnansweredOrder order = unansweredOrder.orElseThrow();
         if (loadInProgress) {
@@ -269,8 +270,9 @@
         }
         Instant now = engine.answeredTime();
         if (!order.open().isSettledBy(report, now)) {
-            if (!report.loading() && order.open().mayBeRepeated(now)) {
-                verifyAndLoad(order.staged(), order::copy, report);
+            if (!report.loading()) {
+                boolean repeated = order.open().mayBeRepeated(now);
+                verifyAndLoad(order.staged(), order::copy, report, repeated);
             }
             return false;
         }
@@ -289,7 +291,10 @@
     }
 
     private void verifyAndLoad(
-            StagedVersion version, IntFunction<Optional<byte[]>> copies, EngineReport report) {
+            StagedVersion version,
+            IntFunction<Optional<byte[]>> copies,
+            EngineReport report,
+            boolean mayOrder) {
         if (loadInProgress) {
             return;
         }
@@ -303,7 +308,7 @@
                     UnansweredOrder order = UnansweredOrder.of(version, report, copies, sentAt);
                     engine.stopStaging();
                     try {
-                        outcome = load.verifyAndOrder(version, order::copy, report);
+                        outcome = load.verifyAndOrder(version, order::copy, report, mayOrder);
                     } finally {
                         LoadOutcome ended = outcome;
                         thread.execute(() -> loadEnded(ended, order));
