Count no crash that another part explains as a failed trial

Trials are told from crash times: each crash after the matter was settled counted as a failed trial of all parts that ran there, also if a bad part beside them crashed the upstream. After three such crashes a sound part was not tried again for ten minutes.

Change: a crash is no failed trial of a part if a part with at least three crashes more is suspected and ran there too.

Test: crashesOfBadPartAreNoFailedTrialsOfAnother failed before (expected TRIAL, found REFUSED).

--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -166,34 +166,40 @@
      * @return time, {@link Instant#MAX} if few crashes count
      */
     Instant settledAt() {
-        return counted.keySet().stream()
-                .map(crashes::get)
-                .sorted()
-                .skip(UNKNOWN_PART.refusedFrom() - 1)
-                .findFirst()
-                .map(t -> t.plus(SETTLING_TIME))
-                .orElse(Instant.MAX);
+        Instant crash = crashAt(UNKNOWN_PART.refusedFrom());
+        return crash.equals(Instant.MAX) ? crash : crash.plus(SETTLING_TIME);
+    }
+
+    /**
+     * Returns the processes that crashed when only trials may have crashed them.
+     *
+     * @return processes whose crash counts against the part, empty if few do
+     */
+    Set<UpstreamProcess> crashedInTrials() {
+        if (counted.size() <= UNKNOWN_PART.refusedFrom()) {
+            return Set.of();
+        }
+        Instant from = settledAt().plus(TRIAL_TIME);
+        Set<UpstreamProcess> crashed = new HashSet<>(counted.keySet());
+        crashed.removeIf(p -> !crashes.get(p).isAfter(from));
+        return crashed;
     }
 
     /**
      * Returns when the part, if refused, is tried again.
      *
+     * @param failedTrials number of trials that crashed an upstream
      * @param doubtful whether another part may explain its crashes
      * @return time after the last crash that grows with the number of trials
      */
-    Instant retryAt(boolean doubtful) {
-        Instant from =
-                counted.size() < UNKNOWN_PART.refusedFrom()
-                        ? Instant.MAX
-                        : settledAt().plus(TRIAL_TIME);
-        long trials = counted.keySet().stream().filter(p -> crashes.get(p).isAfter(from)).count();
-        if (trials >= MAX_TRIALS) {
+    Instant retryAt(int failedTrials, boolean doubtful) {
+        if (failedTrials >= MAX_TRIALS) {
             return lastCrash().plus(LAST_RETRY_DELAY);
         }
-        if (doubtful && trials < DOUBTFUL_TRIALS) {
+        if (doubtful && failedTrials < DOUBTFUL_TRIALS) {
             return lastCrash().plus(DOUBTFUL_RETRY_DELAY);
         }
-        return lastCrash().plus(FIRST_RETRY_DELAY.multipliedBy(1L << trials));
+        return lastCrash().plus(FIRST_RETRY_DELAY.multipliedBy(1L << failedTrials));
     }
 
     /**
@@ -234,4 +240,14 @@
                 .min(Instant::compareTo)
                 .orElse(Instant.MAX);
     }
+
+    // Returns when a crash with a given number, from 1, was, of those that count.
+    private Instant crashAt(int number) {
+        return counted.keySet().stream()
+                .map(crashes::get)
+                .sorted()
+                .skip(number - 1)
+                .findFirst()
+                .orElse(Instant.MAX);
+    }
 }
--- a/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
+++ b/src/main/java/org/papayawalk/core/suspect/PromptPartRegistry.java
@@ -133,7 +133,7 @@
         return parts.stream()
                 .map(suspicions::get)
                 .filter(s -> s != null && s.isRefused(now))
-                .map(s -> Duration.between(now, s.retryAt(false)))
+                .map(s -> Duration.between(now, s.retryAt(failedTrials(s, now), false)))
                 .max(Comparator.naturalOrder())
                 .filter(d -> d.compareTo(TRIAL_INTERVAL) > 0)
                 .orElse(TRIAL_INTERVAL);
@@ -250,11 +250,24 @@
     // While it is not settled what crashes the upstreams any entry tries, later only one.
     private boolean isTrialDue(PromptPartId part, Collection<PromptPartId> parts, Instant now) {
         PartSuspicion suspicion = suspicions.get(part);
-        if (suspicion.retryAt(false).isAfter(now) && !hasRival(suspicion, parts, now)) {
+        int failed = failedTrials(suspicion, now);
+        if (suspicion.retryAt(failed, false).isAfter(now) && !hasRival(suspicion, parts, now)) {
             return false;
         }
         return suspicion.settledAt().isAfter(now)
-                || (!suspicion.retryAt(true).isAfter(now) && triesAgain.test(part));
+                || (!suspicion.retryAt(failed, true).isAfter(now) && triesAgain.test(part));
+    }
+
+    // A crash is no failed trial if a part that crashed far more upstreams explains it.
+    private int failedTrials(PartSuspicion suspicion, Instant now) {
+        Set<UpstreamProcess> unexplained = new HashSet<>(suspicion.crashedInTrials());
+        if (!unexplained.isEmpty()) {
+            suspicions.values().stream()
+                    .filter(s -> lead(s.processes(), suspicion.processes()) >= DECISIVE_LEAD)
+                    .filter(s -> s.isSuspected(now))
+                    .forEach(s -> unexplained.removeAll(s.processes()));
+        }
+        return unexplained.size();
     }
 
     // A part that was answered before may stand in a trial of another that crashed more upstreams,
@@ -267,7 +280,7 @@
                         .map(d -> suspicions.get(d).processes())
                         .anyMatch(
                                 p ->
-                                        p.size() - crashed.size() >= DECISIVE_LEAD
+                                        lead(p, crashed) >= DECISIVE_LEAD
                                                 && crashed.size() - commonCrashes(p, crashed)
                                                         < DECISIVE_LEAD);
     }
@@ -284,6 +297,10 @@
         return unexplained.size() < Math.min(DECISIVE_LEAD, suspicion.processes().size());
     }
 
+    private static int lead(Set<UpstreamProcess> some, Set<UpstreamProcess> others) {
+        return some.size() - others.size();
+    }
+
     private static long commonCrashes(Set<UpstreamProcess> some, Set<UpstreamProcess> others) {
         return some.stream().filter(others::contains).count();
     }
--- a/src/test/java/org/papayawalk/core/suspect/PromptPartRegistryTest.java
+++ b/src/test/java/org/papayawalk/core/suspect/PromptPartRegistryTest.java
@@ -141,6 +141,22 @@
         assertTrue(fresh.beginTrial(List.of(BAD), at(1600)));
     }
 
+    /** A sound part that runs where a bad one crashes upstreams is still tried. */
+    @Test
+    public void crashesOfBadPartAreNoFailedTrialsOfAnother() {
+        PromptPartRegistry fresh = new PromptPartRegistry(p -> true);
+        fresh.recordAnswer(List.of(POPULAR), START);
+        IntStream.range(0, 7).forEach(i -> fresh.recordCrash(List.of(POPULAR), process(i), at(10)));
+        IntStream.range(10, 21).forEach(i -> fresh.recordCrash(List.of(BAD), process(i), at(10)));
+        for (int i = 30; i < 33; i++) {
+            fresh.recordCrash(List.of(POPULAR), process(i), at(5000));
+            fresh.recordCrash(List.of(BAD), process(i), at(5000));
+        }
+        assertEquals(fresh.verdict(List.of(POPULAR), at(5100)), PartVerdict.REFUSED);
+        assertEquals(fresh.verdict(List.of(POPULAR), at(15_100)), PartVerdict.TRIAL);
+        assertEquals(fresh.verdict(List.of(BAD), at(15_100)), PartVerdict.REFUSED);
+    }
+
     /** The number of parts that are held and told is bounded. */
     @Test
     public void numberOfPartsIsBounded() {
