Count trials of a part from when it is refused

Trials of a part counted from three seconds after its fourth crash, but a part that was answered before is refused from the seventh one. So the fifth to the seventh crash, with no trial at all, could use up its three trials.

Change: a crash counts as a failed trial from a second after the crash that made the part refused, and as before not until the matter is settled.

Test: crashesBeforeRefusalAreNoFailedTrials failed before (expected TRIAL, found REFUSED).

--- a/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
+++ b/src/main/java/org/papayawalk/core/suspect/PartSuspicion.java
@@ -176,10 +176,11 @@
      * @return processes whose crash counts against the part, empty if few do
      */
     Set<UpstreamProcess> crashedInTrials() {
-        if (counted.size() <= UNKNOWN_PART.refusedFrom()) {
+        if (counted.size() <= limits().refusedFrom()) {
             return Set.of();
         }
-        Instant from = settledAt().plus(TRIAL_TIME);
+        Instant refusedAt = crashAt(limits().refusedFrom());
+        Instant from = later(settledAt(), refusedAt).plus(TRIAL_TIME);
         Set<UpstreamProcess> crashed = new HashSet<>(counted.keySet());
         crashed.removeIf(p -> !crashes.get(p).isAfter(from));
         return crashed;
@@ -250,4 +251,8 @@
                 .findFirst()
                 .orElse(Instant.MAX);
     }
+
+    private static Instant later(Instant one, Instant other) {
+        return one.isAfter(other) ? one : other;
+    }
 }
--- a/src/test/java/org/papayawalk/core/suspect/PromptPartRegistryTest.java
+++ b/src/test/java/org/papayawalk/core/suspect/PromptPartRegistryTest.java
@@ -157,6 +157,19 @@
         assertEquals(fresh.verdict(List.of(BAD), at(15_100)), PartVerdict.REFUSED);
     }
 
+    /** Crashes before a part was refused do not use up its trials. */
+    @Test
+    public void crashesBeforeRefusalAreNoFailedTrials() {
+        PromptPartRegistry fresh = new PromptPartRegistry(p -> true);
+        fresh.recordAnswer(List.of(POPULAR), START);
+        IntStream.range(0, 4).forEach(i -> fresh.recordCrash(List.of(POPULAR), process(i), at(10)));
+        assertEquals(fresh.verdict(List.of(POPULAR), at(5900)), PartVerdict.CLEAR);
+        IntStream.range(4, 7)
+                .forEach(i -> fresh.recordCrash(List.of(POPULAR), process(i), at(6000)));
+        assertEquals(fresh.verdict(List.of(POPULAR), at(6100)), PartVerdict.REFUSED);
+        assertEquals(fresh.verdict(List.of(POPULAR), at(16_100)), PartVerdict.TRIAL);
+    }
+
     /** The number of parts that are held and told is bounded. */
     @Test
     public void numberOfPartsIsBounded() {
