Let unframed answers clear parts only if the upstream lives

A server that crashed at the end of an event, or within the body of an answer that had neither a length nor chunks, cleared the very part that had crashed it: the answer counted as complete, and the crash was never looked for.

Cause: such an answer ends with its connection, also in a crash, and each end counted alike as evidence for the parts of the prompt.

An end that the upstream stated itself counts as before. After one told by the connection alone the entry looks whether the upstream still listens: if so, the answer speaks for the parts; if the connection is refused, the crash counts against them; otherwise neither. The caller gets what it got before. Requests without parts are not looked at.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -18,6 +18,7 @@
 import org.papayawalk.core.place.AttemptResult;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.RequestTiming;
+import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.core.upstream.UpstreamRegistration;
 import org.papayawalk.platform.HeaderCodec;
 
@@ -97,18 +98,12 @@
         }
         DesiredState desired = entry.upstreams().snapshot().desired().orElseThrow();
         String host = request.head().headers().get(HttpHeaderNames.HOST);
+        String target = request.head().uri();
+        double draw = entry.random().nextDouble();
         Either<Denial, AuthorizedRequest> decision =
-                RequestAuthorizer.authorize(
-                        desired,
-                        host,
-                        request.head().uri(),
-                        metadata.apiKey(),
-                        entry.random().nextDouble());
+                RequestAuthorizer.authorize(desired, host, target, metadata.apiKey(), draw);
         if (decision.isLeft()) {
-            boolean noRoute = decision.getLeft() == Denial.NO_ROUTE;
-            completion.respondLocally(
-                    noRoute ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.UNAUTHORIZED,
-                    "denied: " + decision.getLeft());
+            completion.deny(decision.getLeft());
             return;
         }
         authorized = decision.get();
@@ -300,10 +295,15 @@
         return UpstreamRequests.build(request, parameters);
     }
 
-    /** Ends the request because its stream is complete. */
-    void streamCompleted() {
+    /**
+     * Ends the request because its stream is complete.
+     *
+     * @param upstream upstream that sent its end
+     * @param end what told its end
+     */
+    void streamCompleted(UpstreamRegistration upstream, BodyEnd end) {
         attempt = null;
-        stream.firstEventAt().ifPresent(poison::answered);
+        stream.firstEventAt().ifPresent(t -> poison.answered(t, upstream, end));
         completion.completeStream();
     }
 
@@ -313,9 +313,12 @@
      * request did not run is never forwarded.
      *
      * @param response response
+     * @param upstream upstream that sent it
+     * @param end what told its end
      * @param reason description of the response for the log
      */
-    void responseReceived(BufferedResponse response, String reason) {
+    void responseReceived(
+            BufferedResponse response, UpstreamRegistration upstream, BodyEnd end, String reason) {
         if (stream.started() || response.impliesNotRun()) {
             attemptFailed(true, true, reason);
         } else if (response.isServerError() && authorized.route().retryable()) {
@@ -324,7 +327,7 @@
         } else {
             attempt = null;
             if (response.isSuccess()) {
-                poison.answered(request.receivedAt());
+                poison.answered(request.receivedAt(), upstream, end);
             }
             completion.forwardResponse(response);
         }
@@ -344,9 +347,8 @@
         completion.recordReason(reason);
         attempts.lastEnded(mayHaveRun, reached);
         boolean allowed = !mayHaveRun || (authorized.route().retryable() && poison.mayRepeat(now));
-        boolean inTime = timing.leavesTime(Duration.ZERO, now);
         DispatchQueue queue = entry.queue(authorized.service());
-        if (!allowed || !inTime || !choice.hasAttemptsLeft()) {
+        if (!allowed || !timing.leavesTime(Duration.ZERO, now) || !choice.hasAttemptsLeft()) {
             endUnanswered(reason, queue.retryAfter(this, now));
             return;
         }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.papayawalk.core.call.RequestMetadata;
 import org.papayawalk.core.desired.AuthorizedRequest;
+import org.papayawalk.core.desired.Denial;
 import org.papayawalk.core.place.AttemptResult;
 import org.papayawalk.platform.HeaderCodec;
 
@@ -168,6 +169,18 @@
         respondLocally(HttpResponseStatus.SERVICE_UNAVAILABLE, newReason, retryAfter);
     }
 
+    /**
+     * Denies the request, which the desired state does not allow.
+     *
+     * @param denial why
+     */
+    void deny(Denial denial) {
+        boolean noRoute = denial == Denial.NO_ROUTE;
+        respondLocally(
+                noRoute ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.UNAUTHORIZED,
+                "denied: " + denial);
+    }
+
     /**
      * Responds without an upstream and without a retry delay.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PoisonCheck.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PoisonCheck.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.core.upstream.UpstreamRegistration;
 
 /**
@@ -88,9 +89,15 @@
      * Records that an upstream has answered the request completely.
      *
      * @param begunAt when the answer began
+     * @param upstream upstream that answered
+     * @param end what told the end of the answer
      */
-    void answered(Instant begunAt) {
-        guard.answered(request, begunAt);
+    void answered(Instant begunAt, UpstreamRegistration upstream, BodyEnd end) {
+        if (end == BodyEnd.CONNECTION) {
+            guard.endedWithConnection(request, begunAt, upstream);
+        } else {
+            guard.answered(request, begunAt);
+        }
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PoisonGuard.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PoisonGuard.java
@@ -169,6 +169,25 @@
         promptParts.recordAnswer(request.promptParts(), begunAt);
     }
 
+    /**
+     * Handles an answer that ended with its connection, as one does that a crash cuts off at the
+     * end of an event. It speaks for the parts of its prompt only if its upstream still listens.
+     *
+     * @param request signature of the request
+     * @param begunAt when the answer began
+     * @param upstream upstream that answered
+     */
+    void endedWithConnection(
+            RequestSignature request, Instant begunAt, UpstreamRegistration upstream) {
+        if (!request.promptParts().isEmpty()) {
+            check(
+                    upstream,
+                    () -> answered(request, begunAt),
+                    () -> recordCrash(request, true, upstream.process()),
+                    () -> {});
+        }
+    }
+
     /**
      * Checks whether an upstream crashed while it ran a request, and counts the crash against the
      * request. The upstream counts as crashed if it resets a new connection. One that does not
@@ -184,20 +203,11 @@
             boolean answerBegun,
             UpstreamRegistration upstream,
             Runnable checked) {
-        Connector.connect(
-                loop,
-                upstream.address(),
-                CRASH_CHECK_TIMEOUT_MILLIS,
-                channel -> {
-                    channel.close();
-                    checked.run();
-                },
-                cause -> {
-                    if (ConnectFailures.provesNoListener(cause)) {
-                        recordCrash(request, answerBegun, upstream.process());
-                    }
-                    checked.run();
-                });
+        check(
+                upstream,
+                () -> {},
+                () -> recordCrash(request, answerBegun, upstream.process()),
+                checked);
     }
 
     /**
@@ -217,6 +227,25 @@
         }
     }
 
+    private void check(
+            UpstreamRegistration upstream, Runnable listens, Runnable crashed, Runnable checked) {
+        Connector.connect(
+                loop,
+                upstream.address(),
+                CRASH_CHECK_TIMEOUT_MILLIS,
+                channel -> {
+                    channel.close();
+                    listens.run();
+                    checked.run();
+                },
+                cause -> {
+                    if (ConnectFailures.provesNoListener(cause)) {
+                        crashed.run();
+                    }
+                    checked.run();
+                });
+    }
+
     private void recordCrash(
             RequestSignature request, boolean answerBegun, UpstreamProcess process) {
         Instant now = clock.instant();
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -219,9 +219,9 @@
             onFailure(defect.get(), true);
             return;
         }
-        boolean failure = head.status().code() >= 500;
-        finish(failure ? AttemptResult.SERVER_ERROR : AttemptResult.ANSWERED);
-        exchange.responseReceived(new BufferedResponse(head, body), name);
+        BufferedResponse response = new BufferedResponse(head, body);
+        finish(response.isServerError() ? AttemptResult.SERVER_ERROR : AttemptResult.ANSWERED);
+        exchange.responseReceived(response, candidate.upstream(), end, name);
     }
 
     @Override
@@ -275,7 +275,7 @@
         }
         receiver.forwardRemainder();
         finish(AttemptResult.ANSWERED);
-        exchange.streamCompleted();
+        exchange.streamCompleted(candidate.upstream(), end);
     }
 
     private void buffer(ByteBuf data) {
