Serve stand-alone chats that ran beside bad ones

A sound chat of the stand-alone program that ran at two engines when bad chats crashed these was refused for 10 minutes, though the parts of its prompt were clear.

Cause: evidence by fingerprint counts each crash during a request, also where a part that the request lacks explains it, and the caller was told to wait until that evidence expires.

The guard now holds which parts were involved in the crash of each process, for the last 512. A request is refused by its fingerprint only if two crashes are left that no suspected part of other requests explains; one served otherwise still runs alone at its engine. Callers of a refused one are told to return after 5 s at most, as in the managed entry; the evidence itself is kept for 10 minutes as before.

--- a/src/main/java/org/papayawalk/daemon/standalone/entry/EntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/EntryRole.java
@@ -27,7 +27,7 @@
 /** Entry role of a stand-alone daemon, which serves the requests of callers. Thread-safe. */
 public final class EntryRole implements RoleHandler, AutoCloseable {
     /** Upstream crashes during a request after which it is refused as a poison request. */
-    private static final int MAX_CRASHES = 2;
+    static final int MAX_CRASHES = 2;
 
     /** Time after the last crash for which crashes count against a request. */
     private static final Duration CRASH_RETENTION = Duration.ofMinutes(10);
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/PromptPartGuard.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/PromptPartGuard.java
@@ -3,8 +3,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.papayawalk.core.RendezvousHash;
 import org.papayawalk.core.id.HostId;
@@ -23,8 +27,14 @@
     static final String REASON =
             "poison request: upstreams crashed while they answered requests with the same message";
 
+    /** Bound of the crashed processes whose parts are held. */
+    private static final int MAX_PROCESSES = 512;
+
     private final PromptPartRegistry registry;
 
+    /** Parts of the requests that each crashed process was answering, oldest first; guarded. */
+    private final Map<String, Set<PromptPartId>> involved = new LinkedHashMap<>();
+
     /**
      * Creates a guard without evidence.
      *
@@ -67,8 +77,34 @@
      * @param now present time
      */
     void recordCrash(Collection<PromptPartId> parts, HostId host, long incarnation, Instant now) {
-        registry.recordCrash(
-                parts, new UpstreamProcess(new UpstreamId(host.value()), incarnation), now);
+        UpstreamProcess process = new UpstreamProcess(new UpstreamId(host.value()), incarnation);
+        registry.recordCrash(parts, process, now);
+        synchronized (involved) {
+            involved.computeIfAbsent(process.toString(), p -> new HashSet<>()).addAll(parts);
+            if (involved.size() > MAX_PROCESSES) {
+                involved.remove(involved.keySet().iterator().next());
+            }
+        }
+    }
+
+    /**
+     * Returns how many crashes during a request are not explained by a suspected part that the
+     * request lacks.
+     *
+     * @param parts parts of the prompt of the request
+     * @param processes crashed processes, each as host and incarnation
+     * @param now present time
+     * @return number of crashes that may be the fault of the request
+     */
+    long unexplained(Collection<PromptPartId> parts, Set<String> processes, Instant now) {
+        return processes.stream()
+                .filter(
+                        p ->
+                                involvedIn(p).stream()
+                                        .filter(q -> !parts.contains(q))
+                                        .allMatch(
+                                                q -> verdict(List.of(q), now) == PartVerdict.CLEAR))
+                .count();
     }
 
     /**
@@ -91,4 +127,10 @@
     PartVerdict verdict(Collection<PromptPartId> parts, Instant now) {
         return registry.verdict(parts, now);
     }
+
+    private Set<PromptPartId> involvedIn(String process) {
+        synchronized (involved) {
+            return Set.copyOf(involved.getOrDefault(process, Set.of()));
+        }
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
@@ -38,6 +38,9 @@
     /** Delay for the caller if the agent names none. */
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
+    /** Longest delay for the caller of a poison request, which may be found to be sound by then. */
+    private static final Duration POISON_RETRY_AFTER = Duration.ofSeconds(5);
+
     /** Status of a response that answers the prompt. */
     private static final int STATUS_OK = 200;
 
@@ -175,9 +178,10 @@
             return false;
         }
         SuspectRegistry.Verdict verdict = services.suspects().verdict(request.fingerprint(), now);
-        if (verdict == SuspectRegistry.Verdict.REFUSED) {
+        if (verdict == SuspectRegistry.Verdict.REFUSED && mayBeAtFault(now)) {
             String reason = "poison request: upstreams crashed repeatedly while it was running";
-            setError(reason, services.suspects().retryAfter(request.fingerprint(), now));
+            Duration left = services.suspects().retryAfter(request.fingerprint(), now);
+            setError(reason, left.compareTo(POISON_RETRY_AFTER) < 0 ? left : POISON_RETRY_AFTER);
             return false;
         }
         Optional<Duration> partsDelay =
@@ -199,13 +203,20 @@
         answerBegun = false;
         firstDataAt = null;
         resumed = events.eventCount() > 0;
-        boolean suspect = verdict == SuspectRegistry.Verdict.SUSPECT;
+        boolean suspect = verdict != SuspectRegistry.Verdict.CLEAR;
         attempt =
                 services.dispatcher()
                         .dispatch(request, candidate.get(), suspect, events.eventCount());
         return true;
     }
 
+    // A request that runs beside others shares their crashes.
+    private boolean mayBeAtFault(Instant now) {
+        Set<String> crashed = services.suspects().crashedProcesses(request.fingerprint(), now);
+        return services.promptParts().unexplained(request.promptParts(), crashed, now)
+                >= EntryRole.MAX_CRASHES;
+    }
+
     // Returns null if the attempt has failed.
     private Envelope nextMessage() throws InterruptedException {
         Attempt.Result result = attempt.next(request.deadline().plus(Dispatcher.DEADLINE_GRACE));
--- a/src/test/java/org/papayawalk/daemon/standalone/entry/PromptPartGuardTest.java
+++ b/src/test/java/org/papayawalk/daemon/standalone/entry/PromptPartGuardTest.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.PromptPartId;
 import org.testng.annotations.Test;
@@ -50,6 +51,18 @@
         assertEquals(cleared.admit(PARTS, 1, true, START.plusMillis(2)), Optional.empty());
     }
 
+    /** Crashes beside a suspected part that a request lacks are not counted against the request. */
+    @Test
+    public void suspectedPartExplainsCrashesOfOtherRequests() {
+        PromptPartGuard suspecting = withCrashes(2);
+        List<PromptPartId> sound = List.of(new PromptPartId("sound"));
+        Set<String> crashed = Set.of("host-0/1", "host-1/1", SELF + "/3");
+        suspecting.recordCrash(sound, SELF, 3, START);
+        assertEquals(suspecting.unexplained(sound, crashed, START), 1, "own crash");
+        assertEquals(suspecting.unexplained(PARTS, crashed, START), 3, "own part");
+        assertEquals(withCrashes(1).unexplained(sound, crashed, START), 3, "not suspected");
+    }
+
     /** A request without parts is admitted in any case. */
     @Test
     public void admitsRequestWithoutParts() {
