Stop the daemons of tests at the end of the tests

Which tests, by the peers of store-call-failed lines in a run of all tests: 43 peers were still called, 40 of them in more than one later class. All tests that start a ManagedNode left it running: the fixtures of entries and agents (22 classes), StoreRestoreTest, ManagedNodeTest, RegionalSourcesTest, UnresponsiveEntryTest, PromptPartSharingTest and WeightExpiryTest. The tests of TableWatcher already closed their thread.

Change: RunningNodes keeps the daemons of a test and ends their control threads and event loops, before the store closes. Nothing that is checked changes.

--- a/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/ManagedNodeTest.java
@@ -56,6 +56,8 @@
 
     private static final MessageHandler NO_WEIGHTS = new NoWeights();
 
+    private final RunningNodes nodes = new RunningNodes();
+
     private FakeStore store;
 
     // Entry with access to the store.
@@ -87,17 +89,18 @@
         store.put("servers", "i-1", server("ready"));
         store.put("servers", "i-9", ENGINE_ROW);
         int control = FreePort.find();
-        connected = node("front-1", control, control, store.address());
-        isolated = node("front-2", FreePort.find(), control, "127.0.0.1:1");
-        agent = node("side-1", FreePort.find(), control, "127.0.0.1:1");
+        connected = nodes.add(node("front-1", control, control, store.address()));
+        isolated = nodes.add(node("front-2", FreePort.find(), control, "127.0.0.1:1"));
+        agent = nodes.add(node("side-1", FreePort.find(), control, "127.0.0.1:1"));
         connected.runAsEntry(evidence(connectedEvidence, connectedLimits), NO_WEIGHTS);
         isolated.runAsEntry(evidence(isolatedEvidence, isolatedLimits), NO_WEIGHTS);
         agent.runAsAgent(NO_WEIGHTS);
     }
 
-    /** Stops the store. */
+    /** Stops the daemons and the store. */
     @AfterClass
     public void stop() {
+        nodes.close();
         store.close();
     }
 
--- a/src/test/java/org/papayawalk/daemon/managed/PromptPartSharingTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/PromptPartSharingTest.java
@@ -43,6 +43,8 @@
 
     private static final List<PromptPartId> SOUND = List.of(new PromptPartId("50"));
 
+    private final RunningNodes nodes = new RunningNodes();
+
     private FakeStore store;
 
     private int control;
@@ -71,9 +73,10 @@
                 START_TIMEOUT_MILLIS, () -> first.entryCount() == 2 && second.entryCount() == 2);
     }
 
-    /** Stops the store. */
+    /** Stops the daemons and the store. */
     @AfterClass
     public void stop() {
+        nodes.close();
         store.close();
     }
 
@@ -176,8 +179,10 @@
                 """
                         .formatted(name, FreePort.find(), control, controlPort, store.address());
         ManagedNode node =
-                new ManagedNode(
-                        ManagedSettingsCodec.decode(settings.getBytes(StandardCharsets.UTF_8)));
+                nodes.add(
+                        new ManagedNode(
+                                ManagedSettingsCodec.decode(
+                                        settings.getBytes(StandardCharsets.UTF_8))));
         SuspectRegistry suspects = new SuspectRegistry(3, Duration.ofMinutes(1));
         UpstreamLimits limits = new UpstreamLimits(new HostId(name), Set::of);
         node.runAsEntry(new SharedEvidence(suspects, limits, parts), new NoWeights());
--- a/src/test/java/org/papayawalk/daemon/managed/RegionalSourcesTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/RegionalSourcesTest.java
@@ -39,6 +39,8 @@
 
     private final List<ManagedNode> entries = new ArrayList<>();
 
+    private final RunningNodes nodes = new RunningNodes();
+
     private FakeStore store;
 
     private int version = 4;
@@ -54,7 +56,7 @@
         change();
         int control = FreePort.find();
         for (int i = 0; i < ENTRIES; i++) {
-            ManagedNode entry = node(i, i == 0 ? control : FreePort.find(), control);
+            ManagedNode entry = nodes.add(node(i, i == 0 ? control : FreePort.find(), control));
             entry.runAsEntry(SharedEvidence.none(), new NoWeights());
             entries.add(entry);
         }
@@ -62,9 +64,10 @@
                 TIMEOUT_MILLIS, () -> entries.stream().allMatch(e -> e.entryCount() == ENTRIES));
     }
 
-    /** Stops the store. */
+    /** Stops the daemons and the store. */
     @AfterClass
     public void stop() {
+        nodes.close();
         store.close();
     }
 
--- a/src/test/java/org/papayawalk/daemon/managed/StoreRestoreTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/StoreRestoreTest.java
@@ -30,6 +30,8 @@
 
     private static final MessageHandler NO_WEIGHTS = new NoWeights();
 
+    private final RunningNodes nodes = new RunningNodes();
+
     private FakeStore store;
 
     private ManagedNode entry;
@@ -58,9 +60,10 @@
         store.copy();
     }
 
-    /** Stops the store. */
+    /** Stops the daemons and the store. */
     @AfterMethod
     public void stop() {
+        nodes.close();
         store.close();
     }
 
@@ -177,7 +180,7 @@
                  "listen":{"control":"127.0.0.1:%d"},"provider":{"address":"%s"}}
                 """
                         .formatted(name, FreePort.find(), controlPort, control, storeAddress);
-        return new ManagedNode(
-                ManagedSettingsCodec.decode(settings.getBytes(StandardCharsets.UTF_8)));
+        byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
+        return nodes.add(new ManagedNode(ManagedSettingsCodec.decode(bytes)));
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/UnresponsiveEntryTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/UnresponsiveEntryTest.java
@@ -31,15 +31,16 @@
     public void agentFindsTheEntryThatAnswers() throws IOException {
         try (FakeStore store = new FakeStore();
                 ServerSocket silent = listen();
-                ServerSocket mute = listen()) {
+                ServerSocket mute = listen();
+                RunningNodes nodes = new RunningNodes()) {
             store.put("op", "config", "{\"version\":4,\"routes\":[],\"services\":[]}");
             int control = FreePort.find();
-            ManagedNode entry = node("front-1", control, "", store.address());
+            ManagedNode entry = nodes.add(node("front-1", control, "", store.address()));
             entry.runAsEntry(SharedEvidence.none(), NO_WEIGHTS);
             String seeds =
                     "\"127.0.0.1:%d\",\"127.0.0.1:%d\",\"127.0.0.1:%d\""
                             .formatted(silent.getLocalPort(), mute.getLocalPort(), control);
-            ManagedNode agent = node("side-1", FreePort.find(), seeds, "127.0.0.1:1");
+            ManagedNode agent = nodes.add(node("side-1", FreePort.find(), seeds, "127.0.0.1:1"));
             agent.runAsAgent(NO_WEIGHTS);
             Await.within(TIMEOUT_MILLIS, () -> version(agent) == 4);
             store.put("op", "config", "{\"version\":9,\"routes\":[],\"services\":[]}");
@@ -56,10 +57,11 @@
     @Test
     public void agentReadsTheStoreBeforeAnyEntryReplies() throws IOException {
         try (FakeStore store = new FakeStore();
-                ServerSocket silent = listen()) {
+                ServerSocket silent = listen();
+                RunningNodes nodes = new RunningNodes()) {
             store.put("op", "config", "{\"version\":4,\"routes\":[],\"services\":[]}");
             String seeds = "\"127.0.0.1:%d\"".formatted(silent.getLocalPort());
-            ManagedNode agent = node("side-1", FreePort.find(), seeds, store.address());
+            ManagedNode agent = nodes.add(node("side-1", FreePort.find(), seeds, store.address()));
             agent.runAsAgent(NO_WEIGHTS);
             Await.within(ENTRY_TIMEOUT_MILLIS, () -> version(agent) == 4);
         }
--- a/src/test/java/org/papayawalk/daemon/managed/agent/ManagedAgentFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/ManagedAgentFixture.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import org.papayawalk.daemon.managed.FakeStore;
 import org.papayawalk.daemon.managed.ManagedNode;
+import org.papayawalk.daemon.managed.RunningNodes;
 import org.papayawalk.platform.ManagedSettingsCodec;
 import org.papayawalk.support.FreePort;
 
@@ -26,6 +27,8 @@
     /** Serves as engine and as origin. */
     private final FakeEngine engine = new FakeEngine();
 
+    private final RunningNodes agents = new RunningNodes();
+
     /** Agent that was started last. */
     private ManagedNode agent;
 
@@ -60,7 +63,7 @@
                 """
                         .formatted(FreePort.find(), 0, store.address(), engine.address());
         byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
-        agent = new ManagedNode(ManagedSettingsCodec.decode(bytes));
+        agent = agents.add(new ManagedNode(ManagedSettingsCodec.decode(bytes)));
         new ManagedAgentRole(agent).start();
     }
 
@@ -92,6 +95,7 @@
 
     @Override
     public void close() {
+        agents.close();
         store.close();
         engine.close();
     }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
@@ -10,6 +10,7 @@
 import org.papayawalk.daemon.managed.FakeUpstream;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
 import org.papayawalk.daemon.managed.ManagedNode;
+import org.papayawalk.daemon.managed.RunningNodes;
 import org.papayawalk.platform.ManagedSettingsCodec;
 import org.papayawalk.support.Await;
 import org.papayawalk.support.FreePort;
@@ -40,6 +41,8 @@
             "tenants":[{"name":"bakers","apiKeys":["%s"]}]}
             """;
 
+    private final RunningNodes nodes = new RunningNodes();
+
     private final FakeStore store;
 
     private final FakeUpstream first;
@@ -110,7 +113,7 @@
                                 ready,
                                 store.address());
         byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
-        ManagedNode node = new ManagedNode(ManagedSettingsCodec.decode(bytes));
+        ManagedNode node = nodes.add(new ManagedNode(ManagedSettingsCodec.decode(bytes)));
         firstNode = firstNode == null ? node : firstNode;
         ManagedEntryRole started = new ManagedEntryRole(node);
         started.start();
@@ -248,6 +251,7 @@
 
     @Override
     public void close() throws IOException {
+        nodes.close();
         store.close();
         first.close();
         second.close();
--- a/src/test/java/org/papayawalk/daemon/managed/entry/WeightExpiryTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/WeightExpiryTest.java
@@ -15,10 +15,12 @@
 import org.papayawalk.daemon.managed.FakeUpstream;
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
 import org.papayawalk.daemon.managed.ManagedNode;
+import org.papayawalk.daemon.managed.RunningNodes;
 import org.papayawalk.daemon.managed.SlowLink;
 import org.papayawalk.platform.ManagedSettingsCodec;
 import org.papayawalk.support.Await;
 import org.papayawalk.support.FreePort;
+import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
 /**
@@ -57,6 +59,14 @@
              "models":[{"name":"m","version":1,"adapters":[]}]}
             """;
 
+    private final RunningNodes nodes = new RunningNodes();
+
+    /** Stops the daemons of a test. */
+    @AfterMethod
+    public void stop() {
+        nodes.close();
+    }
+
     /**
      * The request is withdrawn when the version expires, long before the timeout of its route.
      *
@@ -125,7 +135,7 @@
     }
 
     // Names a version while callers send requests all the time, and checks when requests begin.
-    private static void assertNothingBeginsLate(
+    private void assertNothingBeginsLate(
             FakeStore store, String storeAddress, FakeUpstream engine, Runnable beforeNaming)
             throws IOException, InterruptedException {
         store.put("op", "config", DESIRED);
@@ -173,8 +183,7 @@
         }
     }
 
-    private static ManagedNode start(int port, int readyPort, String storeAddress)
-            throws IOException {
+    private ManagedNode start(int port, int readyPort, String storeAddress) throws IOException {
         String settings =
                 """
                 {"nodeName":"front-1","ip":"127.0.0.1","zone":"luzon-a",
@@ -192,7 +201,7 @@
                                 storeAddress,
                                 VERSION_DEADLINE_MILLIS);
         byte[] bytes = settings.getBytes(StandardCharsets.UTF_8);
-        ManagedNode node = new ManagedNode(ManagedSettingsCodec.decode(bytes));
+        ManagedNode node = nodes.add(new ManagedNode(ManagedSettingsCodec.decode(bytes)));
         new ManagedEntryRole(node).start();
         return node;
     }
