Bound the sum of latencies in a test of trickled bytes

The median that took the place of a deadline lets a few slow requests pass, which the deadline would have found. Two are left out as a pause of the whole process puts off one or two of them.

--- a/src/test/java/org/papayawalk/daemon/managed/entry/EndlessTrickleTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EndlessTrickleTest.java
@@ -24,12 +24,11 @@
 
     private static final int OTHER_REQUESTS = 20;
 
-    /**
-     * Share of one other request in the timeout of route "pay". As a median, it is not missed for a
-     * pause of the whole process.
-     */
-    private static final Duration MAX_MEDIAN_LATENCY =
-            Duration.ofMillis(EndlessChecks.PAY_TIMEOUT_MILLIS / OTHER_REQUESTS);
+    /** Requests left out, as a pause of the whole process puts off one or two of them. */
+    private static final int PUT_OFF_BY_PAUSE = 2;
+
+    private static final Duration MAX_TOTAL_LATENCY =
+            Duration.ofMillis(EndlessChecks.PAY_TIMEOUT_MILLIS);
 
     /**
      * Endless answers that are no event streams.
@@ -110,8 +109,11 @@
                 latencies.add(Duration.ofNanos(System.nanoTime() - startNanos));
             }
             Collections.sort(latencies);
-            Duration median = latencies.get(OTHER_REQUESTS / 2);
-            assertTrue(median.compareTo(MAX_MEDIAN_LATENCY) < 0, "median latency " + median);
+            Duration total =
+                    latencies.stream()
+                            .limit(OTHER_REQUESTS - PUT_OFF_BY_PAUSE)
+                            .reduce(Duration.ZERO, Duration::plus);
+            assertTrue(total.compareTo(MAX_TOTAL_LATENCY) < 0, "total latency " + total);
             assertTrue(isUnanswered(waiting), "the request over the endless connection has ended");
         }
         checks().awaitClosed();
