Let an answer that ends with its connection speak only for a live engine

The entry repeated the stream, and an answer that is no stream cleared the parts of its prompt.

Ruled out: a new field of the end message. It already tells that the upstream crashed and which process; older agents never set it for an answer.

Change: the agent probes the upstream after an answer that ended with its connection, as it does after one that was broken off. If the process is another one or does not answer, the end tells so; the entry then counts the crash and does not record the answer. The caller gets what it got before, after the probe. The stand-in of an engine can leave out the framing now, and crash in the middle of an answer that is no stream.

--- a/src/main/java/org/papayawalk/adapter/standalone/StreamingResponse.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/StreamingResponse.java
@@ -74,6 +74,16 @@
         return body;
     }
 
+    /**
+     * Returns what tells the end of the body.
+     *
+     * @return end that the headers announce
+     */
+    public BodyEnd bodyEnd() {
+        HttpEntity entity = response.getEntity();
+        return entity == null ? BodyEnd.LENGTH : bodyEnd(entity);
+    }
+
     /**
      * Stops reading. If the body was read to its end, the connection returns to the pool; otherwise
      * the connection is closed immediately, since reading the rest would block.
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/CallCompletion.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/CallCompletion.java
@@ -22,6 +22,13 @@
     static final CallCompletion ANSWERED =
             new CallCompletion(Outcome.ANSWERED, "", Duration.ZERO, false, false);
 
+    /**
+     * Completion of a call whose response was sent up to the end of its connection, which the crash
+     * of the upstream may have cut off.
+     */
+    static final CallCompletion ANSWERED_BEFORE_CRASH =
+            new CallCompletion(Outcome.ANSWERED, "", Duration.ZERO, false, true);
+
     /**
      * Creates the completion of a request that did not run here and may be sent to another host.
      *
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
@@ -23,6 +23,7 @@
 import org.papayawalk.core.Outcome;
 import org.papayawalk.core.api.CallerHeaders;
 import org.papayawalk.core.idempotency.StoredAnswer;
+import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.daemon.standalone.idempotency.IdempotencyRow;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.Header;
@@ -203,7 +204,7 @@
                 sequence++;
                 n = body.read(buffer);
             }
-            return new Result(CallCompletion.ANSWERED, sequence);
+            return new Result(bodyEnded(call, stream.bodyEnd()), sequence);
         } catch (IOException e) {
             return new Result(responseInterrupted(call, e), sequence);
         } catch (InterruptedException e) {
@@ -259,6 +260,14 @@
                 fault.message(), crashDetector.detectCrash(call.incarnation()));
     }
 
+    // Completion of a response whose body ended in order, which the end of a crashed process also
+    // does if only its connection ends the body.
+    private CallCompletion bodyEnded(AgentCall call, BodyEnd end) {
+        boolean crashed =
+                end == BodyEnd.CONNECTION && crashDetector.detectCrash(call.incarnation());
+        return crashed ? CallCompletion.ANSWERED_BEFORE_CRASH : CallCompletion.ANSWERED;
+    }
+
     // Completion of a response that ended early.
     private CallCompletion responseInterrupted(AgentCall call, IOException cause) {
         if (call.isCancelled()) {
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
@@ -248,6 +248,9 @@
         }
         ResponseEnd end = result.message().getResponseEnd();
         services.dispatcher().recordEnd(attempt, end);
+        if (end.getUpstreamCrashed()) {
+            recordCrash(attempt.candidate().host(), end.getUpstreamIncarnation());
+        }
         boolean complete = pinnedVersion.equals(Digest.NONE) || events.isComplete();
         if (end.getOutcome() != ResponseEnd.Outcome.ANSWERED) {
             handleFailedEnd(end);
@@ -258,7 +261,8 @@
             handleTruncatedStream();
             return null;
         }
-        if (head.getStatus() == STATUS_OK && firstDataAt != null && !resumed) {
+        boolean alive = !end.getUpstreamCrashed();
+        if (alive && head.getStatus() == STATUS_OK && firstDataAt != null && !resumed) {
             services.promptParts().recordAnswer(request.promptParts(), firstDataAt);
         }
         return result.message();
@@ -274,9 +278,6 @@
 
     private void handleFailedEnd(ResponseEnd end) {
         boolean ran = end.getOutcome() != ResponseEnd.Outcome.NOT_RUN;
-        if (end.getUpstreamCrashed()) {
-            recordCrash(attempt.candidate().host(), end.getUpstreamIncarnation());
-        }
         mayHaveRun |= ran;
         mayRetry = ran ? request.retryable() : end.getTryElsewhere();
         Duration delay = Duration.ofMillis(end.getRetryAfterMillis());
--- a/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/EngineStandIn.java
@@ -16,6 +16,7 @@
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
 import org.apache.hc.core5.http.protocol.HttpContext;
@@ -30,15 +31,20 @@
  * Model engine that generates reproducible text at a fixed rate. Implements the prefix cache,
  * resumed streams, cancellation, staging of versions and engine commands. A prompt with the word
  * {@value #POISON} is a poison request, which crashes the engine before its answer; one with the
- * word {@value #POISON_PART} crashes it at the first token of a stream. Thread-safe.
+ * word {@value #POISON_PART} crashes it at the first token of a stream, or in the middle of another
+ * answer. A prompt with the word {@value #UNFRAMED} is answered with neither a length nor chunks.
+ * Thread-safe.
  */
 public final class EngineStandIn implements HttpRequestHandler {
     /** Word that makes a prompt a poison request. */
     public static final String POISON = "poison-pill";
 
-    /** Word that crashes the engine when it has begun a streamed answer. */
+    /** Word that crashes the engine when it has begun to answer. */
     public static final String POISON_PART = "poison-part";
 
+    /** Word for an answer that ends with its connection. */
+    public static final String UNFRAMED = "unframed-answer";
+
     private static final String STAGING_PATH_PREFIX = "/v1/engine/staging/";
     private static final int MAX_CACHED_PROMPTS = 64;
 
@@ -111,7 +117,7 @@
             throws IOException {
         String path = HttpMessages.path(request);
         if (path.equals("/v1/chat/completions")) {
-            handleChat(request, response);
+            handleChat(request, response, context);
         } else if (path.equals("/v1/health")) {
             EngineStatus status = versions.status(running.get());
             HttpMessages.writeJson(
@@ -210,7 +216,8 @@
         }
     }
 
-    private void handleChat(ClassicHttpRequest request, ClassicHttpResponse response)
+    private void handleChat(
+            ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
             throws IOException {
         Map<String, Object> body =
                 Json.read(HttpMessages.readBody(request), new TypeReference<>() {});
@@ -234,14 +241,35 @@
         }
         response.setCode(200);
         response.setHeader(CallerHeaders.MODEL_DIGEST, version.value());
+        if (prompt.contains(UNFRAMED)) {
+            // The library knows no chunks for this version.
+            context.setProtocolVersion(HttpVersion.HTTP_1_0);
+        }
         Generation g = new Generation(version, prompt, tokens, resumeFrom, crashesAtStart);
         if (Boolean.TRUE.equals(body.get("stream"))) {
             response.setEntity(
                     new EntityTemplate(
                             -1, ContentType.TEXT_EVENT_STREAM, null, out -> streamTokens(g, out)));
         } else {
-            HttpMessages.writeJson(response, 200, generateWhole(g));
+            byte[] answer = Json.write(generateWhole(g));
+            response.setEntity(
+                    new EntityTemplate(
+                            prompt.contains(UNFRAMED) ? -1 : answer.length,
+                            ContentType.APPLICATION_JSON,
+                            null,
+                            out -> writeWhole(g, answer, out)));
+        }
+    }
+
+    private void writeWhole(Generation g, byte[] answer, OutputStream out) throws IOException {
+        int half = answer.length / 2;
+        out.write(answer, 0, half);
+        if (g.prompt().contains(POISON_PART)) {
+            out.flush();
+            crashWhileAnswering(g);
+            return;
         }
+        out.write(answer, half, answer.length - half);
     }
 
     private void streamTokens(Generation g, OutputStream out) throws IOException {
@@ -254,7 +282,8 @@
                 Object choice = Map.of("index", 0, "delta", delta);
                 writeEvent(out, new String(Json.write(Map.of("choices", List.of(choice)))));
                 if (g.prompt().contains(POISON_PART)) {
-                    throw crash();
+                    crashWhileAnswering(g);
+                    return;
                 }
                 FaultInjector.sleep(settings.tokenMillis());
             }
@@ -280,6 +309,14 @@
         }
     }
 
+    // The end of the process closes the connection, which ends an unframed answer in order.
+    private void crashWhileAnswering(Generation g) throws IOException {
+        ConnectionClosedException crash = crash();
+        if (!g.prompt().contains(UNFRAMED)) {
+            throw crash;
+        }
+    }
+
     private ConnectionClosedException crash() {
         versions.crash();
         crashes.incrementAndGet();
