Repeat a request with a suspected part only as the trial of that part

Cause: PromptPartGuard.admit took any repeat that did not run for the repeat of the trial's holder. It knew the number of attempts, not whether the request had begun a trial.

Change: each request has a PromptPartCheck, which notes whether it has begun a trial, as PoisonCheck of the managed entry does. A repeat that holds no trial begins one, or is refused while another one runs. A request that may have run is refused as before. The calls of PromptPartGuardTest name the holder now in place of the number of attempts; what it expected it expects still.

Result: repeatNeedsTrialOfPartThatIsSuspectedSince failed with the former admit ("second trial": admitted) and passes now, as do the others of PromptPartGuardTest, eight in all, PoisonPartCallsTest, PoisonPartBesideTest, UnframedPoisonPartTest and AtMostOnceCallsTest, one run each.

--- a/src/main/java/org/papayawalk/daemon/standalone/entry/PromptPartGuard.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/PromptPartGuard.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.papayawalk.core.RendezvousHash;
@@ -19,8 +18,9 @@
 import org.papayawalk.core.suspect.PromptPartRegistry;
 
 /**
- * Keeps requests with a part of a prompt that crashes upstreams from reaching further ones.
- * Thread-safe. A request without parts is never refused.
+ * Evidence on the parts of prompts that crash upstreams, by which {@link PromptPartCheck} keeps
+ * requests with them from reaching further ones. Thread-safe. The verdict about a request without
+ * parts is always clear.
  */
 final class PromptPartGuard {
     /** Reason of a refusal. */
@@ -48,24 +48,25 @@
     }
 
     /**
-     * Decides whether a request may be dispatched. The first dispatch of a request with a suspected
-     * part begins a trial.
+     * Begins a trial of a request whose verdict is {@link PartVerdict#TRIAL}.
      *
      * @param parts parts of the prompt of the request
-     * @param attempts number of earlier dispatches
-     * @param mayHaveRun whether an upstream may have run the request
      * @param now present time
-     * @return empty if it may be dispatched, otherwise the delay after which its caller may retry
+     * @return false if a trial of one of the suspected parts has begun just before
      */
-    Optional<Duration> admit(
-            Collection<PromptPartId> parts, int attempts, boolean mayHaveRun, Instant now) {
-        boolean admitted =
-                switch (registry.verdict(parts, now)) {
-                    case CLEAR -> true;
-                    case TRIAL -> attempts == 0 ? registry.beginTrial(parts, now) : !mayHaveRun;
-                    case REFUSED -> false;
-                };
-        return admitted ? Optional.empty() : Optional.of(registry.retryAfter(parts, now));
+    boolean beginTrial(Collection<PromptPartId> parts, Instant now) {
+        return registry.beginTrial(parts, now);
+    }
+
+    /**
+     * Returns when the caller of a refused request may retry.
+     *
+     * @param parts parts of the prompt of the request
+     * @param now present time
+     * @return delay from now
+     */
+    Duration retryAfter(Collection<PromptPartId> parts, Instant now) {
+        return registry.retryAfter(parts, now);
     }
 
     /**
@@ -118,7 +119,7 @@
     }
 
     /**
-     * Returns the verdict about parts, for the log.
+     * Returns the verdict about parts.
      *
      * @param parts parts of a prompt
      * @param now present time
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
@@ -48,6 +48,7 @@
 
     private final EntryServices services;
     private final ParsedRequest request;
+    private final PromptPartCheck partCheck;
     private final Set<HostId> triedHosts = new HashSet<>();
 
     /** Events of a streamed response, over all attempts. */
@@ -94,6 +95,7 @@
     ProxiedCall(EntryServices services, ParsedRequest request) {
         this.services = services;
         this.request = request;
+        partCheck = new PromptPartCheck(services.promptParts(), request.promptParts());
     }
 
     /**
@@ -184,8 +186,7 @@
             setError(reason, left.compareTo(POISON_RETRY_AFTER) < 0 ? left : POISON_RETRY_AFTER);
             return false;
         }
-        Optional<Duration> partsDelay =
-                services.promptParts().admit(request.promptParts(), attempts, mayHaveRun, now);
+        Optional<Duration> partsDelay = partCheck.admit(mayHaveRun, now);
         if (partsDelay.isPresent()) {
             setError(PromptPartGuard.REASON, partsDelay.get());
             return false;
--- a/src/test/java/org/papayawalk/daemon/standalone/entry/PromptPartGuardTest.java
+++ b/src/test/java/org/papayawalk/daemon/standalone/entry/PromptPartGuardTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.PromptPartId;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Admits requests by the evidence on the parts of their prompts. */
@@ -20,26 +21,74 @@
 
     private static final List<PromptPartId> PARTS = List.of(new PromptPartId("part"));
 
-    private final PromptPartGuard guard = new PromptPartGuard(SELF, () -> List.of(SELF));
+    private PromptPartGuard guard;
+
+    /** Creates a guard without evidence. */
+    @BeforeMethod
+    public void createGuard() {
+        guard = withCrashes(0);
+    }
 
     /** A suspected part runs as one trial at a time, and a request that ran is not repeated. */
     @Test
     public void runsSuspectedPartAsTrialOnly() {
         PromptPartGuard suspecting = withCrashes(2);
-        assertEquals(suspecting.admit(PARTS, 0, false, START), Optional.empty());
-        assertTrue(suspecting.admit(PARTS, 0, false, START).isPresent(), "second trial");
-        assertTrue(suspecting.admit(PARTS, 1, true, START).isPresent(), "repeat");
-        assertEquals(suspecting.admit(PARTS, 1, false, START), Optional.empty(), "did not run");
+        PromptPartCheck holder = check(suspecting);
+        assertEquals(holder.admit(false, START), Optional.empty());
+        assertTrue(check(suspecting).admit(false, START).isPresent(), "second trial");
+        assertTrue(holder.admit(true, START).isPresent(), "repeat");
+        assertEquals(holder.admit(false, START), Optional.empty(), "did not run");
+    }
+
+    /**
+     * A request that did not run is repeated without a trial although its part is suspected since.
+     */
+    @Test
+    public void repeatNeedsTrialOfPartThatIsSuspectedSince() {
+        PromptPartCheck repeated = check(guard);
+        assertEquals(repeated.admit(false, START), Optional.empty());
+        recordCrashes(guard, 2);
+        PromptPartCheck holder = check(guard);
+        assertEquals(holder.admit(false, START), Optional.empty(), "trial of another");
+        assertTrue(repeated.admit(false, START).isPresent(), "second trial");
+        assertEquals(holder.admit(false, START), Optional.empty(), "holder did not run");
+    }
+
+    /** The repeat of a request whose part is suspected since is the trial if there is no other. */
+    @Test
+    public void repeatBeginsTrialOfPartThatIsSuspectedSince() {
+        PromptPartCheck repeated = check(guard);
+        assertEquals(repeated.admit(false, START), Optional.empty());
+        recordCrashes(guard, 2);
+        assertEquals(repeated.admit(false, START), Optional.empty(), "trial");
+        assertTrue(check(guard).admit(false, START).isPresent(), "second trial");
+    }
+
+    /** A trial that ended with an answer does not count as one of later crashes. */
+    @Test
+    public void trialEndsWithSuspicion() {
+        recordCrashes(guard, 2);
+        PromptPartCheck first = check(guard);
+        assertEquals(first.admit(false, START), Optional.empty());
+        guard.recordAnswer(PARTS, START.plusMillis(1));
+        assertEquals(first.admit(false, START.plusMillis(2)), Optional.empty());
+        Instant later = START.plusSeconds(2);
+        for (int i = 0; i < 5; i++) {
+            guard.recordCrash(PARTS, new HostId("later-" + i), 1, later);
+        }
+        Instant suspected = later.plusSeconds(1);
+        assertEquals(check(guard).admit(false, suspected), Optional.empty(), "trial of another");
+        assertTrue(first.admit(false, suspected).isPresent(), "second trial");
     }
 
     /** A refused part is refused until the time that its callers are told. */
     @Test
     public void refusesPartUntilRetryTime() {
         PromptPartGuard refusing = withCrashes(4);
-        Duration delay = refusing.admit(PARTS, 0, false, START).orElseThrow();
+        Duration delay = check(refusing).admit(false, START).orElseThrow();
         Instant before = START.plus(delay).minusMillis(1);
-        assertTrue(refusing.admit(PARTS, 0, false, before).isPresent(), "too early");
-        assertEquals(refusing.admit(PARTS, 0, false, START.plus(delay)), Optional.empty());
+        assertTrue(check(refusing).admit(false, before).isPresent(), "too early");
+        assertEquals(check(refusing).admit(false, START.plus(delay)), Optional.empty());
     }
 
     /** An answer that began after the crashes clears its parts. */
@@ -47,8 +96,8 @@
     public void answerClearsParts() {
         PromptPartGuard cleared = withCrashes(4);
         cleared.recordAnswer(PARTS, START.plusMillis(1));
-        assertEquals(cleared.admit(PARTS, 0, false, START.plusMillis(2)), Optional.empty());
-        assertEquals(cleared.admit(PARTS, 1, true, START.plusMillis(2)), Optional.empty());
+        assertEquals(check(cleared).admit(false, START.plusMillis(2)), Optional.empty());
+        assertEquals(check(cleared).admit(true, START.plusMillis(2)), Optional.empty());
     }
 
     /** Crashes beside a suspected part that a request lacks are not counted against the request. */
@@ -67,15 +116,24 @@
     @Test
     public void admitsRequestWithoutParts() {
         guard.recordCrash(List.of(), SELF, 1, START);
-        assertEquals(guard.admit(List.of(), 0, false, START), Optional.empty());
-        assertEquals(guard.admit(List.of(), 3, true, START), Optional.empty());
+        PromptPartCheck check = new PromptPartCheck(guard, List.of());
+        assertEquals(check.admit(false, START), Optional.empty());
+        assertEquals(check.admit(true, START), Optional.empty());
     }
 
     private static PromptPartGuard withCrashes(int count) {
         PromptPartGuard result = new PromptPartGuard(SELF, () -> List.of(SELF));
+        recordCrashes(result, count);
+        return result;
+    }
+
+    private static PromptPartCheck check(PromptPartGuard guard) {
+        return new PromptPartCheck(guard, PARTS);
+    }
+
+    private static void recordCrashes(PromptPartGuard guard, int count) {
         for (int i = 0; i < count; i++) {
-            result.recordCrash(PARTS, new HostId("host-" + i), 1, START);
+            guard.recordCrash(PARTS, new HostId("host-" + i), 1, START);
         }
-        return result;
     }
 }
