Refuse a non-idempotent call that crashed upstreams under other keys

At most one run per key was kept, but nothing bounded the keys.

Cause: AtMostOnceCalls did not ask the evidence that other requests are refused by. The fingerprint leaves out the key, and the agents told the crashes, so the evidence was there.

Ruled out: the parts of prompts. Only calls of services are non-idempotent, and these have no parts.

Change: the decision moves from ProxiedCall to SuspectGuard, and both paths ask it before each dispatch. A suspected call is marked for its agent, as others are, and a crash counts at once at the entry that hears of it.

Open: a complete answer clears no fingerprint.

Result: PoisonOrderTest, 16 calls under new keys, 3 runs allowed. Before, 16 ran. Now it passes, 6 of 6 runs. AtMostOnceCallsTest, PoisonPartCallsTest, PoisonPartBesideTest, UnframedPoisonPartTest and the tests of the package pass.

--- a/src/main/java/org/papayawalk/daemon/standalone/entry/AtMostOnceCalls.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/AtMostOnceCalls.java
@@ -28,7 +28,8 @@
 /**
  * Serves non-idempotent calls by the at-most-once protocol: claims the row of the call in the table
  * service, dispatches the call under the token of the claim, and if the dispatch fails, reads the
- * row to determine the outcome that the caller gets. Thread-safe.
+ * row to determine the outcome that the caller gets. A call that crashed too many upstreams under
+ * other keys is not dispatched. Thread-safe.
  */
 final class AtMostOnceCalls {
     /** Time within which the write of a row is retried. */
@@ -49,6 +50,7 @@
     /** Maximum number of hosts that a call is dispatched to under one claim. */
     private static final int MAX_HOSTS_PER_CLAIM = 3;
 
+    private final EntryServices services;
     private final Dispatcher dispatcher;
     private final IdempotencyTable table;
     private final ResponseReplayer replayer;
@@ -59,23 +61,22 @@
     /**
      * Creates the service.
      *
-     * @param dispatcher dispatcher of requests to agents
+     * @param services collaborators shared by all calls of the entry
      * @param table table of the rows of calls
      * @param replayer replayer of stored responses
      * @param self name of this host, written to claimed rows
-     * @param clock clock that deadlines and ages of claims are compared with
      */
     AtMostOnceCalls(
-            Dispatcher dispatcher,
+            EntryServices services,
             IdempotencyTable table,
             ResponseReplayer replayer,
-            HostId self,
-            InstantSource clock) {
-        this.dispatcher = dispatcher;
+            HostId self) {
+        this.services = services;
+        dispatcher = services.dispatcher();
         this.table = table;
         this.replayer = replayer;
         this.self = self;
-        this.clock = clock;
+        clock = services.clock();
     }
 
     /**
@@ -185,6 +186,11 @@
                         RETRY_AFTER);
         Set<HostId> tried = new HashSet<>();
         for (int i = 0; i < MAX_HOSTS_PER_CLAIM; i++) {
+            Optional<Duration> refusal = services.suspects().refusal(request, clock.instant());
+            if (refusal.isPresent()) {
+                lastError = ErrorResponse.notRun(SuspectGuard.REASON, refusal.get());
+                break;
+            }
             Optional<RouteCandidate> candidate = dispatcher.choose(request, Digest.NONE, tried);
             if (candidate.isEmpty()) {
                 break;
@@ -205,7 +211,8 @@
     private DispatchResult dispatch(
             ParsedRequest request, RouteCandidate candidate, String key, String token)
             throws InterruptedException {
-        Attempt attempt = dispatcher.dispatchNonIdempotent(request, candidate, key, token);
+        boolean suspect = services.suspects().isSuspect(request, clock.instant());
+        Attempt attempt = dispatcher.dispatchNonIdempotent(request, candidate, suspect, key, token);
         Instant limit = request.deadline().plus(Dispatcher.DEADLINE_GRACE);
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         ResponseHead head = ResponseHead.getDefaultInstance();
@@ -238,6 +245,11 @@
             } else {
                 ResponseEnd end = result.message().getResponseEnd();
                 dispatcher.recordEnd(attempt, end);
+                if (end.getUpstreamCrashed()) {
+                    long incarnation = end.getUpstreamIncarnation();
+                    services.suspects()
+                            .recordCrash(request, candidate.host(), incarnation, clock.instant());
+                }
                 if (end.getOutcome() == ResponseEnd.Outcome.ANSWERED) {
                     return DispatchResult.completed(
                             new CallerResponse.Complete(
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/Dispatcher.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/Dispatcher.java
@@ -92,14 +92,23 @@
      *
      * @param request request to send
      * @param candidate agent to send it to
+     * @param suspect whether the same call was running when an upstream crashed
      * @param onceKey key of the row of the call
      * @param onceToken token of the claim
      * @return the attempt, already sent
      */
     Attempt dispatchNonIdempotent(
-            ParsedRequest request, RouteCandidate candidate, String onceKey, String onceToken) {
+            ParsedRequest request,
+            RouteCandidate candidate,
+            boolean suspect,
+            String onceKey,
+            String onceToken) {
         return send(
-                candidate, message(request, candidate).setOnceKey(onceKey).setOnceToken(onceToken));
+                candidate,
+                message(request, candidate)
+                        .setSuspect(suspect)
+                        .setOnceKey(onceKey)
+                        .setOnceToken(onceToken));
     }
 
     private Attempt send(RouteCandidate candidate, UpstreamRequest.Builder message) {
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/EntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/EntryRole.java
@@ -57,17 +57,13 @@
                 new EntryServices(
                         dispatcher,
                         new TokenBucketRetryBudget(),
-                        suspects,
+                        new SuspectGuard(suspects, promptParts),
                         promptParts,
                         node.clock());
         IdempotencyTable table = new IdempotencyTable(node.platform().table(), node.clock());
         AtMostOnceCalls atMostOnceCalls =
                 new AtMostOnceCalls(
-                        dispatcher,
-                        table,
-                        new ResponseReplayer(objects),
-                        node.self().host(),
-                        node.clock());
+                        services, table, new ResponseReplayer(objects), node.self().host());
         endpoint =
                 new CallerEndpoint(
                         node,
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
@@ -14,7 +14,6 @@
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.route.RouteCandidate;
 import org.papayawalk.core.stream.NormalizingEventSplitter;
-import org.papayawalk.core.suspect.SuspectRegistry;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.ResponseEnd;
 import org.papayawalk.wire.proto.ResponseHead;
@@ -38,9 +37,6 @@
     /** Delay for the caller if the agent names none. */
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
-    /** Longest delay for the caller of a poison request, which may be found to be sound by then. */
-    private static final Duration POISON_RETRY_AFTER = Duration.ofSeconds(5);
-
     /** Status of a response that answers the prompt. */
     private static final int STATUS_OK = 200;
 
@@ -179,11 +175,9 @@
         if (!mayRetry || attempts >= MAX_ATTEMPTS || !request.deadline().isAfter(now)) {
             return false;
         }
-        SuspectRegistry.Verdict verdict = services.suspects().verdict(request.fingerprint(), now);
-        if (verdict == SuspectRegistry.Verdict.REFUSED && mayBeAtFault(now)) {
-            String reason = "poison request: upstreams crashed repeatedly while it was running";
-            Duration left = services.suspects().retryAfter(request.fingerprint(), now);
-            setError(reason, left.compareTo(POISON_RETRY_AFTER) < 0 ? left : POISON_RETRY_AFTER);
+        Optional<Duration> suspectDelay = services.suspects().refusal(request, now);
+        if (suspectDelay.isPresent()) {
+            setError(SuspectGuard.REASON, suspectDelay.get());
             return false;
         }
         Optional<Duration> partsDelay = partCheck.admit(mayHaveRun, now);
@@ -204,20 +198,13 @@
         answerBegun = false;
         firstDataAt = null;
         resumed = events.eventCount() > 0;
-        boolean suspect = verdict != SuspectRegistry.Verdict.CLEAR;
+        boolean suspect = services.suspects().isSuspect(request, now);
         attempt =
                 services.dispatcher()
                         .dispatch(request, candidate.get(), suspect, events.eventCount());
         return true;
     }
 
-    // A request that runs beside others shares their crashes.
-    private boolean mayBeAtFault(Instant now) {
-        Set<String> crashed = services.suspects().crashedProcesses(request.fingerprint(), now);
-        return services.promptParts().unexplained(request.promptParts(), crashed, now)
-                >= EntryRole.MAX_CRASHES;
-    }
-
     // Returns null if the attempt has failed.
     private Envelope nextMessage() throws InterruptedException {
         Attempt.Result result = attempt.next(request.deadline().plus(Dispatcher.DEADLINE_GRACE));
@@ -287,10 +274,9 @@
         attempt = null;
     }
 
-    // The crash notice sent to all entries may arrive only after the next dispatch.
     private void recordCrash(HostId host, long incarnation) {
         Instant now = services.clock().instant();
-        services.suspects().recordCrash(request.fingerprint(), host + "/" + incarnation, now);
+        services.suspects().recordCrash(request, host, incarnation, now);
         if (answerBegun) {
             services.promptParts().recordCrash(request.promptParts(), host, incarnation, now);
         }
--- a/src/main/java/org/papayawalk/lab/standin/ServiceStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/ServiceStandIn.java
@@ -1,10 +1,12 @@
 package org.papayawalk.lab.standin;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.protocol.HttpContext;
@@ -12,15 +14,17 @@
 
 /**
  * Service with one non-idempotent call: {@code POST /orders} runs every time and counts its runs by
- * idempotency key, so that duplicate runs can be detected. Thread-safe: one lock around the counts.
+ * idempotency key, so that duplicate runs can be detected. An order with the word {@value
+ * EngineStandIn#POISON} crashes the service while it runs. Thread-safe: one lock around the counts
+ * and the incarnation.
  */
 public final class ServiceStandIn implements HttpRequestHandler {
     private static final int NOT_FOUND = 404;
 
     private final long callMillis;
 
-    // Start time in milliseconds since the epoch.
-    private final long incarnation = System.currentTimeMillis();
+    // Start time in milliseconds since the epoch; every crash increases it.
+    private long incarnation = System.currentTimeMillis();
 
     private final Map<String, Integer> runsByKey = new TreeMap<>();
     private int lastOrderNumber;
@@ -50,11 +54,15 @@
         String path = HttpMessages.path(request);
         byte[] body = HttpMessages.readBody(request);
         if (path.equals("/v1/health")) {
-            HttpMessages.writeJson(response, 200, Map.of("incarnation", incarnation));
+            HttpMessages.writeJson(response, 200, Map.of("incarnation", incarnation()));
         } else if (path.equals("/lab/counters")) {
             HttpMessages.writeJson(response, 200, Map.of("runs", runsByKey()));
         } else if (path.equals("/orders") && request.getMethod().equals("POST")) {
             int orderNumber = recordRun(idempotencyKey(request));
+            if (new String(body, StandardCharsets.UTF_8).contains(EngineStandIn.POISON)) {
+                crash();
+                throw new ConnectionClosedException("service crashed by a poison request");
+            }
             FaultInjector.sleep(callMillis);
             HttpMessages.writeJson(
                     response, 201, Map.of("order", orderNumber, "bytes", body.length));
@@ -67,6 +75,14 @@
         }
     }
 
+    private synchronized long incarnation() {
+        return incarnation;
+    }
+
+    private synchronized void crash() {
+        incarnation = Math.max(incarnation + 1, System.currentTimeMillis());
+    }
+
     // Returns the number of the new order.
     private synchronized int recordRun(String key) {
         runsByKey.merge(key, 1, Integer::sum);
