Look for a crash after a non-idempotent answer that ends with its connection

Cause: the agent reads the answer of a non-idempotent call on a path of its own, which took the end of the connection for the end of the answer and looked for no crash.

Change: that path probes the upstream too, after the answer is stored and sent. The caller gets what it got before, and the key keeps its answer; a crash counts against the fingerprint.

--- a/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
@@ -244,7 +244,7 @@
                     r.getOnceKey(), started.get(), toStoredAnswer(stream, data));
             call.sendHead(head);
             call.send(toDataMessage(0, data, data.length));
-            return new Result(CallCompletion.ANSWERED, 1);
+            return new Result(bodyEnded(call, stream.bodyEnd()), 1);
         } catch (IOException e) {
             return new Result(responseInterrupted(call, e), 0);
         }
--- a/src/main/java/org/papayawalk/lab/standin/ServiceStandIn.java
+++ b/src/main/java/org/papayawalk/lab/standin/ServiceStandIn.java
@@ -7,18 +7,24 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.entity.EntityTemplate;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.papayawalk.core.api.CallerHeaders;
 
 /**
  * Service with one non-idempotent call: {@code POST /orders} runs every time and counts its runs by
  * idempotency key, so that duplicate runs can be detected. An order with the word {@value
- * EngineStandIn#POISON} crashes the service while it runs. Thread-safe: one lock around the counts
- * and the incarnation.
+ * EngineStandIn#POISON} crashes the service while it runs, one with the word {@value
+ * EngineStandIn#POISON_PART} in the middle of an answer with neither a length nor chunks.
+ * Thread-safe: one lock around the counts and the incarnation.
  */
 public final class ServiceStandIn implements HttpRequestHandler {
+    private static final int CREATED = 201;
+
     private static final int NOT_FOUND = 404;
 
     private final long callMillis;
@@ -59,13 +65,18 @@
             HttpMessages.writeJson(response, 200, Map.of("runs", runsByKey()));
         } else if (path.equals("/orders") && request.getMethod().equals("POST")) {
             int orderNumber = recordRun(idempotencyKey(request));
-            if (new String(body, StandardCharsets.UTF_8).contains(EngineStandIn.POISON)) {
+            String text = new String(body, StandardCharsets.UTF_8);
+            if (text.contains(EngineStandIn.POISON_PART)) {
+                crashWhileAnswering(response, context);
+                return;
+            }
+            if (text.contains(EngineStandIn.POISON)) {
                 crash();
                 throw new ConnectionClosedException("service crashed by a poison request");
             }
             FaultInjector.sleep(callMillis);
             HttpMessages.writeJson(
-                    response, 201, Map.of("order", orderNumber, "bytes", body.length));
+                    response, CREATED, Map.of("order", orderNumber, "bytes", body.length));
         } else if (path.equals("/orders")) {
             FaultInjector.sleep(callMillis);
             HttpMessages.writeJson(response, 200, Map.of("orders", runsByKey().size()));
@@ -75,6 +86,22 @@
         }
     }
 
+    // The end of the process closes the connection, which ends the answer in order.
+    private void crashWhileAnswering(ClassicHttpResponse response, HttpContext context) {
+        context.setProtocolVersion(HttpVersion.HTTP_1_0);
+        response.setCode(CREATED);
+        response.setEntity(
+                new EntityTemplate(
+                        -1,
+                        ContentType.APPLICATION_JSON,
+                        null,
+                        out -> {
+                            out.write("{\"order\":".getBytes(StandardCharsets.UTF_8));
+                            out.flush();
+                            crash();
+                        }));
+    }
+
     private synchronized long incarnation() {
         return incarnation;
     }
--- a/src/test/java/org/papayawalk/lab/requests/PoisonOrderTest.java
+++ b/src/test/java/org/papayawalk/lab/requests/PoisonOrderTest.java
@@ -71,6 +71,20 @@
         assertEquals(order(1, "bad-0-later", EngineStandIn.POISON).kind(), refused.kind());
     }
 
+    /** A crash that ends an answer without a length like a whole one counts too. */
+    @Test
+    public void refusesCallWhoseUnframedAnswersEndInCrashes() {
+        CallResult last = null;
+        for (int i = 0; i < ROUNDS; i++) {
+            last = order(i, "cut-" + i, EngineStandIn.POISON_PART);
+            CallResult sound = order(i + 1, "beside-" + i, "leaf");
+            assertEquals(sound.kind(), CallResult.Kind.ANSWERED, sound.detail());
+        }
+        long runs = cluster.orderRuns().keySet().stream().filter(k -> k.startsWith("cut-")).count();
+        assertTrue(runs <= MAX_RUNS, "the bad call ran " + runs + " times");
+        assertEquals(last.kind(), CallResult.Kind.NOT_RUN, last.detail());
+    }
+
     private static boolean isBad(String key) {
         return key.startsWith("bad-");
     }
