Let the model checker use all processors

The checker used four threads whatever the machine; it now takes as many as there are processors. Models, constants and checks are the same. What it gains is not measured yet.

--- a/src/test/java/org/papayawalk/spec/SpecTest.java
+++ b/src/test/java/org/papayawalk/spec/SpecTest.java
@@ -107,7 +107,7 @@
                                 System.getProperty("java.class.path"),
                                 "tlc2.TLC",
                                 "-workers",
-                                "4",
+                                "auto",
                                 "-metadir",
                                 directory.toString(),
                                 "-config",
