Let a complete answer clear the crashes of a stand-alone request

Change: SuspectGuard holds, bounded, which crashed processes an answer to the same request came after; these count no more. A request that crashes upstreams is never answered completely. The crash of an answer that ends with its connection counts, as before.

Ruled out: a shorter retention, which lets a bad call through again and again. The registry in core, which managed entries share, is unchanged.

--- a/src/main/java/org/papayawalk/daemon/standalone/entry/AtMostOnceCalls.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/AtMostOnceCalls.java
@@ -47,6 +47,9 @@
     /** Status for an idempotency key that was used for another request. */
     private static final int UNPROCESSABLE_CONTENT = 422;
 
+    /** Lowest status of a response that tells of a failure. */
+    private static final int FIRST_ERROR_STATUS = 400;
+
     /** Maximum number of hosts that a call is dispatched to under one claim. */
     private static final int MAX_HOSTS_PER_CLAIM = 3;
 
@@ -245,12 +248,15 @@
             } else {
                 ResponseEnd end = result.message().getResponseEnd();
                 dispatcher.recordEnd(attempt, end);
+                boolean answered = end.getOutcome() == ResponseEnd.Outcome.ANSWERED;
                 if (end.getUpstreamCrashed()) {
                     long incarnation = end.getUpstreamIncarnation();
                     services.suspects()
                             .recordCrash(request, candidate.host(), incarnation, clock.instant());
+                } else if (answered && head.getStatus() < FIRST_ERROR_STATUS) {
+                    services.suspects().recordAnswer(request, clock.instant());
                 }
-                if (end.getOutcome() == ResponseEnd.Outcome.ANSWERED) {
+                if (answered) {
                     return DispatchResult.completed(
                             new CallerResponse.Complete(
                                     head.getStatus(),
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/ProxiedCall.java
@@ -252,6 +252,7 @@
         boolean alive = !end.getUpstreamCrashed();
         if (alive && head.getStatus() == STATUS_OK && firstDataAt != null && !resumed) {
             services.promptParts().recordAnswer(request.promptParts(), firstDataAt);
+            services.suspects().recordAnswer(request, services.clock().instant());
         }
         return result.message();
     }
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/SuspectGuard.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/SuspectGuard.java
@@ -2,6 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.papayawalk.core.id.HostId;
@@ -9,7 +12,8 @@
 
 /**
  * Keeps requests from reaching further upstreams if upstreams crashed while the same request was
- * running, whatever its idempotency key. Thread-safe.
+ * running, whatever its idempotency key. A complete answer clears the crashes before it: a request
+ * that crashes upstreams crashes each of them. Thread-safe.
  */
 final class SuspectGuard {
     /** Reason of a refusal. */
@@ -19,10 +23,16 @@
     /** Longest delay for the caller of a poison request, which may be found to be sound by then. */
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
 
+    /** Bound of the requests whose cleared crashes are held. */
+    private static final int MAX_CLEARED = 4096;
+
     private final SuspectRegistry suspects;
 
     private final PromptPartGuard promptParts;
 
+    /** Crashed processes that do not count, by fingerprint, oldest first; guarded by itself. */
+    private final Map<String, Set<String>> cleared = new LinkedHashMap<>();
+
     /**
      * Creates a guard.
      *
@@ -59,7 +69,7 @@
      * @return true if an upstream crashed while it was running
      */
     boolean isSuspect(ParsedRequest request, Instant now) {
-        return suspects.verdict(request.fingerprint(), now) != SuspectRegistry.Verdict.CLEAR;
+        return !counted(request, now).isEmpty();
     }
 
     /**
@@ -75,10 +85,36 @@
         suspects.recordCrash(request.fingerprint(), host + "/" + incarnation, now);
     }
 
+    /**
+     * Records that an upstream has answered a request completely and lives on.
+     *
+     * @param request request that was answered
+     * @param now present time
+     */
+    void recordAnswer(ParsedRequest request, Instant now) {
+        Set<String> crashed = suspects.crashedProcesses(request.fingerprint(), now);
+        if (crashed.isEmpty()) {
+            return;
+        }
+        synchronized (cleared) {
+            cleared.put(request.fingerprint(), crashed);
+            if (cleared.size() > MAX_CLEARED) {
+                cleared.remove(cleared.keySet().iterator().next());
+            }
+        }
+    }
+
     // A request that runs beside others shares their crashes.
     private boolean mayBeAtFault(ParsedRequest request, Instant now) {
-        Set<String> crashed = suspects.crashedProcesses(request.fingerprint(), now);
-        return promptParts.unexplained(request.promptParts(), crashed, now)
+        return promptParts.unexplained(request.promptParts(), counted(request, now), now)
                 >= EntryRole.MAX_CRASHES;
     }
+
+    private Set<String> counted(ParsedRequest request, Instant now) {
+        Set<String> result = new HashSet<>(suspects.crashedProcesses(request.fingerprint(), now));
+        synchronized (cleared) {
+            result.removeAll(cleared.getOrDefault(request.fingerprint(), Set.of()));
+        }
+        return result;
+    }
 }
