Log bytes of upstreams that belong to no request in flight

Cause: the connection dropped such bytes silently. Change: a line upstream-bytes-unasked tells where they came, the id of the last request and how many requests the connection had carried; the decoder moves to a class of its own, which also tells how many bytes it has not decoded.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -1,6 +1,5 @@
 package org.papayawalk.daemon.managed.entry;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -8,7 +7,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -24,6 +22,7 @@
 import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.http.ResponseOverhead;
+import org.papayawalk.log.Event;
 import org.papayawalk.platform.HeaderCodec;
 
 /**
@@ -42,11 +41,13 @@
      */
     private static final double KEEP_ALIVE_SHARE = 0.6;
 
-    private final Decoder decoder = new Decoder();
-
     /** Bytes of the request in flight that are not part of the response's body. */
     private final ResponseOverhead overhead = new ResponseOverhead();
 
+    private final UpstreamResponseDecoder decoder =
+            new UpstreamResponseDecoder(
+                    overhead, this::isInFlight, this::receivedIdle, this::checkOverhead);
+
     private final InstantSource clock;
 
     private final Consumer<UpstreamConnection> releaseToPool;
@@ -71,6 +72,9 @@
     /** Whether the connection can be reused after the current response. */
     private boolean keepAlive;
 
+    /** Number of requests that were sent. */
+    private int sentCount;
+
     private Duration idleLimit = DEFAULT_IDLE_LIMIT;
 
     private Instant idleSince = Instant.MIN;
@@ -105,10 +109,11 @@
     void send(FullHttpRequest request, String id, UpstreamListener newListener) {
         listener = newListener;
         requestId = id;
+        sentCount++;
         skippingResponse = false;
         requestWritten = false;
         keepAlive = false;
-        decoder.method = request.method();
+        decoder.method(request.method());
         overhead.reset();
         newListener.onSent();
         channel.writeAndFlush(request)
@@ -205,6 +210,9 @@
                 metadata.requestId().isEmpty()
                         && response.status().codeClass() == HttpStatusClass.SUCCESS;
         skippingResponse = preliminary || foreign;
+        if (foreign) {
+            unasked("other-request").with("other_id", metadata.requestId().get()).info();
+        }
         if (skippingResponse) {
             return;
         }
@@ -244,6 +252,9 @@
         }
         UpstreamListener finished = listener;
         listener = null;
+        if (decoder.undecodedBytes() > 0) {
+            unasked("behind-response").with("bytes", decoder.undecodedBytes()).info();
+        }
         setReadEnabled(true);
         if (keepAlive && requestWritten) {
             idleSince = clock.instant();
@@ -254,6 +265,25 @@
         finished.onComplete(bodyEnd);
     }
 
+    private boolean isInFlight() {
+        return listener != null;
+    }
+
+    // No request is in flight.
+    private void receivedIdle(int bytes) {
+        unasked("idle").with("bytes", bytes).info();
+        channel.close();
+    }
+
+    // Starts the log entry of bytes that do not belong to the request in flight.
+    private Event unasked(String where) {
+        return Event.named("upstream-bytes-unasked")
+                .with("where", where)
+                .with("upstream", channel.remoteAddress())
+                .with("id", requestId)
+                .with("requests", sentCount);
+    }
+
     // Ends a response whose bytes never become an answer.
     private void checkOverhead() {
         Optional<String> violation = overhead.violation();
@@ -282,30 +312,4 @@
         }
         return HttpUtil.isContentLengthSet(response) ? BodyEnd.LENGTH : BodyEnd.CONNECTION;
     }
-
-    /**
-     * Decoder that uses the method of the request: a response to HEAD has no body. It counts the
-     * bytes of each response, and closes the connection at the first byte that comes while no
-     * request is in flight.
-     */
-    private final class Decoder extends HttpResponseDecoder {
-        private HttpMethod method = HttpMethod.GET;
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-            if (listener == null) {
-                ReferenceCountUtil.release(message);
-                context.close();
-                return;
-            }
-            overhead.received(((ByteBuf) message).readableBytes());
-            super.channelRead(context, message);
-            checkOverhead();
-        }
-
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return method.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
-        }
-    }
 }
