Read no answer whose head holds the start of another one

Cause: only an empty line ends a head. An upstream that sends an answer twice and breaks off the second copy inside the reason or a header's value leaves a head that the next answer's status line continues: the status and stamp are those of the copy, id and body those of the next answer. The id tied the bytes to the request, but not the status. The copy also stayed unseen in the decoder if it came in one read with the end of the first answer, and the connection went to the pool with it.

Change: a head or trailer that holds a status line ends the attempt and its connection (NestedHead), and a connection with bytes behind an answer isn't used again. A status line can't begin unseen: one cut behind its line's end makes a header name that the decoder refuses. Why this and not only the id: the id is that of the right request in these answers.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -21,6 +21,7 @@
 import java.util.function.Consumer;
 import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.stream.BodyEnd;
+import org.papayawalk.http.NestedHead;
 import org.papayawalk.http.ResponseOverhead;
 import org.papayawalk.log.Event;
 import org.papayawalk.platform.HeaderCodec;
@@ -189,19 +190,22 @@
             return;
         }
         if (part.decoderResult().isFailure()) {
-            fail("malformed HTTP response: " + part.decoderResult().cause().getMessage());
-            channel.close();
+            refuse("malformed HTTP response: " + part.decoderResult().cause().getMessage());
             return;
         }
         if (part instanceof HttpResponse response) {
             readHead(response);
         }
-        if (part instanceof HttpContent content) {
+        if (part instanceof HttpContent content && listener != null) {
             readBody(content);
         }
     }
 
     private void readHead(HttpResponse response) {
+        if (NestedHead.isIn(response)) {
+            refuse("another response begins inside the head of a response");
+            return;
+        }
         ResponseMetadata metadata = HeaderCodec.responseMetadata(response.headers());
         boolean preliminary = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean foreign =
@@ -217,13 +221,12 @@
             return;
         }
         if (withoutId) {
-            fail(
+            refuse(
                     "response with status "
                             + response.status().code()
                             + " carries no request id, expected '"
                             + requestId
                             + "'");
-            channel.close();
             return;
         }
         bodyEnd = bodyEnd(response);
@@ -237,6 +240,10 @@
 
     private void readBody(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
+        if (last && NestedHead.isIn(((LastHttpContent) content).trailingHeaders())) {
+            refuse("another response begins inside the trailers of a response");
+            return;
+        }
         int length = content.content().readableBytes();
         if (skippingResponse) {
             overhead.skipped(length);
@@ -252,11 +259,12 @@
         }
         UpstreamListener finished = listener;
         listener = null;
-        if (decoder.undecodedBytes() > 0) {
-            unasked("behind-response").with("bytes", decoder.undecodedBytes()).info();
+        int bytesBehind = decoder.undecodedBytes();
+        if (bytesBehind > 0) {
+            unasked("behind-response").with("bytes", bytesBehind).info();
         }
         setReadEnabled(true);
-        if (keepAlive && requestWritten) {
+        if (keepAlive && requestWritten && bytesBehind == 0) {
             idleSince = clock.instant();
             releaseToPool.accept(this);
         } else {
@@ -290,7 +298,11 @@
         if (listener == null || violation.isEmpty()) {
             return;
         }
-        fail(violation.get());
+        refuse(violation.get());
+    }
+
+    private void refuse(String reason) {
+        fail(reason);
         channel.close();
     }
 
