Carry each request id once on a connection to an upstream

Cause: the id ties an answer to a request, not to an attempt. A caller that sends the same id again may get the connection of its first sending, on which a second copy of the first answer is still to come, with the right id.

Evidence: EarlierAnswerOnKeptConnectionTest.repeatedIdGetsNoEarlierAnswer, on real sockets, failed before: expected 500, found 200.

Change: a connection notes the ids that it has carried, as hashes, and the pool gives a request none that may have carried its id. A request without an id gets a new connection.

Measured: the test passes.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -101,6 +101,7 @@
         upstream.pool()
                 .acquire(
                         !route().retryable(),
+                        exchange.metadata().requestId(),
                         this::sendOn,
                         reason -> onFailure("cannot connect: " + reason, false));
         if (sentAt == null && !done) {
@@ -305,8 +306,8 @@
             return;
         }
         connection = newConnection;
-        String id = exchange.metadata().requestId();
-        newConnection.send(exchange.upstreamRequest(candidate, now), id, this);
+        newConnection.send(
+                exchange.upstreamRequest(candidate, now), exchange.metadata().requestId(), this);
         if (!done && route().retryable()) {
             schedule(this::checkStall, progress.untilNextCheck(now));
         }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -27,10 +27,10 @@
 import org.papayawalk.platform.HeaderCodec;
 
 /**
- * Connection to an upstream that carries one request at a time. A response is accepted only if it
- * carries the id of the current request. A late response to an earlier request is skipped, and a
- * byte that arrives while no request is in flight closes the connection. Confined to the event loop
- * thread.
+ * Connection to an upstream that carries one request at a time, and each id once. A response is
+ * accepted only if it carries the id of the current request. A late response to an earlier request
+ * is skipped. The connection is used again only if no bytes came behind the response. Confined to
+ * the event loop thread.
  */
 final class UpstreamConnection extends ChannelDuplexHandler {
     /** Time for which an idle connection is reused if the upstream states no keep-alive timeout. */
@@ -73,8 +73,8 @@
     /** Whether the connection can be reused after the current response. */
     private boolean keepAlive;
 
-    /** Number of requests that were sent. */
-    private int sentCount;
+    /** Requests that were sent. */
+    private final CarriedIds carried = new CarriedIds();
 
     private Duration idleLimit = DEFAULT_IDLE_LIMIT;
 
@@ -110,7 +110,7 @@
     void send(FullHttpRequest request, String id, UpstreamListener newListener) {
         listener = newListener;
         requestId = id;
-        sentCount++;
+        carried.add(id);
         skippingResponse = false;
         requestWritten = false;
         keepAlive = false;
@@ -128,7 +128,7 @@
     }
 
     /**
-     * Returns whether the connection can carry a request.
+     * Returns whether the idle connection can carry another request.
      *
      * @param now present time
      * @return true if it is open and its idle limit has not passed
@@ -137,6 +137,16 @@
         return channel.isActive() && idleSince.plus(idleLimit).isAfter(now);
     }
 
+    /**
+     * Returns whether the answer to a request could be told from those to earlier ones here.
+     *
+     * @param id id of the request
+     * @return false if the connection may have carried that id, or has carried too many
+     */
+    boolean admits(String id) {
+        return !id.isEmpty() && carried.admits(id);
+    }
+
     /** Closes the connection without a report to the listener of the request in flight, if any. */
     void abandon() {
         listener = null;
@@ -210,9 +220,9 @@
         boolean preliminary = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean foreign =
                 metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId);
-        boolean withoutId =
-                metadata.requestId().isEmpty()
-                        && response.status().codeClass() == HttpStatusClass.SUCCESS;
+        boolean mayLackId =
+                carried.count() == 1 && response.status().codeClass() != HttpStatusClass.SUCCESS;
+        boolean withoutId = metadata.requestId().isEmpty() && !mayLackId;
         skippingResponse = preliminary || foreign;
         if (foreign) {
             unasked("other-request").with("other_id", metadata.requestId().get()).info();
@@ -289,7 +299,7 @@
                 .with("where", where)
                 .with("upstream", channel.remoteAddress())
                 .with("id", requestId)
-                .with("requests", sentCount);
+                .with("requests", carried.count());
     }
 
     // Ends a response whose bytes never become an answer.
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnectionPool.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnectionPool.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.function.Consumer;
 import org.papayawalk.http.Connector;
 
@@ -42,11 +43,16 @@
      *
      * @param fresh whether the connection must be new; required for a request that must not be
      *     retried, because the upstream may close a pooled connection just as the request is sent
+     * @param id id of the request
      * @param opened receives the connection
      * @param failed receives the reason if no connection can be opened
      */
-    void acquire(boolean fresh, Consumer<UpstreamConnection> opened, Consumer<String> failed) {
-        UpstreamConnection pooled = fresh ? null : pollIdle();
+    void acquire(
+            boolean fresh,
+            String id,
+            Consumer<UpstreamConnection> opened,
+            Consumer<String> failed) {
+        UpstreamConnection pooled = fresh ? null : pollIdle(id);
         if (pooled != null) {
             opened.accept(pooled);
             return;
@@ -69,19 +75,29 @@
         idle.clear();
     }
 
-    // Returns null if no idle connection is usable.
-    private UpstreamConnection pollIdle() {
+    // Returns null if no idle connection is usable for the request; closes those that are too old.
+    private UpstreamConnection pollIdle(String id) {
         Instant now = clock.instant();
-        while (!idle.isEmpty()) {
-            UpstreamConnection c = idle.removeLast();
-            if (c.isUsable(now)) {
+        idle.removeIf(c -> isUnusable(c, now));
+        Iterator<UpstreamConnection> newestFirst = idle.descendingIterator();
+        while (newestFirst.hasNext()) {
+            UpstreamConnection c = newestFirst.next();
+            if (c.admits(id)) {
+                newestFirst.remove();
                 return c;
             }
-            c.abandon();
         }
         return null;
     }
 
+    private static boolean isUnusable(UpstreamConnection connection, Instant now) {
+        if (connection.isUsable(now)) {
+            return false;
+        }
+        connection.abandon();
+        return true;
+    }
+
     private void release(UpstreamConnection connection) {
         idle.addLast(connection);
         if (idle.size() > MAX_IDLE_CONNECTIONS) {
--- /dev/null
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EarlierAnswerOnKeptConnectionTest.java
@@ -0,0 +1,86 @@
+package org.papayawalk.daemon.managed.entry;
+
+import static org.papayawalk.daemon.managed.KeptConnectionServer.idLine;
+import static org.papayawalk.daemon.managed.KeptConnectionServer.response;
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import org.papayawalk.daemon.managed.KeptConnectionServer;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against answers of earlier requests that callers get as their own: the upstream sends them
+ * once more on a connection that the entry has kept.
+ */
+public final class EarlierAnswerOnKeptConnectionTest {
+    private static final String ROW =
+            """
+            {"service":"desk","address":"%s","zone":"luzon-a","slots":4,"state":"ready","born":1}
+            """;
+
+    private ManagedEntryFixture fixture;
+
+    private KeptConnectionServer server;
+
+    private int warmUps;
+
+    /**
+     * Starts the entry before one server.
+     *
+     * @throws IOException if a port cannot be bound
+     */
+    @BeforeClass
+    public void start() throws IOException {
+        fixture = new ManagedEntryFixture();
+        server = new KeptConnectionServer();
+        fixture.store().put("servers", "i-3", ROW.formatted(server.address()));
+        fixture.store().remove("servers", "i-1");
+        fixture.store().remove("servers", "i-2");
+        ManagedEntryFixture.await(() -> fixture.knowsUsable("i-3"));
+    }
+
+    /** Waits until the entry uses the server, on a connection that it keeps. */
+    @BeforeMethod
+    public void reset() {
+        server.answers((id, earlier) -> response(200, idLine(id), "answer"));
+        ManagedEntryFixture.await(() -> send("GET", "warm-" + warmUps++).body().equals("answer"));
+    }
+
+    /**
+     * Stops the server and the entry.
+     *
+     * @throws IOException if the server cannot be closed
+     */
+    @AfterClass
+    public void stop() throws IOException {
+        server.close();
+        fixture.close();
+    }
+
+    /** A caller that uses an id again gets no earlier answer to that id. */
+    @Test
+    public void repeatedIdGetsNoEarlierAnswer() {
+        server.answers((id, earlier) -> response(200, idLine(id), "first"));
+        assertEquals(send("GET", "again").body(), "first");
+        String failure = response(500, idLine("again"), "failed");
+        server.answers(
+                (id, earlier) ->
+                        earlier.isEmpty() ? failure : response(200, idLine(id), "first") + failure);
+        assertEquals(send("GET", "again").status(), 500);
+    }
+
+    private TestCaller.Response send(String method, String id) {
+        String request = fixture.caller().request(method, "/read/x", "key-1");
+        String named = request.replaceFirst("X-Request-Id: r[0-9]+", "X-Request-Id: " + id);
+        try (Socket socket = fixture.caller().connect()) {
+            TestCaller.write(socket, named);
+            return TestCaller.read(socket);
+        } catch (IOException e) {
+            throw new AssertionError("no response from the entry", e);
+        }
+    }
+}
