Take an answer without an id only for a connection's first request

Cause: only a success had to name its request. A refusal that names none, written once more on a kept connection, was taken for whatever request was in flight. An answer that names two requests was taken by the first.

Evidence: three tests of EarlierAnswerOnKeptConnectionTest failed before: refusalWithoutIdIsNoAnswerOnKeptConnection (503 for a request that was run), connectionIsNotKeptAfterRefusalWithoutId (refused where the server answered "ran") and answerWithTwoIdsIsNoAnswer (200 for 502).

Change: an answer without an id ends the attempt, but for a failure in response to the first request of its connection, and the connection isn't kept after it. Lines of the id that differ count as none. Requests that aren't idempotent use new connections, so nothing changes for them.

Measured: the tests pass.

--- a/src/main/java/org/papayawalk/core/call/ResponseMetadata.java
+++ b/src/main/java/org/papayawalk/core/call/ResponseMetadata.java
@@ -8,7 +8,8 @@
 /**
  * Metadata of a response, as stated by the upstream. Immutable.
  *
- * @param requestId id of the request that the response belongs to, empty if not stated
+ * @param requestId id of the request that the response belongs to, empty if not stated or if
+ *     several are
  * @param notRun whether the upstream states that it did not run the request
  * @param hasAuthenticationCode whether the response carries an authentication code of the upstream;
  *     the code itself is not verified
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -28,9 +28,9 @@
 
 /**
  * Connection to an upstream that carries one request at a time, and each id once. A response is
- * accepted only if it carries the id of the current request. A late response to an earlier request
- * is skipped. The connection is used again only if no bytes came behind the response. Confined to
- * the event loop thread.
+ * accepted only if it carries the id of the current request; without an id, only a failure in
+ * response to the first request. A late response to an earlier request is skipped. The connection
+ * is used again only if no bytes came behind the response. Confined to the event loop thread.
  */
 final class UpstreamConnection extends ChannelDuplexHandler {
     /** Time for which an idle connection is reused if the upstream states no keep-alive timeout. */
@@ -234,13 +234,16 @@
             refuse(
                     "response with status "
                             + response.status().code()
-                            + " carries no request id, expected '"
+                            + " names no request or several, expected '"
                             + requestId
                             + "'");
             return;
         }
         bodyEnd = bodyEnd(response);
-        keepAlive = HttpUtil.isKeepAlive(response) && bodyEnd != BodyEnd.CONNECTION;
+        keepAlive =
+                HttpUtil.isKeepAlive(response)
+                        && bodyEnd != BodyEnd.CONNECTION
+                        && metadata.requestId().isPresent();
         idleLimit = DEFAULT_IDLE_LIMIT;
         metadata.keepAliveSeconds()
                 .ifPresent(
--- a/src/main/java/org/papayawalk/platform/HeaderCodec.java
+++ b/src/main/java/org/papayawalk/platform/HeaderCodec.java
@@ -141,7 +141,7 @@
         int[] load = parseNumbers(headers.get(LOAD));
         int[] version = parseNumbers(headers.get(WEIGHT_VERSION));
         return new ResponseMetadata(
-                Optional.ofNullable(headers.get(REQUEST_ID)),
+                singleValue(headers.getAll(REQUEST_ID)),
                 headers.contains(NOT_EXECUTED),
                 headers.contains(SERVER_STAMP),
                 load.length == 3
@@ -228,6 +228,13 @@
         return List.copyOf(parts);
     }
 
+    // Returns the value on which all lines of a header agree.
+    private static Optional<String> singleValue(List<String> lines) {
+        return lines.stream().distinct().count() == 1
+                ? Optional.of(lines.get(0))
+                : Optional.empty();
+    }
+
     private static OptionalLong millis(String text) {
         int[] numbers = parseNumbers(text);
         return numbers.length == 1 ? OptionalLong.of(numbers[0]) : OptionalLong.empty();
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EarlierAnswerOnKeptConnectionTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EarlierAnswerOnKeptConnectionTest.java
@@ -3,6 +3,7 @@
 import static org.papayawalk.daemon.managed.KeptConnectionServer.idLine;
 import static org.papayawalk.daemon.managed.KeptConnectionServer.response;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -73,6 +74,39 @@
         assertEquals(send("GET", "again").status(), 500);
     }
 
+    /** A refusal that names no request says nothing of one on a kept connection. */
+    @Test
+    public void refusalWithoutIdIsNoAnswerOnKeptConnection() {
+        String refusal = response(503, "X-Not-Executed: 1\r\n", "");
+        server.answers(
+                (id, earlier) ->
+                        (earlier.isEmpty() ? "" : refusal) + response(200, idLine(id), "ran"));
+        assertNotEquals(send("GET", "after").status(), 503);
+    }
+
+    /** A connection whose answer named no request is not used again. */
+    @Test
+    public void connectionIsNotKeptAfterRefusalWithoutId() {
+        server.answers(
+                (id, earlier) -> response(200, idLine(id) + "Connection: close\r\n", "last"));
+        assertEquals(send("GET", "last").body(), "last");
+        String refusal = response(503, "X-Not-Executed: 1\r\n", "");
+        server.answers((id, earlier) -> refusal);
+        assertEquals(send("GET", "refused").status(), 503);
+        server.answers(
+                (id, earlier) ->
+                        (earlier.contains("refused") ? refusal : "")
+                                + response(200, idLine(id), "ran"));
+        assertEquals(send("GET", "next").body(), "ran");
+    }
+
+    /** An answer with two ids names no request. */
+    @Test
+    public void answerWithTwoIdsIsNoAnswer() {
+        server.answers((id, earlier) -> response(200, idLine(id) + idLine("another"), "whose"));
+        assertEquals(send("GET", "two").status(), 502);
+    }
+
     private TestCaller.Response send(String method, String id) {
         String request = fixture.caller().request(method, "/read/x", "key-1");
         String named = request.replaceFirst("X-Request-Id: r[0-9]+", "X-Request-Id: " + id);
