Keep no connection after HEAD or after an answer to another request

Callers would see: no answer until their deadline (504) though the server has answered, or another answer's bytes as the end of their own.

Cause: where a skipped answer ends is told by its own head and by the method of the request in flight. The second copy of an answer to HEAD states a length without a body, so that the next answer's bytes are skipped as that body. A server that has sent one answer too many may send more, cut anywhere.

Evidence: secondAnswerToHeadTakesNoBytesOfTheNextAnswer failed before: 504 after 3 s for 200 "own".

Change: after HEAD, and after an answer to another request was skipped, the connection isn't used again. The answer that follows a skipped one is still taken, if it bears the id.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -30,7 +30,8 @@
  * Connection to an upstream that carries one request at a time, and each id once. A response is
  * accepted only if it carries the id of the current request; without an id, only a failure in
  * response to the first request. A late response to an earlier request is skipped. The connection
- * is used again only if no bytes came behind the response. Confined to the event loop thread.
+ * is used again only if its upstream has sent nothing but the response, with its id. Confined to
+ * the event loop thread.
  */
 final class UpstreamConnection extends ChannelDuplexHandler {
     /** Time for which an idle connection is reused if the upstream states no keep-alive timeout. */
@@ -70,6 +71,9 @@
     /** What tells the end of the current response's body. */
     private BodyEnd bodyEnd = BodyEnd.CONNECTION;
 
+    /** Whether a response to another request was received. */
+    private boolean strayReceived;
+
     /** Whether the connection can be reused after the current response. */
     private boolean keepAlive;
 
@@ -226,6 +230,7 @@
         skippingResponse = preliminary || foreign;
         if (foreign) {
             unasked("other-request").with("other_id", metadata.requestId().get()).info();
+            strayReceived = true;
         }
         if (skippingResponse) {
             return;
@@ -243,7 +248,9 @@
         keepAlive =
                 HttpUtil.isKeepAlive(response)
                         && bodyEnd != BodyEnd.CONNECTION
-                        && metadata.requestId().isPresent();
+                        && metadata.requestId().isPresent()
+                        && !strayReceived
+                        && !decoder.isHead();
         idleLimit = DEFAULT_IDLE_LIMIT;
         metadata.keepAliveSeconds()
                 .ifPresent(
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamResponseDecoder.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamResponseDecoder.java
@@ -54,6 +54,15 @@
         method = newMethod;
     }
 
+    /**
+     * Returns whether the request in flight has the method HEAD.
+     *
+     * @return true if its response has no body, whatever length it states
+     */
+    boolean isHead() {
+        return method.equals(HttpMethod.HEAD);
+    }
+
     /**
      * Returns the number of bytes that were received and not decoded yet. Within the last part of a
      * response they are the bytes that came behind it.
@@ -79,6 +88,6 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return method.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
+        return isHead() || super.isContentAlwaysEmpty(message);
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EarlierAnswerOnKeptConnectionTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EarlierAnswerOnKeptConnectionTest.java
@@ -107,6 +107,18 @@
         assertEquals(send("GET", "two").status(), 502);
     }
 
+    /** The length in an answer to HEAD does not take bytes of the next answer. */
+    @Test
+    public void secondAnswerToHeadTakesNoBytesOfTheNextAnswer() {
+        String head = "HTTP/1.1 200 X\r\n" + idLine("head") + "Content-Length: 500\r\n\r\n";
+        server.answers((id, earlier) -> head);
+        assertEquals(send("HEAD", "head").status(), 200);
+        server.answers(
+                (id, earlier) ->
+                        (earlier.contains("head") ? head : "") + response(200, idLine(id), "own"));
+        assertEquals(send("GET", "own").body(), "own");
+    }
+
     private TestCaller.Response send(String method, String id) {
         String request = fixture.caller().request(method, "/read/x", "key-1");
         String named = request.replaceFirst("X-Request-Id: r[0-9]+", "X-Request-Id: " + id);
