Keep no connection of the HTTP client with bytes behind an answer

Cause: the connection went to the pool from inside the decoding loop. A second copy of the answer in the same read, whole or cut, was decoded after the next request had been sent, and what was left of it in HttpClientCodec joined the head or the body of the next answer. ReceivedBytesHandler refuses only what comes in a later read while no request is in progress.

Evidence: BytesBehindAnswerTest sends an answer (length or chunks) and a copy of it, cut at each byte, in one write. Before this change the next request failed to get its own 500 at all 149 places: 52 times it got a 200 (45 with the text of the 500 as its body), 97 times a fault.

Change: HttpRequestEncoder and a small decoder that tells how many bytes it has not decoded take the place of HttpClientCodec. A connection goes to the pool only if nothing is left when its answer ends, as in the entry. Then the rest of the loop has nothing to decode, and later reads are refused while it is idle.

Measured: BytesBehindAnswerTest passes, also that a clean connection is reused (one connection for three requests); BrokenServerAnswerTest, EndlessServerTest and AsyncHttpClientTest pass.

--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -8,10 +8,10 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -29,9 +29,9 @@
 
 /**
  * HTTP client with a connection pool. A connection carries one request at a time and is reused for
- * requests to the same address; it is closed if its request fails. After a timeout, idle
- * connections to that address that have not answered since are not reused, as they may be silent
- * too. Thread-safe.
+ * requests to the same address; it is closed if its request fails, and if bytes came behind the
+ * response, as they would be read as the next one. After a timeout, idle connections to that
+ * address that have not answered since are not reused, as they may be silent too. Thread-safe.
  */
 public final class AsyncHttpClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
@@ -151,7 +151,8 @@
                 channel -> connection.send(request, response),
                 response::completeExceptionally,
                 new ReceivedBytesHandler(connection::accepts),
-                new HttpClientCodec(),
+                new HttpRequestEncoder(),
+                connection.decoder,
                 new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                 connection);
     }
@@ -171,6 +172,8 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final String address;
 
+        private final ResponseDecoder decoder = new ResponseDecoder();
+
         /** Channel, null until the connection is open. */
         private volatile Channel channel;
 
@@ -231,7 +234,7 @@
             }
             byte[] body = ByteBufUtil.getBytes(response.content());
             idleSinceNanos = System.nanoTime();
-            if (HttpUtil.isKeepAlive(response)) {
+            if (HttpUtil.isKeepAlive(response) && decoder.undecodedBytes() == 0) {
                 addIdle(this);
             } else {
                 context.close();
