Refuse nested heads also in the HTTP client of the daemons

A copy of an earlier answer that ends inside the reason, a header's value or a trailer is continued by the status line of the next answer, and its status is read with the body of that one. These answers carry no id at all.

Evidence: NestedAnswerTest sends the next request on a kept connection and answers it with a copy that is cut at each byte of its head or trailers, and a 500. Before this change 50 of the cut copies made it a 200: 24 of an answer with a length, 21 of one with chunks, 5 inside a trailer.

Change: a response whose head or trailers hold a status line (NestedHead) ends its request with a fault of unknown outcome, and its connection.

A copy that ends behind its head isn't covered by this.

--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -20,6 +20,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -224,11 +225,11 @@
             budget.release(bufferHandle);
             CompletableFuture<AsyncHttpResponse> pending = pendingResponse;
             pendingResponse = null;
-            boolean malformed = response.decoderResult().isFailure();
-            if (pending == null || malformed) {
+            Optional<Throwable> defect = defect(response);
+            if (pending == null || defect.isPresent()) {
                 context.close();
                 if (pending != null) {
-                    pending.completeExceptionally(response.decoderResult().cause());
+                    pending.completeExceptionally(defect.orElseThrow());
                 }
                 return;
             }
@@ -287,6 +288,18 @@
             channel.close();
         }
 
+        // Returns why a message is no response.
+        private static Optional<Throwable> defect(FullHttpResponse response) {
+            if (response.decoderResult().isFailure()) {
+                return Optional.of(response.decoderResult().cause());
+            }
+            if (NestedHead.isIn(response) || NestedHead.isIn(response.trailingHeaders())) {
+                return Optional.of(
+                        new IOException("another response begins inside the head of a response"));
+            }
+            return Optional.empty();
+        }
+
         // Accepts no bytes while no request is in progress, and none beyond the bounds.
         private boolean accepts(int bytes) {
             if (pendingResponse == null) {
