Give each order and chunk call to an engine its own connection

Callers would see: a token made with weights of two versions (WHOLE), or an engine left on an old version.

Cause: all calls of an agent shared kept connections, and answers of an engine to /report, /order, /stage-put and /stage-get tell nothing of their call. An engine is a server, which may send an answer once more, late. The order follows a report at once and on its connection: a second copy of the report, a 200, then reads as the order's acceptance. Staging resumes while the engine may still accept the order. A write whose outcome isn't known doesn't count as open, so that it may replace a chunk of a newer, verified version.

Change: these calls go over a connection that carries no other request. Only reports share one, so that what is late there is a report.

Cost, by the code: no new connection in steady state; one for each chunk that is staged or read back and one for each order, so 97 for 48 chunks and one verification, within the seconds in which a version is staged, all between processes of one machine.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -28,7 +28,12 @@
 import org.papayawalk.log.Event;
 import org.papayawalk.platform.EngineCodec;
 
-/** Client of the model engine on the same host. Thread-safe; calls block. */
+/**
+ * Client of the model engine on the same host. The engine may send a response once more, which
+ * would pass for that to the next request on the connection. Only reports share a connection; each
+ * other call has its own, as its response does not tell what it responds to. Thread-safe; calls
+ * block.
+ */
 final class LocalEngine implements StagingArea {
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1500);
 
@@ -118,7 +123,7 @@
         String target = EngineCodec.stageChunkTarget(manifest.model(), index);
         AsyncHttpRequest write =
                 new AsyncHttpRequest(address, HttpMethod.PUT, target, data, CALL_TIMEOUT);
-        return http.send(write)
+        return http.sendOnOwnConnection(write)
                 .join()
                 .flatMap(a -> requireOutcome(write, a))
                 .flatMap(a -> requireSuccess(write, a))
@@ -198,7 +203,7 @@
     CompletableFuture<Either<Fault, Optional<byte[]>>> startRead(Manifest manifest, int index) {
         String target = EngineCodec.stagedChunkTarget(manifest.model(), index);
         AsyncHttpRequest call = AsyncHttpRequest.get(address, target, CALL_TIMEOUT);
-        return http.send(call).thenApply(a -> decodeChunk(call, a));
+        return http.sendOnOwnConnection(call).thenApply(a -> decodeChunk(call, a));
     }
 
     private static Either<Fault, Optional<byte[]>> decodeChunk(
@@ -273,7 +278,7 @@
                         EngineCodec.LOAD_ORDER_TARGET,
                         body,
                         CALL_TIMEOUT);
-        Either<Fault, AsyncHttpResponse> answer = http.send(loadCall).join();
+        Either<Fault, AsyncHttpResponse> answer = http.sendOnOwnConnection(loadCall).join();
         if (answer.isRight() && answer.get().status() == STATUS_CONFLICT) {
             return Either.right(false);
         }
--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -30,9 +30,10 @@
 
 /**
  * HTTP client with a connection pool. A connection carries one request at a time and is reused for
- * requests to the same address; it is closed if its request fails, and if bytes came behind the
- * response, as they would be read as the next one. After a timeout, idle connections to that
- * address that have not answered since are not reused, as they may be silent too. Thread-safe.
+ * requests to the same address, unless a request asks for its own. It is closed if its request
+ * fails, and if bytes came behind the response, as they would be read as the next one. After a
+ * timeout, idle connections to that address that have not answered since are not reused, as they
+ * may be silent too. Thread-safe.
  */
 public final class AsyncHttpClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
@@ -63,20 +64,34 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request over an idle connection, or over a new one if there is none. A server that
+     * sends a response twice may let the second copy pass for the response to this request.
      *
      * @param request request to send
      * @return response with any status, or a fault; never completes exceptionally
      */
     public CompletableFuture<Either<Fault, AsyncHttpResponse>> send(AsyncHttpRequest request) {
+        return send(request, Optional.ofNullable(takeIdle(request.address())), true);
+    }
+
+    /**
+     * Sends a request over a new connection that carries no other one, so that a response can only
+     * belong to this request.
+     *
+     * @param request request to send
+     * @return response with any status, or a fault; never completes exceptionally
+     */
+    public CompletableFuture<Either<Fault, AsyncHttpResponse>> sendOnOwnConnection(
+            AsyncHttpRequest request) {
+        return send(request, Optional.empty(), false);
+    }
+
+    private CompletableFuture<Either<Fault, AsyncHttpResponse>> send(
+            AsyncHttpRequest request, Optional<Connection> pooled, boolean reusable) {
         long sentNanos = System.nanoTime();
         CompletableFuture<AsyncHttpResponse> response = new CompletableFuture<>();
-        Connection pooled = takeIdle(request.address());
-        if (pooled == null) {
-            connect(request, response);
-        } else {
-            pooled.send(request, response);
-        }
+        pooled.ifPresentOrElse(
+                c -> c.send(request, response), () -> connect(request, response, reusable));
         return response.orTimeout(request.timeout().toNanos(), TimeUnit.NANOSECONDS)
                 .handle((a, e) -> toResult(request, sentNanos, a, e));
     }
@@ -143,8 +158,11 @@
         }
     }
 
-    private void connect(AsyncHttpRequest request, CompletableFuture<AsyncHttpResponse> response) {
-        Connection connection = new Connection(request.address());
+    private void connect(
+            AsyncHttpRequest request,
+            CompletableFuture<AsyncHttpResponse> response,
+            boolean reusable) {
+        Connection connection = new Connection(request.address(), reusable);
         Connector.connect(
                 group,
                 request.address(),
@@ -173,6 +191,8 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final String address;
 
+        private final boolean reusable;
+
         private final ResponseDecoder decoder = new ResponseDecoder();
 
         /** Channel, null until the connection is open. */
@@ -194,9 +214,11 @@
          * Creates a connection that is not open yet.
          *
          * @param address IP address and port of the server
+         * @param reusable whether it may carry more than one request
          */
-        Connection(String address) {
+        Connection(String address, boolean reusable) {
             this.address = address;
+            this.reusable = reusable;
         }
 
         @Override
@@ -235,7 +257,8 @@
             }
             byte[] body = ByteBufUtil.getBytes(response.content());
             idleSinceNanos = System.nanoTime();
-            if (HttpUtil.isKeepAlive(response) && decoder.undecodedBytes() == 0) {
+            boolean clean = decoder.undecodedBytes() == 0;
+            if (reusable && clean && HttpUtil.isKeepAlive(response)) {
                 addIdle(this);
             } else {
                 context.close();
