Read manifests and chunks from the origin on connections of their own

Cause: a manifest is accepted if two reads return the same bytes, but both went over one kept connection. If the origin sends its first answer once more, the copy is the second read. Chunks are verified, but a copy makes each answer that of the request before, and reads follow so closely that this doesn't end.

Change: each read has a connection that carries no other request.

--- a/src/main/java/org/papayawalk/daemon/managed/weight/ManagedOrigin.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/ManagedOrigin.java
@@ -24,8 +24,9 @@
 /**
  * Client of the origin of weights on the managed platform. The origin may send wrong bytes: a
  * manifest is accepted only if two consecutive reads return the same bytes, and chunks are verified
- * against the manifest after they were received. Only registered versions can be read. Thread-safe;
- * calls block.
+ * against the manifest after they were received. Each read has a connection of its own, as the
+ * origin may send a response once more and that does not tell what it responds to. Only registered
+ * versions can be read. Thread-safe; calls block.
  */
 public final class ManagedOrigin implements Origin, ManifestParser {
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
@@ -122,7 +123,8 @@
                             "no desired state with an origin address was received yet"));
         }
         Either<Fault, AsyncHttpResponse> answer =
-                http.send(AsyncHttpRequest.get(address, target, CALL_TIMEOUT)).join();
+                http.sendOnOwnConnection(AsyncHttpRequest.get(address, target, CALL_TIMEOUT))
+                        .join();
         return answer.filterOrElse(
                         AsyncHttpResponse::isSuccess,
                         a ->
