Read a report again that is older than the last one

Cause: reports share a connection, and a report sent once more, late, passes for the next one. An unanswered order counts as settled once a report states another number of orders than the one it is based on, also a lower one of before.

Evidence: StutteringEngineTest.reportOfBeforeIsNotTaken, before this change: a report of 3 orders is taken after one of 4.

Change: a report with fewer orders than the last one of the same incarnation is read again over a connection of its own, and what comes there counts. A server that forgets its orders without a new incarnation is believed so too. A copy with the same number of orders changes no decision: an order names that number, and the engine refuses it if it is outdated.

Cost, by the code: a connection only if the number goes back.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -233,22 +233,51 @@
     }
 
     /**
-     * Reads the state of the engine.
+     * Reads the state of the engine. A report that is older than the last one is read again over a
+     * connection of its own: the engine may have sent it once more.
      *
      * @return report, or fault
      */
     Either<Fault, EngineReport> report() {
-        return call(AsyncHttpRequest.get(address, EngineCodec.REPORT_TARGET, CALL_TIMEOUT))
+        AsyncHttpRequest call =
+                AsyncHttpRequest.get(address, EngineCodec.REPORT_TARGET, CALL_TIMEOUT);
+        return http.send(call)
+                .join()
+                .flatMap(a -> decodeReport(call, a))
+                .flatMap(
+                        r ->
+                                isOutdated(r)
+                                        ? http.sendOnOwnConnection(call)
+                                                .join()
+                                                .flatMap(a -> decodeReport(call, a))
+                                        : Either.right(r))
+                .peek(this::recordReport);
+    }
+
+    // Orders are forgotten only with a restart, which changes the incarnation.
+    private boolean isOutdated(EngineReport report) {
+        return lastReport
+                .filter(r -> r.incarnation() == report.incarnation())
+                .filter(r -> r.orders() > report.orders())
+                .isPresent();
+    }
+
+    private static Either<Fault, EngineReport> decodeReport(
+            AsyncHttpRequest call, AsyncHttpResponse answer) {
+        return requireSuccess(call, answer)
                 .flatMap(
                         a -> {
                             try {
                                 return Either.right(EngineCodec.decodeReport(a.body()));
                             } catch (IOException e) {
                                 return Either.left(
-                                        Fault.of(FaultKind.CORRUPT, "read-report", address, e));
+                                        Fault.of(
+                                                FaultKind.CORRUPT,
+                                                "read-report",
+                                                call.address(),
+                                                e));
                             }
-                        })
-                .peek(this::recordReport);
+                        });
     }
 
     /**
@@ -287,10 +316,6 @@
                 .map(a -> true);
     }
 
-    private Either<Fault, AsyncHttpResponse> call(AsyncHttpRequest call) {
-        return http.send(call).join().flatMap(a -> requireSuccess(call, a));
-    }
-
     private static Either<Fault, AsyncHttpResponse> requireOutcome(
             AsyncHttpRequest call, AsyncHttpResponse answer) {
         if (!STATUSES_WITHOUT_OUTCOME.contains(answer.status())) {
--- a/src/test/java/org/papayawalk/daemon/managed/agent/StutteringEngineTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/StutteringEngineTest.java
@@ -27,8 +27,7 @@
  * the engine sends its answer to the call before once more.
  */
 public final class StutteringEngineTest {
-    private static final String REPORT =
-            KeptConnectionServer.answer(200, "{\"born\":1,\"models\":[],\"sequence\":3}");
+    private static final String REPORT = report(1, 3);
 
     private static final byte[] CHUNK = {'a'};
 
@@ -112,6 +111,47 @@
         }
     }
 
+    /**
+     * A report sent once more, after the engine has told of a further order, is not believed.
+     *
+     * @throws IOException if no port is free
+     */
+    @Test
+    public void reportOfBeforeIsNotTaken() throws IOException {
+        String later = report(1, 4);
+        int[] reports = {0};
+        KeptConnectionServer.Answers answers =
+                (target, earlier) -> {
+                    reports[0]++;
+                    String answer = reports[0] == 1 ? REPORT : later;
+                    return reports[0] == 3 ? REPORT + answer : answer;
+                };
+        try (KeptConnectionServer server = new KeptConnectionServer(answers)) {
+            LocalEngine engine = engine(server);
+            assertEquals(engine.report().get().orders(), 3);
+            assertEquals(engine.report().get().orders(), 4);
+            assertEquals(engine.report().get().orders(), 4);
+            assertEquals(engine.lastReport().get().orders(), 4);
+        }
+    }
+
+    /**
+     * Fewer orders than before are believed if the engine says so on a new connection.
+     *
+     * @throws IOException if no port is free
+     */
+    @Test
+    public void forgottenOrdersAreBelieved() throws IOException {
+        int[] reports = {0};
+        KeptConnectionServer.Answers answers =
+                (target, earlier) -> reports[0]++ == 0 ? REPORT : report(1, 0);
+        try (KeptConnectionServer server = new KeptConnectionServer(answers)) {
+            LocalEngine engine = engine(server);
+            assertEquals(engine.report().get().orders(), 3);
+            assertEquals(engine.report().get().orders(), 0);
+        }
+    }
+
     /**
      * Reports, which are read all the time, go over one connection.
      *
@@ -136,6 +176,11 @@
                         target.equals("/report") ? REPORT : copyBefore(earlier, REPORT, answer));
     }
 
+    private static String report(long born, long orders) {
+        String body = "{\"born\":%d,\"models\":[],\"sequence\":%d}".formatted(born, orders);
+        return KeptConnectionServer.answer(200, body);
+    }
+
     private static String copyBefore(int earlier, String copy, String answer) {
         return earlier == 0 ? answer : copy + answer;
     }
