Test that a reply of a peer goes to its own call only

The test shows the client's part: a reply that comes once more while the next call waits is dropped.

--- a/src/test/java/org/papayawalk/wire/PeerClientConnectionTest.java
+++ b/src/test/java/org/papayawalk/wire/PeerClientConnectionTest.java
@@ -50,6 +50,38 @@
         assertEquals(faults.get(0).kind(), FaultKind.UNKNOWN_OUTCOME);
     }
 
+    /** A reply sent once more, late, does not pass for that to the next call. */
+    @Test
+    public void repliesGoToTheirOwnCall() {
+        List<Envelope> first = new ArrayList<>();
+        List<Envelope> second = new ArrayList<>();
+        PeerClientConnection connection = newConnection();
+        EmbeddedChannel channel = new EmbeddedChannel(connection);
+        long firstCall = connection.call(query(), recorder(first));
+        Envelope reply = Envelope.newBuilder().setCall(firstCall).build();
+        channel.writeInbound(reply);
+        connection.removeListener(firstCall);
+        long secondCall = connection.call(query(), recorder(second));
+        Envelope own = Envelope.newBuilder().setCall(secondCall).build();
+        channel.writeInbound(reply, own);
+        assertEquals(first, List.of(reply));
+        assertEquals(second, List.of(own));
+    }
+
+    private static ReplyListener recorder(List<Envelope> replies) {
+        return new ReplyListener() {
+            @Override
+            public void onReply(Envelope message) {
+                replies.add(message);
+            }
+
+            @Override
+            public void onFailure(Fault fault) {
+                throw new AssertionError(fault.toString());
+            }
+        };
+    }
+
     private static PeerClientConnection newConnection() {
         return new PeerClientConnection("127.0.0.1:1", new AtomicLong());
     }
