Fail an attempt whose address can't be used, throw nothing

Cause: the row counted as valid, and the connector threw in the event loop where an attempt expects a failure. A calling daemon threw in the same way, in the control task that would have sent its next query.

Change: Addresses.isIpAndPort is the one check of an address that somebody else wrote: four bytes without padding, a unicast host, port 1 to 65,535. The connector and the peer client report a malformed address as the failure of the attempt, whatever wrote it.

Measured: ConnectorTest failed 8 of 8 and PeerClientTest 4 of 4 before, both pass; of OddServerRowTest the two cases with port 99999 pass, 5 of 41 still fail; of UpstreamRegistrationCodecTest 20 of 104 (28 before). AsyncHttpClientTest passes.

--- a/src/main/java/org/papayawalk/http/Connector.java
+++ b/src/main/java/org/papayawalk/http/Connector.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import org.papayawalk.core.Addresses;
 
@@ -16,7 +17,7 @@
     private Connector() {}
 
     /**
-     * Opens a connection without blocking.
+     * Opens a connection without blocking. A malformed address is a failure like any other.
      *
      * @param group event loops
      * @param address IP address and port of the server
@@ -33,6 +34,13 @@
             Consumer<Channel> onConnected,
             Consumer<Throwable> onFailure,
             ChannelHandler... handlers) {
+        InetSocketAddress peer;
+        try {
+            peer = Addresses.parse(address);
+        } catch (IllegalArgumentException e) {
+            group.next().execute(() -> onFailure.accept(e));
+            return;
+        }
         SocketOptions.apply(new Bootstrap(), timeoutMillis)
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -43,7 +51,7 @@
                                 channel.pipeline().addLast(handlers);
                             }
                         })
-                .connect(Addresses.parse(address))
+                .connect(peer)
                 .addListener(
                         (ChannelFutureListener)
                                 f -> {
--- a/src/main/java/org/papayawalk/platform/UpstreamRegistrationCodec.java
+++ b/src/main/java/org/papayawalk/platform/UpstreamRegistrationCodec.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.papayawalk.core.Addresses;
 import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.id.UpstreamId;
@@ -41,7 +42,9 @@
                             && root.path("slots").asInt() > 0
                             && (root.path("born").isMissingNode()
                                     || root.path("born").isIntegralNumber());
-            if (!validState || !validFields || !isIpAndPort(root.path("address").asText())) {
+            if (!validState
+                    || !validFields
+                    || !Addresses.isIpAndPort(root.path("address").asText())) {
                 return Optional.empty();
             }
             return Optional.of(
@@ -75,8 +78,4 @@
         }
         return models;
     }
-
-    private static boolean isIpAndPort(String address) {
-        return address.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
-    }
 }
--- a/src/main/java/org/papayawalk/wire/PeerClient.java
+++ b/src/main/java/org/papayawalk/wire/PeerClient.java
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.vavr.control.Either;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -157,6 +158,13 @@
     private CompletableFuture<PeerClientConnection> connect(ConnectionKey key) {
         PeerClientConnection connection = new PeerClientConnection(key.address(), controlBytesSent);
         CompletableFuture<PeerClientConnection> future = new CompletableFuture<>();
+        InetSocketAddress peer;
+        try {
+            peer = Addresses.parse(key.address());
+        } catch (IllegalArgumentException e) {
+            future.completeExceptionally(e);
+            return future;
+        }
         new Bootstrap()
                 .group(eventLoops.group())
                 .channel(NioSocketChannel.class)
@@ -171,7 +179,7 @@
                                 WirePipeline.addHandlers(channel.pipeline(), connection);
                             }
                         })
-                .connect(Addresses.parse(key.address()))
+                .connect(peer)
                 .addListener(
                         done -> {
                             if (done.isSuccess()) {
