Let one unreadable row hide no other row of its table

Cause: three paths. A value that isn't Base64 made the whole response of the store malformed; the read was repeated for good. An empty key threw behind the table replica, which delivers each change once: the rows after it were lost, and the polls ended, as the next one was sent only after the receiver had returned. A row version out of range wrapped around and hid all later versions of the row.

Change: a value that can't be decoded is empty, which no reader accepts; a row version is read with its range and is at most that of its response; a key that no header can carry names no server; a row that can't be applied is logged and ends neither the update nor the polls, which go on as a control task of their own.

--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -195,13 +195,23 @@
             return;
         }
         for (TableRecord r : changed) {
+            applyRow(table, r, initial ? Instant.MIN : toldAt, source);
+        }
+        publishSnapshot();
+    }
+
+    // A row that cannot be applied does not keep the rows after it from being applied, since the
+    // replica delivers each change once.
+    private void applyRow(String table, TableRecord row, Instant writtenBy, String source) {
+        try {
             if (table.equals(StoreCodec.SERVER_TABLE)) {
-                applyServerRow(r);
+                applyServerRow(row);
             } else {
-                applyOperatorRow(r, initial ? Instant.MIN : toldAt, source);
+                applyOperatorRow(row, writtenBy, source);
             }
+        } catch (RuntimeException e) {
+            Event.named("row-failed").with("table", table).with("key", row.key()).error(e);
         }
-        publishSnapshot();
     }
 
     // The store was restored from an older copy: it may lack rows that will be written again, and
@@ -228,7 +238,12 @@
     }
 
     private void applyServerRow(TableRecord row) {
-        UpstreamId id = new UpstreamId(row.key());
+        Optional<UpstreamId> usableId = UpstreamRegistrationCodec.decodeId(row.key());
+        if (usableId.isEmpty()) {
+            Event.named("upstream-unreadable").with("upstream", row.key()).warn();
+            return;
+        }
+        UpstreamId id = usableId.get();
         if (row.removed()) {
             upstreams.remove(id, clock.instant());
             Event.named("upstream-removed").with("upstream", id).info();
@@ -242,7 +257,7 @@
             return;
         }
         Optional<UpstreamRegistration> registration =
-                UpstreamRegistrationCodec.decode(row.key(), row.value());
+                UpstreamRegistrationCodec.decode(id, row.value());
         if (registration.isEmpty()) {
             upstreams.remove(id, clock.instant());
             Event.named("upstream-unreadable").with("upstream", id).warn();
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -261,8 +261,9 @@
             receiver.callEnded(kind, update.rows().isEmpty() ? Outcome.NOTHING : Outcome.DONE);
             recordSuccess();
             consecutiveDrops = 0;
+            // A task of its own, so that the polls go on whatever the receiver does.
+            thread.execute(() -> continueAfter(update, callGeneration));
             receiver.apply(update, after);
-            continueAfter(update, callGeneration);
         } catch (IOException e) {
             retryAfterMalformedAnswer(e, callGeneration);
         }
@@ -344,8 +345,8 @@
             }
             recordSuccess();
             needsFullRead = false;
+            thread.execute(() -> sendNextRequest(callGeneration));
             receiver.apply(new TableUpdate(rows, covered, true), 0);
-            sendNextRequest(callGeneration);
         } catch (IOException e) {
             retryAfterMalformedAnswer(e, callGeneration);
         }
--- a/src/main/java/org/papayawalk/platform/JsonTree.java
+++ b/src/main/java/org/papayawalk/platform/JsonTree.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.util.OptionalLong;
 
 /** Parses and writes JSON trees. Thread-safe. */
 final class JsonTree {
@@ -26,6 +27,22 @@
         return root;
     }
 
+    /**
+     * Reads a whole number that somebody else wrote.
+     *
+     * @param node value, may be missing
+     * @param min smallest valid number
+     * @param max largest valid number
+     * @return number, empty if the value is not a JSON integer or out of range
+     */
+    static OptionalLong wholeNumber(JsonNode node, long min, long max) {
+        boolean fits = node.isIntegralNumber() && node.canConvertToLong();
+        if (!fits || node.longValue() < min || node.longValue() > max) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(node.longValue());
+    }
+
     /**
      * Writes a tree.
      *
--- a/src/main/java/org/papayawalk/platform/StoreCodec.java
+++ b/src/main/java/org/papayawalk/platform/StoreCodec.java
@@ -44,6 +44,8 @@
     /** Maximum number of rows in one response. */
     private static final int PAGE_ROWS = 500;
 
+    private static final byte[] NO_VALUE = {};
+
     private StoreCodec() {}
 
     /**
@@ -124,19 +126,19 @@
     public static TableUpdate decode(byte[] data, StoreEra era, boolean snapshot)
             throws IOException {
         JsonNode root = JsonTree.parseObject(data);
-        if (!root.path("ver").isIntegralNumber()) {
+        OptionalLong number = JsonTree.wholeNumber(root.path("ver"), 0, Long.MAX_VALUE);
+        if (number.isEmpty()) {
             throw new IOException("store response has no integer field \"ver\" (table version)");
         }
         List<TableRecord> rows = new ArrayList<>();
         for (JsonNode r : root.path("rows")) {
             if (r.path("part").asText().isEmpty()) {
-                rows.add(decodeRow(r));
+                rows.add(decodeRow(r, number.getAsLong()));
             }
         }
-        TableVersion version = new TableVersion(era, root.path("ver").asLong());
-        JsonNode clock = root.path("nowMs");
+        TableVersion version = new TableVersion(era, number.getAsLong());
         OptionalLong storeMillis =
-                clock.isIntegralNumber() ? OptionalLong.of(clock.asLong()) : OptionalLong.empty();
+                JsonTree.wholeNumber(root.path("nowMs"), Long.MIN_VALUE, Long.MAX_VALUE);
         return new TableUpdate(rows, version, snapshot, storeMillis);
     }
 
@@ -200,15 +202,21 @@
         return version.asInt();
     }
 
-    private static TableRecord decodeRow(JsonNode node) throws IOException {
+    // A row whose value can't be decoded has an empty value, which no reader of rows accepts: it
+    // hides neither the rows beside it nor its own later versions. newest: table version of the
+    // response, which no row of it can be newer than.
+    private static TableRecord decodeRow(JsonNode node, long newest) {
         boolean removed = node.path("tombstone").asBoolean();
+        byte[] value = removed ? NO_VALUE : decodeValue(node.path("value").asText());
+        long version = JsonTree.wholeNumber(node.path("ver"), 1, newest).orElse(newest);
+        return new TableRecord(node.path("key").asText(), value, version, removed);
+    }
+
+    private static byte[] decodeValue(String text) {
         try {
-            byte[] value =
-                    removed ? new byte[0] : Base64.getDecoder().decode(node.path("value").asText());
-            return new TableRecord(
-                    node.path("key").asText(), value, node.path("ver").asLong(), removed);
+            return Base64.getDecoder().decode(text);
         } catch (IllegalArgumentException e) {
-            throw new IOException("value of a table row is not valid Base64", e);
+            return NO_VALUE;
         }
     }
 
--- a/src/main/java/org/papayawalk/platform/UpstreamRegistrationCodec.java
+++ b/src/main/java/org/papayawalk/platform/UpstreamRegistrationCodec.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.ServiceId;
@@ -18,17 +19,32 @@
  */
 public final class UpstreamRegistrationCodec {
 
+    /** Ids are sent in headers. */
+    private static final Pattern ID_FORMAT = Pattern.compile("[!-~]{1,200}");
+
     private UpstreamRegistrationCodec() {}
 
+    /**
+     * Decodes the key of a row of the server table.
+     *
+     * @param key key of the row
+     * @return id of the upstream, empty if it is no visible ASCII text or too long
+     */
+    public static Optional<UpstreamId> decodeId(String key) {
+        return ID_FORMAT.matcher(key).matches()
+                ? Optional.of(new UpstreamId(key))
+                : Optional.empty();
+    }
+
     /**
      * Decodes a row of the server table. Rows that cannot be used are expected, since other
      * programs write to the same table.
      *
-     * @param key key of the row, which is the id of the upstream
+     * @param id id of the upstream, from the key of the row
      * @param data content of the row, JSON text
      * @return the registration, empty if the row is not a valid registration
      */
-    public static Optional<UpstreamRegistration> decode(String key, byte[] data) {
+    public static Optional<UpstreamRegistration> decode(UpstreamId id, byte[] data) {
         try {
             JsonNode root = JsonTree.parseObject(data);
             JsonNode state = root.path("state");
@@ -49,7 +65,7 @@
             }
             return Optional.of(
                     new UpstreamRegistration(
-                            new UpstreamId(key),
+                            id,
                             root.path("born").asLong(),
                             new ServiceId(root.path("service").asText()),
                             root.path("address").asText(),
--- a/src/test/java/org/papayawalk/platform/UpstreamRegistrationCodecTest.java
+++ b/src/test/java/org/papayawalk/platform/UpstreamRegistrationCodecTest.java
@@ -6,12 +6,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import org.papayawalk.core.id.UpstreamId;
 import org.papayawalk.core.upstream.UpstreamRegistration;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Reads rows of the server table that other programs wrote. */
 public final class UpstreamRegistrationCodecTest {
+    private static final UpstreamId ID = new UpstreamId("i-1");
+
     private static final String ADDRESS = "10.0.0.1:8080";
 
     private static final String VALID =
@@ -54,7 +57,7 @@
     @Test(dataProvider = "oddValues")
     public void oddRowNamesNoServer(String name, byte[] value) {
         assertValid();
-        assertEquals(UpstreamRegistrationCodec.decode("odd", value), Optional.empty(), name);
+        assertEquals(UpstreamRegistrationCodec.decode(ID, value), Optional.empty(), name);
         assertValid();
     }
 
@@ -65,13 +68,13 @@
      */
     @Test(dataProvider = "oddKeys")
     public void oddKeyNamesNoServer(String key) {
-        byte[] value = VALID.getBytes(StandardCharsets.UTF_8);
-        assertEquals(UpstreamRegistrationCodec.decode(key, value), Optional.empty());
+        assertEquals(UpstreamRegistrationCodec.decodeId(key), Optional.empty());
+        assertEquals(UpstreamRegistrationCodec.decodeId("i-1"), Optional.of(ID));
     }
 
     private static void assertValid() {
         byte[] value = VALID.getBytes(StandardCharsets.UTF_8);
-        Optional<UpstreamRegistration> read = UpstreamRegistrationCodec.decode("i-1", value);
+        Optional<UpstreamRegistration> read = UpstreamRegistrationCodec.decode(ID, value);
         assertTrue(read.isPresent());
         assertEquals(read.get().address(), ADDRESS);
         assertEquals(read.get().incarnation(), 1764940000000L);
