Read the numbers of server rows with their ranges

Callers would see: refusals, as a row with a start time too large took the address of a running server, whose own row then counted as that of an earlier process; or requests sent to a server that isn't there, as 4,294,967,297 slots were read as 1.

Cause: numbers were converted without a check, so that those out of range wrapped around. Depth and length of numbers were bounded only by the defaults of the parser, 1,000 each, and text behind the object was ignored.

Change: JsonTree bounds depth and number length at 64 for all that the platform's codecs read, and refuses text behind the object; nothing recurses over a text of unbounded depth.

--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -257,7 +257,7 @@
             return;
         }
         Optional<UpstreamRegistration> registration =
-                UpstreamRegistrationCodec.decode(id, row.value());
+                UpstreamRegistrationCodec.decode(id, row.value(), Instant.now());
         if (registration.isEmpty()) {
             upstreams.remove(id, clock.instant());
             Event.named("upstream-unreadable").with("upstream", id).warn();
--- a/src/main/java/org/papayawalk/platform/JsonTree.java
+++ b/src/main/java/org/papayawalk/platform/JsonTree.java
@@ -1,23 +1,45 @@
 package org.papayawalk.platform;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.util.OptionalLong;
 
 /** Parses and writes JSON trees. Thread-safe. */
 final class JsonTree {
-    /** Shared mapper with default settings; thread-safe. */
-    static final ObjectMapper MAPPER = new ObjectMapper();
+    /** Depth of objects and arrays above which a text is malformed. */
+    private static final int MAX_DEPTH = 64;
+
+    /** Characters of one number above which a text is malformed. */
+    private static final int MAX_NUMBER_CHARACTERS = 64;
+
+    /** Shared mapper that reads whole texts with bounded depth and numbers; thread-safe. */
+    static final ObjectMapper MAPPER =
+            JsonMapper.builder(
+                            JsonFactory.builder()
+                                    .streamReadConstraints(
+                                            StreamReadConstraints.builder()
+                                                    .maxNestingDepth(MAX_DEPTH)
+                                                    .maxNumberLength(MAX_NUMBER_CHARACTERS)
+                                                    .build())
+                                    .build())
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
 
     private JsonTree() {}
 
     /**
-     * Parses JSON text whose root is an object.
+     * Parses JSON text whose root is an object. Text of any length costs little stack, as its depth
+     * is bounded.
      *
      * @param data JSON text
      * @return root object
-     * @throws IOException if the bytes are not JSON or the root is not an object
+     * @throws IOException if the bytes are not one JSON text, exceed the bounds of depth or number
+     *     length, or the root is not an object
      */
     static JsonNode parseObject(byte[] data) throws IOException {
         JsonNode root = MAPPER.readTree(data);
--- a/src/main/java/org/papayawalk/platform/UpstreamRegistrationCodec.java
+++ b/src/main/java/org/papayawalk/platform/UpstreamRegistrationCodec.java
@@ -2,9 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.regex.Pattern;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.id.DomainId;
@@ -19,6 +22,12 @@
  */
 public final class UpstreamRegistrationCodec {
 
+    /** Far above what one server runs; sums over all servers stay in range. */
+    private static final int MAX_SLOTS = 1_000_000;
+
+    /** Time by which the clocks of two hosts never differ. */
+    private static final Duration MAX_CLOCK_DIFFERENCE = Duration.ofDays(1);
+
     /** Ids are sent in headers. */
     private static final Pattern ID_FORMAT = Pattern.compile("[!-~]{1,200}");
 
@@ -42,25 +51,24 @@
      *
      * @param id id of the upstream, from the key of the row
      * @param data content of the row, JSON text
+     * @param now present time of day; a process that starts a day later or more is not valid
      * @return the registration, empty if the row is not a valid registration
      */
-    public static Optional<UpstreamRegistration> decode(UpstreamId id, byte[] data) {
+    public static Optional<UpstreamRegistration> decode(UpstreamId id, byte[] data, Instant now) {
         try {
             JsonNode root = JsonTree.parseObject(data);
-            JsonNode state = root.path("state");
-            boolean validState =
-                    "ready".equals(state.asText()) || "draining".equals(state.asText());
+            long lastStart = now.plus(MAX_CLOCK_DIFFERENCE).toEpochMilli();
+            String state = root.path("state").asText();
+            boolean validState = "ready".equals(state) || "draining".equals(state);
             boolean validFields =
                     root.path("service").isTextual()
                             && root.path("address").isTextual()
                             && root.path("zone").isTextual()
-                            && root.path("slots").isIntegralNumber()
-                            && root.path("slots").asInt() > 0
-                            && (root.path("born").isMissingNode()
-                                    || root.path("born").isIntegralNumber());
-            if (!validState
-                    || !validFields
-                    || !Addresses.isIpAndPort(root.path("address").asText())) {
+                            && isAbsentOrInRange(root.path("sequence"), Long.MAX_VALUE)
+                            && isAbsentOrInRange(root.path("born"), lastStart);
+            OptionalLong slots = JsonTree.wholeNumber(root.path("slots"), 1, MAX_SLOTS);
+            String address = root.path("address").asText();
+            if (!validState || !validFields || slots.isEmpty() || !Addresses.isIpAndPort(address)) {
                 return Optional.empty();
             }
             return Optional.of(
@@ -68,28 +76,37 @@
                             id,
                             root.path("born").asLong(),
                             new ServiceId(root.path("service").asText()),
-                            root.path("address").asText(),
+                            address,
                             new DomainId(root.path("zone").asText()),
-                            root.path("slots").asInt(),
-                            "draining".equals(state.asText()),
+                            (int) slots.getAsLong(),
+                            "draining".equals(state),
                             versionsByModel(root)));
         } catch (IOException | IllegalArgumentException e) {
             return Optional.empty();
         }
     }
 
+    private static boolean isAbsentOrInRange(JsonNode node, long max) {
+        return node.isMissingNode() || JsonTree.wholeNumber(node, 0, max).isPresent();
+    }
+
     /**
      * Decodes the versions of the models that a server holds. Items without a name or with a
      * version that is not an integer are skipped.
      *
      * @param root registration or report of a server
      * @return version by name of the model
+     * @throws IOException if a version is out of range
      */
-    static Map<String, Integer> versionsByModel(JsonNode root) {
+    static Map<String, Integer> versionsByModel(JsonNode root) throws IOException {
         Map<String, Integer> models = new HashMap<>();
         for (JsonNode m : root.path("models")) {
-            if (m.path("name").isTextual() && m.path("version").isIntegralNumber()) {
-                models.put(m.path("name").asText(), m.path("version").asInt());
+            JsonNode version = m.path("version");
+            if (m.path("name").isTextual() && version.isIntegralNumber()) {
+                long number =
+                        JsonTree.wholeNumber(version, 0, Integer.MAX_VALUE)
+                                .orElseThrow(() -> new IOException("weight version out of range"));
+                models.put(m.path("name").asText(), (int) number);
             }
         }
         return models;
--- a/src/test/java/org/papayawalk/platform/UpstreamRegistrationCodecTest.java
+++ b/src/test/java/org/papayawalk/platform/UpstreamRegistrationCodecTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
 import org.papayawalk.core.id.UpstreamId;
@@ -15,6 +17,8 @@
 public final class UpstreamRegistrationCodecTest {
     private static final UpstreamId ID = new UpstreamId("i-1");
 
+    private static final Instant NOW = Instant.parse("2026-12-05T12:00:00Z");
+
     private static final String ADDRESS = "10.0.0.1:8080";
 
     private static final String VALID =
@@ -57,7 +61,7 @@
     @Test(dataProvider = "oddValues")
     public void oddRowNamesNoServer(String name, byte[] value) {
         assertValid();
-        assertEquals(UpstreamRegistrationCodec.decode(ID, value), Optional.empty(), name);
+        assertEquals(UpstreamRegistrationCodec.decode(ID, value, NOW), Optional.empty(), name);
         assertValid();
     }
 
@@ -72,9 +76,21 @@
         assertEquals(UpstreamRegistrationCodec.decodeId("i-1"), Optional.of(ID));
     }
 
+    /** A start that another host's clock may state is valid; one days ahead is not. */
+    @Test
+    public void startInTheFutureNamesNoServer() {
+        assertTrue(decodeBorn(NOW.plusSeconds(30).toEpochMilli()).isPresent());
+        assertTrue(decodeBorn(NOW.plus(Duration.ofDays(2)).toEpochMilli()).isEmpty());
+    }
+
+    private static Optional<UpstreamRegistration> decodeBorn(long born) {
+        String text = VALID.replace("1764940000000", Long.toString(born));
+        return UpstreamRegistrationCodec.decode(ID, text.getBytes(StandardCharsets.UTF_8), NOW);
+    }
+
     private static void assertValid() {
         byte[] value = VALID.getBytes(StandardCharsets.UTF_8);
-        Optional<UpstreamRegistration> read = UpstreamRegistrationCodec.decode(ID, value);
+        Optional<UpstreamRegistration> read = UpstreamRegistrationCodec.decode(ID, value, NOW);
         assertTrue(read.isPresent());
         assertEquals(read.get().address(), ADDRESS);
         assertEquals(read.get().incarnation(), 1764940000000L);
