Take no number out of range from the operator's rows

Callers and hosts would see: after a row with a version of 5,000,000,000 no later version of the model is ever loaded, as it was read as 705,032,704 and versions never decrease; after a desired state with version 9,223,372,036,854,775,808 or above, which wraps around, no later one comes in force; a maximum of 4,294,967,297 body bytes was a maximum of 1; a very long idle timeout threw in the event loop.

Cause: the codecs converted numbers without a check.

Change: a version out of range makes the row unreadable, so that the present one stays in force and the next valid one is adopted. A limit out of range is the nearest one in the range, since what its writer asked for is a high limit, and refusing the state would hold back all that it says. The sum of traffic weights no longer overflows.

--- a/src/main/java/org/papayawalk/core/desired/RouteRule.java
+++ b/src/main/java/org/papayawalk/core/desired/RouteRule.java
@@ -62,7 +62,7 @@
      *     all weights are 0
      */
     public ServiceId chooseService(double random) {
-        int total = shares.stream().mapToInt(TrafficShare::weight).sum();
+        long total = shares.stream().mapToLong(TrafficShare::weight).sum();
         double left = random * total;
         for (TrafficShare s : shares) {
             left -= s.weight();
--- a/src/main/java/org/papayawalk/platform/DesiredStateCodec.java
+++ b/src/main/java/org/papayawalk/platform/DesiredStateCodec.java
@@ -53,7 +53,7 @@
                                 services.put(spec.id(), spec);
                             });
             return new DesiredState(
-                    root.path("version").asLong(),
+                    version(root.path("version")),
                     new RouteTable(routes),
                     services,
                     limits(root.path("limits")),
@@ -64,26 +64,31 @@
         }
     }
 
+    private static long version(JsonNode node) {
+        return JsonTree.wholeNumber(node, 0, Long.MAX_VALUE)
+                .orElseThrow(() -> new IllegalArgumentException("version is no whole number"));
+    }
+
     private static RouteRule route(JsonNode node) {
         List<TrafficShare> shares = new ArrayList<>();
         for (JsonNode s : node.path("trafficSplit")) {
             ServiceId service = new ServiceId(s.path("service").asText());
-            shares.add(new TrafficShare(service, s.path("weight").asInt()));
+            shares.add(new TrafficShare(service, limit(s, "weight", 0)));
         }
         if (shares.isEmpty()) {
             shares.add(new TrafficShare(new ServiceId(node.path("service").asText()), 1));
         }
-        int timeout = node.path("timeoutMs").asInt(DEFAULT_TIMEOUT_MILLIS);
+        int timeout = limit(node, "timeoutMs", DEFAULT_TIMEOUT_MILLIS);
         return new RouteRule(
                 node.path("name").asText(),
                 node.path("host").asText(),
                 node.path("prefix").asText(),
                 kind(node.path("kind").asText()),
                 Duration.ofMillis(timeout),
-                Duration.ofMillis(node.path("targetLatencyMs").asInt(timeout)),
-                node.path("priority").asInt(),
+                Duration.ofMillis(limit(node, "targetLatencyMs", timeout)),
+                limit(node, "priority", 0),
                 shares,
-                Math.max(1, node.path("maxAttempts").asInt(1)),
+                Math.max(1, limit(node, "maxAttempts", 1)),
                 node.path("allowAnonymous").asBoolean(),
                 node.path("resumeStreams").asBoolean());
     }
@@ -104,7 +109,7 @@
                                 new OriginSpec(
                                         node.get("origin").asText(),
                                         new DomainId(node.path("zone").asText("unknown")),
-                                        node.path("maxConnections").asInt(8)))
+                                        limit(node, "maxConnections", 8)))
                         : Optional.empty();
         Optional<EngineSpec> engine =
                 node.hasNonNull("engine")
@@ -112,7 +117,7 @@
                         : Optional.empty();
         return new ServiceSpec(
                 new ServiceId(node.path("name").asText()),
-                node.path("maxConnections").asInt(Integer.MAX_VALUE),
+                limit(node, "maxConnections", Integer.MAX_VALUE),
                 engine,
                 origin);
     }
@@ -127,29 +132,33 @@
         JsonNode usual = node.path("usual");
         return new EngineSpec(
                 models,
-                Math.max(1, node.path("slots").asInt(1)),
-                node.path("chunks").asInt(),
-                node.path("chunkBytes").asInt(),
+                Math.max(1, limit(node, "slots", 1)),
+                limit(node, "chunks", 0),
+                limit(node, "chunkBytes", 0),
                 node.path("step_ms").asDouble(),
                 node.path("per_seq_ms").asDouble(),
                 node.path("read_per_s").asDouble(),
-                Math.max(1, node.path("stride").asInt(1)),
-                usual.path("prompt").asInt(),
-                usual.path("answer").asInt(),
+                Math.max(1, limit(node, "stride", 1)),
+                limit(usual, "prompt", 0),
+                limit(usual, "answer", 0),
                 Duration.ofMillis((long) (warmup * 1000)));
     }
 
     private static CallerLimits limits(JsonNode node) {
         CallerLimits defaults = CallerLimits.DEFAULT;
-        long header = node.path("headerTimeoutMs").asLong(defaults.headerTimeout().toMillis());
-        long idle = node.path("idleTimeoutMs").asLong(defaults.idleTimeout().toMillis());
+        int header = limit(node, "headerTimeoutMs", (int) defaults.headerTimeout().toMillis());
+        int idle = limit(node, "idleTimeoutMs", (int) defaults.idleTimeout().toMillis());
         return new CallerLimits(
-                node.path("maxHeaderBytes").asInt(defaults.maxHeaderBytes()),
-                node.path("maxBodyBytes").asInt(defaults.maxBodyBytes()),
+                limit(node, "maxHeaderBytes", defaults.maxHeaderBytes()),
+                limit(node, "maxBodyBytes", defaults.maxBodyBytes()),
                 Duration.ofMillis(header),
                 Duration.ofMillis(idle));
     }
 
+    private static int limit(JsonNode node, String field, int otherwise) {
+        return JsonTree.limit(node.path(field), otherwise);
+    }
+
     private static Map<String, Caller> callersByKey(JsonNode node) {
         Map<String, Caller> callers = new HashMap<>();
         for (JsonNode t : node) {
--- a/src/main/java/org/papayawalk/platform/JsonTree.java
+++ b/src/main/java/org/papayawalk/platform/JsonTree.java
@@ -65,6 +65,18 @@
         return OptionalLong.of(node.longValue());
     }
 
+    /**
+     * Reads a limit. A number beyond the range is the nearest one in the range, so that a very high
+     * limit does not become a low one.
+     *
+     * @param node value, may be missing
+     * @param otherwise limit if the value is not a number
+     * @return limit
+     */
+    static int limit(JsonNode node, int otherwise) {
+        return node.isNumber() ? (int) node.doubleValue() : node.asInt(otherwise);
+    }
+
     /**
      * Writes a tree.
      *
--- a/src/main/java/org/papayawalk/platform/StoreCodec.java
+++ b/src/main/java/org/papayawalk/platform/StoreCodec.java
@@ -191,15 +191,17 @@
      *
      * @param data content of the row, JSON text
      * @return version, at least 1
-     * @throws IOException if the row has no version or the version is below 1
+     * @throws IOException if the row has no version or the version is out of range
      */
     public static int decodeVersionNumber(byte[] data) throws IOException {
         JsonNode version = JsonTree.parseObject(data).path("version");
-        if (!version.isIntegralNumber() || version.asInt() < 1) {
-            throw new IOException(
-                    "weight version must be an integer of at least 1, found: " + version);
-        }
-        return version.asInt();
+        return (int)
+                JsonTree.wholeNumber(version, 1, Integer.MAX_VALUE)
+                        .orElseThrow(
+                                () ->
+                                        new IOException(
+                                                "weight version must be an integer from 1 to "
+                                                        + Integer.MAX_VALUE));
     }
 
     // A row whose value can't be decoded has an empty value, which no reader of rows accepts: it
