Open a connection for each call where a second answer could be read

Callers would see: an answer to an earlier call. The stand-alone agent kept its connections to its upstream, for calls without a key, probes and engine orders, and every daemon kept those to the table service; the next call on such a connection got the second answer: a 500 came as a 200, a refusal ended a call that runs as not run, and a write that the table refused counted as written.

Cause: nothing in an HTTP answer of an upstream, an engine or a platform service tells which request it answers; only the connection ties it to the call.

Change: a BlockingHttpClient opens a connection for each call. Those that keep connections say so (keepingConnections): the origin's, whose content is verified by digest, and the lab's callers. The forwarder needs one client instead of two; for calls without a key too, a failure to connect now proves that nothing was sent. Ruled out: a check for bytes before the request is sent, as the second answer may come behind it.

--- a/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
@@ -10,11 +10,13 @@
 import java.time.Duration;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionReuseStrategy;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
@@ -30,7 +32,11 @@
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 
-/** HTTP client with a connection pool; calls block until the response arrives. Thread-safe. */
+/**
+ * HTTP client whose calls block until the response arrives. Nothing in an HTTP response tells which
+ * request it answers, so each call has a connection of its own, unless the client was made to keep
+ * connections. Thread-safe.
+ */
 public final class BlockingHttpClient implements AutoCloseable {
     private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(1);
 
@@ -54,29 +60,45 @@
     private final Duration partTimeout;
 
     /**
-     * Creates a client.
+     * Creates a client that opens a connection for each call.
      *
      * @param readTimeout maximum wait for the next bytes of a response
      * @param maxConnections maximum number of open connections, to one server and in total
-     * @param reuse whether connections are reused
      */
-    public BlockingHttpClient(Duration readTimeout, int maxConnections, boolean reuse) {
+    public BlockingHttpClient(Duration readTimeout, int maxConnections) {
+        this(readTimeout, maxConnections, (request, response, context) -> false);
+    }
+
+    private BlockingHttpClient(
+            Duration readTimeout, int maxConnections, ConnectionReuseStrategy reuse) {
         partTimeout = readTimeout.multipliedBy(READ_TIMEOUTS_PER_PART);
         SocketConfig sockets =
                 SocketConfig.custom()
                         .setSoTimeout(Timeout.of(readTimeout))
                         .setTcpNoDelay(true)
                         .build();
-        RequesterBootstrap bootstrap =
+        requester =
                 RequesterBootstrap.bootstrap()
                         .setSocketConfig(sockets)
                         .setConnectionFactory(newConnectionFactory(partTimeout))
+                        .setConnectionReuseStrategy(reuse)
                         .setMaxTotal(maxConnections)
-                        .setDefaultMaxPerRoute(maxConnections);
-        if (!reuse) {
-            bootstrap.setConnectionReuseStrategy((request, response, context) -> false);
-        }
-        requester = bootstrap.create();
+                        .setDefaultMaxPerRoute(maxConnections)
+                        .create();
+    }
+
+    /**
+     * Creates a client that keeps connections. A server that answers a call twice can have its
+     * second answer taken for that of a later call; so this is for servers that do not, and for
+     * responses whose content is verified.
+     *
+     * @param readTimeout maximum wait for the next bytes of a response
+     * @param maxConnections maximum number of open connections, to one server and in total
+     * @return client
+     */
+    public static BlockingHttpClient keepingConnections(Duration readTimeout, int maxConnections) {
+        return new BlockingHttpClient(
+                readTimeout, maxConnections, DefaultConnectionReuseStrategy.INSTANCE);
     }
 
     /**
--- a/src/main/java/org/papayawalk/cli/CommandContext.java
+++ b/src/main/java/org/papayawalk/cli/CommandContext.java
@@ -28,8 +28,7 @@
 
     private final InstantSource clock = new MonotonicClock();
 
-    private final BlockingHttpClient http =
-            new BlockingHttpClient(READ_TIMEOUT, MAX_CONNECTIONS, true);
+    private final BlockingHttpClient http = new BlockingHttpClient(READ_TIMEOUT, MAX_CONNECTIONS);
 
     private final EventLoops runtime = new EventLoops(1);
 
--- a/src/main/java/org/papayawalk/daemon/standalone/Daemon.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/Daemon.java
@@ -87,7 +87,7 @@
     Daemon(DaemonSettings settings) throws IOException {
         this.settings = settings;
         BlockingHttpClient platformHttp =
-                new BlockingHttpClient(PLATFORM_READ_TIMEOUT, MAX_PLATFORM_CONNECTIONS, true);
+                new BlockingHttpClient(PLATFORM_READ_TIMEOUT, MAX_PLATFORM_CONNECTIONS);
         PrometheusRegistry registry = new PrometheusRegistry();
         runtime = new EventLoops(Math.max(2, Runtime.getRuntime().availableProcessors() / 2));
         node =
@@ -164,7 +164,7 @@
 
     private AgentRole createAgent(HttpObjectStore objects) {
         BlockingHttpClient originHttp =
-                new BlockingHttpClient(ORIGIN_READ_TIMEOUT, MAX_ORIGIN_CONNECTIONS, true);
+                BlockingHttpClient.keepingConnections(ORIGIN_READ_TIMEOUT, MAX_ORIGIN_CONNECTIONS);
         SwarmPlannerSettings download =
                 new SwarmPlannerSettings(
                         settings.distributionPolicy(),
--- a/src/main/java/org/papayawalk/daemon/standalone/DaemonMain.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/DaemonMain.java
@@ -62,7 +62,7 @@
     }
 
     private static List<String> domainFaults(DaemonSettings settings) {
-        try (BlockingHttpClient http = new BlockingHttpClient(HOST_LIST_TIMEOUT, 1, false)) {
+        try (BlockingHttpClient http = new BlockingHttpClient(HOST_LIST_TIMEOUT, 1)) {
             HttpHostList list = new HttpHostList(http, settings.hostListAddress);
             return DomainCheck.faults(settings.domain, list);
         }
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/AgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/AgentRole.java
@@ -98,16 +98,13 @@
         this.node = node;
         this.settings = settings;
         String upstream = settings.upstreamAddress();
-        probe =
-                new UpstreamProbe(
-                        newHttpCaller(PROBE_READ_TIMEOUT, 2, true), upstream, node.clock());
+        probe = new UpstreamProbe(newHttpCaller(PROBE_READ_TIMEOUT, 2), upstream, node.clock());
         HostId self = node.self().host();
         IdempotencyTable onceTable = new IdempotencyTable(node.platform().table(), node.clock());
         crashDetector = new ProbingCrashDetector(node, probe, this::runningRequests);
         Forwarder forwarder =
                 new Forwarder(
-                        newHttpCaller(UPSTREAM_READ_TIMEOUT, MAX_UPSTREAM_CONNECTIONS, true),
-                        newHttpCaller(UPSTREAM_READ_TIMEOUT, MAX_UPSTREAM_CONNECTIONS, false),
+                        newHttpCaller(UPSTREAM_READ_TIMEOUT, MAX_UPSTREAM_CONNECTIONS),
                         upstream,
                         new IdempotencyGuard(onceTable, objects, self, node.clock()),
                         crashDetector,
@@ -115,7 +112,7 @@
         gateway = new UpstreamGateway(forwarder, node.clock(), node.blockingExecutor());
         Engine engine =
                 new HttpEngine(
-                        newHttpCaller(ENGINE_READ_TIMEOUT, MAX_ENGINE_CONNECTIONS, true), upstream);
+                        newHttpCaller(ENGINE_READ_TIMEOUT, MAX_ENGINE_CONNECTIONS), upstream);
         swarm =
                 new Swarm(
                         new SwarmPeer(self, node.self().region()),
@@ -236,8 +233,8 @@
     }
 
     // Creates a caller that is closed with the role.
-    private BlockingHttpClient newHttpCaller(Duration readTimeout, int connections, boolean reuse) {
-        BlockingHttpClient caller = new BlockingHttpClient(readTimeout, connections, reuse);
+    private BlockingHttpClient newHttpCaller(Duration readTimeout, int connections) {
+        BlockingHttpClient caller = new BlockingHttpClient(readTimeout, connections);
         callers.add(caller);
         return caller;
     }
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/Forwarder.java
@@ -62,13 +62,11 @@
     private static final Set<String> CONNECTION_HEADERS =
             Set.of("connection", "transfer-encoding", "content-length", "keep-alive", "date");
 
-    private final BlockingHttpClient http;
-
     /**
      * Opens a new connection for each request: a failure to connect then proves that the request
-     * was not sent.
+     * was not sent, and no late answer to another request can come on it.
      */
-    private final BlockingHttpClient nonIdempotentHttp;
+    private final BlockingHttpClient http;
 
     private final String address;
 
@@ -84,8 +82,7 @@
     /**
      * Creates a forwarder.
      *
-     * @param http sends idempotent requests over reused connections
-     * @param nonIdempotentHttp sends non-idempotent requests, each over a new connection
+     * @param http sends requests, each over a new connection
      * @param address IP address and port of the upstream
      * @param idempotencyGuard ensures that non-idempotent calls run at most once
      * @param crashDetector detects crashes of the upstream
@@ -93,13 +90,11 @@
      */
     public Forwarder(
             BlockingHttpClient http,
-            BlockingHttpClient nonIdempotentHttp,
             String address,
             IdempotencyGuard idempotencyGuard,
             CrashDetector crashDetector,
             InstantSource clock) {
         this.http = http;
-        this.nonIdempotentHttp = nonIdempotentHttp;
         this.address = address;
         this.idempotencyGuard = idempotencyGuard;
         this.crashDetector = crashDetector;
@@ -224,7 +219,7 @@
             return new Result(CallCompletion.notRun(reason, Duration.ofSeconds(1)), 0);
         }
         call.recordForwarded(crashDetector.lastIncarnation(), clock.instant());
-        Either<Fault, StreamingResponse> opened = nonIdempotentHttp.executeStreaming(toHttpCall(r));
+        Either<Fault, StreamingResponse> opened = http.executeStreaming(toHttpCall(r));
         if (opened.isLeft() && opened.getLeft().kind() == FaultKind.UNREACHABLE) {
             idempotencyGuard.release(r.getOnceKey(), started.get());
             return new Result(requestFailed(call, opened.getLeft()), 0);
--- a/src/main/java/org/papayawalk/lab/FaultCommand.java
+++ b/src/main/java/org/papayawalk/lab/FaultCommand.java
@@ -41,7 +41,7 @@
     public int run() {
         FaultSettings settings =
                 new FaultSettings(away, frozen, slowMillis, loseAnswerRatio, corruptRatio);
-        try (BlockingHttpClient http = new BlockingHttpClient(READ_TIMEOUT, 1, true)) {
+        try (BlockingHttpClient http = BlockingHttpClient.keepingConnections(READ_TIMEOUT, 1)) {
             var reply =
                     http.execute(ClientRequest.post("lab-fault", address, "/lab/faults", settings));
             if (reply.isLeft()) {
--- a/src/main/java/org/papayawalk/lab/PublishCommand.java
+++ b/src/main/java/org/papayawalk/lab/PublishCommand.java
@@ -42,7 +42,7 @@
     public int run() throws Exception {
         PublishRequest request =
                 new PublishRequest(model, "", version, sizeBytes, chunkBytes, seed);
-        try (BlockingHttpClient http = new BlockingHttpClient(READ_TIMEOUT, 1, true)) {
+        try (BlockingHttpClient http = BlockingHttpClient.keepingConnections(READ_TIMEOUT, 1)) {
             ClientRequest call =
                     ClientRequest.post("lab-publish", originAddress, "/lab/publish", request);
             var reply = http.execute(call);
--- a/src/main/java/org/papayawalk/lab/VerifyCommand.java
+++ b/src/main/java/org/papayawalk/lab/VerifyCommand.java
@@ -65,7 +65,7 @@
 
     @Override
     public int run() throws IOException {
-        try (BlockingHttpClient http = new BlockingHttpClient(READ_TIMEOUT, 16, true)) {
+        try (BlockingHttpClient http = BlockingHttpClient.keepingConnections(READ_TIMEOUT, 16)) {
             for (int i = 0; i < requests; i++) {
                 String error = checkStream(http, entries.get(i % entries.size()), i);
                 if (error != null) {
--- a/src/main/java/org/papayawalk/lab/burst/LoadGenerator.java
+++ b/src/main/java/org/papayawalk/lab/burst/LoadGenerator.java
@@ -39,7 +39,7 @@
     private final List<String> entries;
 
     private final BlockingHttpClient http =
-            new BlockingHttpClient(Duration.ofSeconds(30), 2048, true);
+            BlockingHttpClient.keepingConnections(Duration.ofSeconds(30), 2048);
 
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
 
--- a/src/main/java/org/papayawalk/lab/cluster/LabPlatform.java
+++ b/src/main/java/org/papayawalk/lab/cluster/LabPlatform.java
@@ -53,10 +53,9 @@
     private final InstantSource clock = new MonotonicClock();
     private final ExecutorService blockingExecutor = Executors.newCachedThreadPool();
     private final EventLoops runtime = new EventLoops(4);
-    private final BlockingHttpClient platformHttp =
-            new BlockingHttpClient(PLATFORM_TIMEOUT, 256, true);
+    private final BlockingHttpClient platformHttp = new BlockingHttpClient(PLATFORM_TIMEOUT, 256);
     private final BlockingHttpClient originHttp =
-            new BlockingHttpClient(ORIGIN_TIMEOUT, 1024, true);
+            BlockingHttpClient.keepingConnections(ORIGIN_TIMEOUT, 1024);
     private final List<BlockingHttpServer> servers = new ArrayList<>();
     private final long seed;
     private final HostListStandIn hostList;
--- a/src/main/java/org/papayawalk/lab/requests/TestCaller.java
+++ b/src/main/java/org/papayawalk/lab/requests/TestCaller.java
@@ -30,7 +30,7 @@
 
     private static final String DATA_PREFIX = "data: ";
 
-    private final BlockingHttpClient http = new BlockingHttpClient(TIMEOUT, 4096, true);
+    private final BlockingHttpClient http = BlockingHttpClient.keepingConnections(TIMEOUT, 4096);
 
     /**
      * Makes a streamed call to a model.
--- a/src/test/java/org/papayawalk/adapter/standalone/CutMessagesTest.java
+++ b/src/test/java/org/papayawalk/adapter/standalone/CutMessagesTest.java
@@ -49,7 +49,7 @@
     @BeforeClass
     public void start() throws IOException {
         upstream = new AnswerServer();
-        client = new BlockingHttpClient(Duration.ofSeconds(5), 4, false);
+        client = new BlockingHttpClient(Duration.ofSeconds(5), 4);
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
         server =
                 new BlockingHttpServer(
--- a/src/test/java/org/papayawalk/adapter/standalone/EndlessResponderTest.java
+++ b/src/test/java/org/papayawalk/adapter/standalone/EndlessResponderTest.java
@@ -109,7 +109,7 @@
         unit = newUnit;
         trickled = pauses;
         long startNanos = System.nanoTime();
-        try (BlockingHttpClient client = new BlockingHttpClient(READ_TIMEOUT, 2, true)) {
+        try (BlockingHttpClient client = BlockingHttpClient.keepingConnections(READ_TIMEOUT, 2)) {
             String address = "127.0.0.1:" + server.getLocalPort();
             assertTrue(client.execute(ClientRequest.get("test", address, "/")).isLeft());
             long millis = Duration.ofNanos(System.nanoTime() - startNanos).toMillis();
--- a/src/test/java/org/papayawalk/lab/requests/PoisonPartBesideTest.java
+++ b/src/test/java/org/papayawalk/lab/requests/PoisonPartBesideTest.java
@@ -63,7 +63,7 @@
     @BeforeClass
     public void start() throws IOException, InterruptedException {
         cluster = new RequestsCluster(6, 1, new EngineSettings(1, 20, 32, false), 8, 5);
-        http = new BlockingHttpClient(Duration.ofSeconds(30), 64, true);
+        http = BlockingHttpClient.keepingConnections(Duration.ofSeconds(30), 64);
     }
 
     /** Stops the daemons and the stand-ins. */
--- a/src/test/java/org/papayawalk/lab/requests/UnframedPoisonPartTest.java
+++ b/src/test/java/org/papayawalk/lab/requests/UnframedPoisonPartTest.java
@@ -54,7 +54,7 @@
     @BeforeClass
     public void start() throws IOException, InterruptedException {
         cluster = new RequestsCluster(6, 1, new EngineSettings(1, 1, 32, false), 8, 5);
-        http = new BlockingHttpClient(Duration.ofSeconds(30), 64, true);
+        http = BlockingHttpClient.keepingConnections(Duration.ofSeconds(30), 64);
     }
 
     /** Stops the daemons and the stand-ins. */
