Continue a broken stream only with a stream of its media type

Cause: a 200 with a stamp on a streaming route was forwarded as it came, whatever its media type. Of a body without events all bytes were its remainder, and no end inside an event was looked for. So the answer of the second server became the rest of a broken stream, and a broken page was continued by a stream.

Change: only bodies with events are forwarded as they come; others are buffered and forwarded whole. A caller who has the head of a stream gets further events only from a stream of the same media type; any other answer counts as a failed attempt. Why not by status or stamp: both are those of a success.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
@@ -2,8 +2,11 @@
 
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Instant;
+import java.util.Locale;
+import java.util.Objects;
 import java.util.Optional;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
 import org.papayawalk.platform.HeaderCodec;
@@ -18,6 +21,9 @@
     /** Whether the head was sent. */
     private boolean started;
 
+    /** Media type in the head that was sent; null if it states none. */
+    private String mediaType;
+
     /** Id of the last event that the caller has; negative if it has none. */
     private long lastEventId = -1;
 
@@ -37,6 +43,16 @@
                 .ifPresent(e -> lastEventId = Long.parseLong(e));
     }
 
+    /**
+     * Returns whether the body of a response can be forwarded.
+     *
+     * @param response head of an upstream's response that has events
+     * @return false if the caller has the head of a stream of another media type
+     */
+    boolean accepts(HttpResponse response) {
+        return !started || Objects.equals(mediaType, mediaType(response));
+    }
+
     /**
      * Sends the head, unless the head of an earlier upstream was sent.
      *
@@ -47,6 +63,7 @@
             return;
         }
         started = true;
+        mediaType = mediaType(response);
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
         HeaderCodec.copyToCaller(response.headers(), head.headers());
         caller.startStream(head);
@@ -127,4 +144,9 @@
     Optional<Instant> firstEventAt() {
         return Optional.ofNullable(firstEventAt);
     }
+
+    private static String mediaType(HttpResponse response) {
+        CharSequence type = HttpUtil.getMimeType(response);
+        return type == null ? null : type.toString().toLowerCase(Locale.ROOT);
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -1,10 +1,13 @@
 package org.papayawalk.daemon.managed.entry;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.time.Instant;
 import java.util.Optional;
+import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.core.stream.StreamEndRule;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
@@ -20,20 +23,31 @@
 
     private final StreamProgress progress;
 
-    /** Whether the body has events; one of another media type has none. */
-    private final boolean hasEvents;
-
     /**
      * Creates a receiver of a stream whose head was received.
      *
      * @param stream streamed response to the caller
      * @param progress progress of the stream
-     * @param head head of the upstream's response; without a media type it has events
      */
-    StreamReceiver(CallerStream stream, StreamProgress progress, HttpResponse head) {
+    StreamReceiver(CallerStream stream, StreamProgress progress) {
         this.stream = stream;
         this.progress = progress;
-        this.hasEvents = HttpUtil.getMimeType(head) == null || isEventStream(head);
+    }
+
+    /**
+     * Returns whether the body of a response can be forwarded event by event.
+     *
+     * @param head head of the response to a request for a stream
+     * @param metadata metadata in the head
+     * @param stream streamed response to the caller
+     * @return false for a body without events, and for one that doesn't continue what the caller
+     *     has
+     */
+    static boolean accepts(HttpResponse head, ResponseMetadata metadata, CallerStream stream) {
+        return head.status().code() == HttpResponseStatus.OK.code()
+                && metadata.hasAuthenticationCode()
+                && hasEvents(head)
+                && stream.accepts(head);
     }
 
     /**
@@ -45,7 +59,7 @@
      * @return reason, empty if the body is complete or no event stream
      */
     static Optional<String> bufferedDefect(HttpResponse head, byte[] body, BodyEnd end) {
-        if (!isEventStream(head)) {
+        if (!isEventStream(head) || !hasEvents(head)) {
             return Optional.empty();
         }
         VerbatimEventSplitter events = new VerbatimEventSplitter();
@@ -81,7 +95,7 @@
      * @return true if an event has begun and is incomplete
      */
     boolean isInsideEvent() {
-        return hasEvents && splitter.isInsideEvent();
+        return splitter.isInsideEvent();
     }
 
     /**
@@ -91,9 +105,7 @@
      * @return reason, empty if the stream is complete
      */
     Optional<String> defect(BodyEnd end) {
-        return hasEvents
-                ? StreamEndRule.defect(end, isInsideEvent(), splitter.eventSeen())
-                : Optional.empty();
+        return StreamEndRule.defect(end, isInsideEvent(), splitter.eventSeen());
     }
 
     /** Forwards the bytes after the last event of a complete stream. */
@@ -101,6 +113,12 @@
         stream.forwardRemainder(splitter.takePartial());
     }
 
+    // A body without a media type has events; an encoded one can't be split into them.
+    private static boolean hasEvents(HttpResponse head) {
+        boolean encoded = head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
+        return !encoded && (HttpUtil.getMimeType(head) == null || isEventStream(head));
+    }
+
     private static boolean isEventStream(HttpResponse head) {
         CharSequence type = HttpUtil.getMimeType(head);
         return type != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -166,12 +166,13 @@
                     .recordLimit(candidate.upstream().process(), metadata, startedAt, now);
         }
         entry.statements().recordWithheld(candidate.upstream().process(), status, metadata, now);
-        boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
-        boolean streaming = eventStream && metadata.hasAuthenticationCode();
+        boolean streaming =
+                route().kind() == RequestKind.STREAMING
+                        && StreamReceiver.accepts(response, metadata, exchange.stream());
         progress.headReceived(response, streaming, now);
         if (streaming) {
             exchange.stream().start(response);
-            receiver = new StreamReceiver(exchange.stream(), progress.stream(), response);
+            receiver = new StreamReceiver(exchange.stream(), progress.stream());
         } else {
             bufferedBody = Unpooled.buffer();
         }
