Ask for the route where a stream is accepted

Whether an answer is forwarded event by event is now decided in one place, StreamReceiver.accepts; behavior is unchanged.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -9,6 +9,8 @@
 import java.time.Instant;
 import java.util.Optional;
 import org.papayawalk.core.call.ResponseMetadata;
+import org.papayawalk.core.desired.RequestKind;
+import org.papayawalk.core.desired.RouteRule;
 import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.core.stream.StreamEndRule;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
@@ -39,14 +41,17 @@
     /**
      * Returns whether the body of a response can be forwarded event by event.
      *
-     * @param head head of the response to a request for a stream
+     * @param route route of the request
+     * @param head head of the response
      * @param metadata metadata in the head
      * @param stream streamed response to the caller
-     * @return false for a body without events, and for one that doesn't continue what the caller
-     *     has
+     * @return false for a route without streams, for a body without events, and for one that
+     *     doesn't continue what the caller has
      */
-    static boolean accepts(HttpResponse head, ResponseMetadata metadata, CallerStream stream) {
-        return head.status().code() == HttpResponseStatus.OK.code()
+    static boolean accepts(
+            RouteRule route, HttpResponse head, ResponseMetadata metadata, CallerStream stream) {
+        return route.kind() == RequestKind.STREAMING
+                && head.status().code() == HttpResponseStatus.OK.code()
                 && metadata.hasAuthenticationCode()
                 && hasEvents(head)
                 && stream.accepts(head);
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.call.ResponseMetadata;
-import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.desired.RouteRule;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.AttemptResult;
@@ -167,9 +166,7 @@
                     .recordLimit(candidate.upstream().process(), metadata, startedAt, now);
         }
         entry.statements().recordWithheld(candidate.upstream().process(), status, metadata, now);
-        boolean streaming =
-                route().kind() == RequestKind.STREAMING
-                        && StreamReceiver.accepts(response, metadata, exchange.stream());
+        boolean streaming = StreamReceiver.accepts(route(), response, metadata, exchange.stream());
         progress.headReceived(response, streaming, now);
         if (streaming) {
             exchange.stream().start(response);
