Move the interpretation of an engine's answers out of LocalEngine

No change of what is accepted. StutteringEngineTest, FailedWriteTest, SlowReadsTest, FrozenEngineTest, ManagedAgentRoleTest and StutteringOriginTest pass.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/LocalEngine.java
@@ -2,12 +2,10 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.ReadWriteLock;
@@ -24,7 +22,6 @@
 import org.papayawalk.daemon.swarm.StagingArea;
 import org.papayawalk.http.AsyncHttpClient;
 import org.papayawalk.http.AsyncHttpRequest;
-import org.papayawalk.http.AsyncHttpResponse;
 import org.papayawalk.log.Event;
 import org.papayawalk.platform.EngineCodec;
 
@@ -37,13 +34,6 @@
 final class LocalEngine implements StagingArea {
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1500);
 
-    private static final int STATUS_CONFLICT = 409;
-
-    private static final int STATUS_NOT_FOUND = 404;
-
-    // Failures that do not tell whether the engine accepted an order or executes a write.
-    private static final Set<Integer> STATUSES_WITHOUT_OUTCOME = Set.of(500, 502, 504);
-
     private final AsyncHttpClient http;
 
     private final String address;
@@ -123,10 +113,7 @@
         String target = EngineCodec.stageChunkTarget(manifest.model(), index);
         AsyncHttpRequest write =
                 new AsyncHttpRequest(address, HttpMethod.PUT, target, data, CALL_TIMEOUT);
-        return http.sendOnOwnConnection(write)
-                .join()
-                .flatMap(a -> requireOutcome(write, a))
-                .flatMap(a -> requireSuccess(write, a))
+        return EngineAnswers.write(write, http.sendOnOwnConnection(write).join())
                 .peekLeft(f -> recordFailedWrite(manifest, index, f))
                 .isRight();
     }
@@ -203,15 +190,7 @@
     CompletableFuture<Either<Fault, Optional<byte[]>>> startRead(Manifest manifest, int index) {
         String target = EngineCodec.stagedChunkTarget(manifest.model(), index);
         AsyncHttpRequest call = AsyncHttpRequest.get(address, target, CALL_TIMEOUT);
-        return http.sendOnOwnConnection(call).thenApply(a -> decodeChunk(call, a));
-    }
-
-    private static Either<Fault, Optional<byte[]>> decodeChunk(
-            AsyncHttpRequest call, Either<Fault, AsyncHttpResponse> answer) {
-        if (answer.isRight() && answer.get().status() == STATUS_NOT_FOUND) {
-            return Either.right(Optional.empty());
-        }
-        return answer.flatMap(a -> requireSuccess(call, a)).map(a -> Optional.of(a.body()));
+        return http.sendOnOwnConnection(call).thenApply(a -> EngineAnswers.chunk(call, a));
     }
 
     /**
@@ -241,19 +220,15 @@
     Either<Fault, EngineReport> report() {
         AsyncHttpRequest call =
                 AsyncHttpRequest.get(address, EngineCodec.REPORT_TARGET, CALL_TIMEOUT);
-        return http.send(call)
-                .join()
-                .flatMap(a -> decodeReport(call, a))
-                .flatMap(
-                        r ->
-                                isOutdated(r)
-                                        ? http.sendOnOwnConnection(call)
-                                                .join()
-                                                .flatMap(a -> decodeReport(call, a))
-                                        : Either.right(r))
+        return EngineAnswers.report(call, http.send(call).join())
+                .flatMap(r -> isOutdated(r) ? readReportAlone(call) : Either.right(r))
                 .peek(this::recordReport);
     }
 
+    private Either<Fault, EngineReport> readReportAlone(AsyncHttpRequest call) {
+        return EngineAnswers.report(call, http.sendOnOwnConnection(call).join());
+    }
+
     // Orders are forgotten only with a restart, which changes the incarnation.
     private boolean isOutdated(EngineReport report) {
         return lastReport
@@ -262,24 +237,6 @@
                 .isPresent();
     }
 
-    private static Either<Fault, EngineReport> decodeReport(
-            AsyncHttpRequest call, AsyncHttpResponse answer) {
-        return requireSuccess(call, answer)
-                .flatMap(
-                        a -> {
-                            try {
-                                return Either.right(EngineCodec.decodeReport(a.body()));
-                            } catch (IOException e) {
-                                return Either.left(
-                                        Fault.of(
-                                                FaultKind.CORRUPT,
-                                                "read-report",
-                                                call.address(),
-                                                e));
-                            }
-                        });
-    }
-
     /**
      * Returns the last state of the engine that was read.
      *
@@ -307,34 +264,6 @@
                         EngineCodec.LOAD_ORDER_TARGET,
                         body,
                         CALL_TIMEOUT);
-        Either<Fault, AsyncHttpResponse> answer = http.sendOnOwnConnection(loadCall).join();
-        if (answer.isRight() && answer.get().status() == STATUS_CONFLICT) {
-            return Either.right(false);
-        }
-        return answer.flatMap(a -> requireOutcome(loadCall, a))
-                .flatMap(a -> requireSuccess(loadCall, a))
-                .map(a -> true);
-    }
-
-    private static Either<Fault, AsyncHttpResponse> requireOutcome(
-            AsyncHttpRequest call, AsyncHttpResponse answer) {
-        if (!STATUSES_WITHOUT_OUTCOME.contains(answer.status())) {
-            return Either.right(answer);
-        }
-        return Either.left(statusFault(FaultKind.UNKNOWN_OUTCOME, call, answer));
-    }
-
-    private static Either<Fault, AsyncHttpResponse> requireSuccess(
-            AsyncHttpRequest call, AsyncHttpResponse answer) {
-        if (answer.isSuccess()) {
-            return Either.right(answer);
-        }
-        return Either.left(statusFault(FaultKind.REFUSED, call, answer));
-    }
-
-    private static Fault statusFault(
-            FaultKind kind, AsyncHttpRequest call, AsyncHttpResponse answer) {
-        String step = call.method() + " " + call.target();
-        return new Fault(kind, step, call.address(), "HTTP status " + answer.status());
+        return EngineAnswers.order(loadCall, http.sendOnOwnConnection(loadCall).join());
     }
 }
