Check what peers and the entry table list, one by one

Cause: one row whose failure domain is malformed hid the rows after it. An address without a port was taken, and threw each time the list of live entries was refreshed, so that the list stayed as it was. A reply with a malformed failure domain, an empty upstream or a rate that is no number threw before the outcome of the query was reported, after which an agent sends the next one: it sent no more.

Change: ListedEntry checks address and domain for rows and messages alike; what is malformed is left out by itself, and a row is logged once for each version. Rates have to be finite. The outcome of a query is reported whatever became of its reply.

--- a/src/main/java/org/papayawalk/daemon/managed/EntryRegistry.java
+++ b/src/main/java/org/papayawalk/daemon/managed/EntryRegistry.java
@@ -6,10 +6,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import org.papayawalk.core.Fault;
-import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.upstream.EraRenewal;
@@ -51,6 +51,8 @@
 
     private final EraRenewal renewal = new EraRenewal(RENEWAL_SPREAD);
 
+    private final UnreadableRows unreadable = new UnreadableRows();
+
     // Whether the row was removed for good.
     private volatile boolean deregistered;
 
@@ -84,8 +86,8 @@
         if (deregistered) {
             return;
         }
-        byte[] value =
-                (settings.peerAddress() + " " + settings.domain()).getBytes(StandardCharsets.UTF_8);
+        ListedEntry self = new ListedEntry(settings.peerAddress(), settings.domain());
+        byte[] value = self.toRow().getBytes(StandardCharsets.UTF_8);
         write(StoreCodec.putBody(TABLE, settings.host().value(), value))
                 .thenAccept(r -> thread.execute(() -> handleRegistration(r)));
     }
@@ -140,19 +142,23 @@
         }
         try {
             AsyncHttpResponse answer = result.get();
-            for (TableRecord r : StoreCodec.decode(answer.body(), era(answer), true).rows()) {
-                // A row holds the address and the failure domain, separated by a blank.
-                String[] words = new String(r.value(), StandardCharsets.UTF_8).split(" ");
-                if (words.length == 2) {
-                    entries.recordMention(words[0], new DomainId(words[1]), clock.instant());
-                }
-            }
-        } catch (IOException | IllegalArgumentException e) {
+            StoreCodec.decode(answer.body(), era(answer), true).rows().forEach(this::recordRow);
+        } catch (IOException e) {
             Event.named("entry-rows-unreadable").with("reason", e.getMessage()).warn();
         }
         thread.schedule(POLL_INTERVAL, this::pollRows);
     }
 
+    private void recordRow(TableRecord row) {
+        Optional<ListedEntry> entry =
+                ListedEntry.ofRow(new String(row.value(), StandardCharsets.UTF_8));
+        if (entry.isPresent()) {
+            entries.recordMention(entry.get().address(), entry.get().domain(), clock.instant());
+        } else if (unreadable.logsNow(row)) {
+            Event.named("entry-row-unreadable").with("key", row.key()).warn();
+        }
+    }
+
     private CompletableFuture<Either<Fault, AsyncHttpResponse>> write(byte[] body) {
         return http.send(
                 new AsyncHttpRequest(
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
@@ -20,7 +21,6 @@
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.wire.PeerClient;
 import org.papayawalk.wire.TrafficClass;
-import org.papayawalk.wire.proto.EntryAddress;
 import org.papayawalk.wire.proto.Envelope;
 import org.papayawalk.wire.proto.ViewQuery;
 import org.papayawalk.wire.proto.ViewReply;
@@ -273,11 +273,23 @@
                 .thenAccept(
                         reply ->
                                 thread.execute(
-                                        () -> {
-                                            Instant toldAt =
-                                                    answeredAtOnce ? sentAt : clock.instant();
-                                            done.accept(handleReply(target, reply, toldAt));
-                                        }));
+                                        () ->
+                                                applyReply(
+                                                        target,
+                                                        reply,
+                                                        answeredAtOnce ? sentAt : clock.instant(),
+                                                        done)));
+    }
+
+    // Reports the outcome also if the reply cannot be applied, since the next query follows it.
+    private void applyReply(
+            String target, Either<Fault, Envelope> reply, Instant toldAt, Consumer<Boolean> done) {
+        boolean answered = false;
+        try {
+            answered = handleReply(target, reply, toldAt);
+        } finally {
+            done.accept(answered);
+        }
     }
 
     // toldAt: earliest time at which the reply may have been sent; the time of its receipt if the
@@ -292,11 +304,11 @@
         ViewReply reply = result.get().getViewReply();
         // The first address is the sender; the others were in contact with the sender.
         for (int i = 0; i < reply.getEntriesCount(); i++) {
-            EntryAddress e = reply.getEntries(i);
+            Optional<ListedEntry> e = StateSyncMessages.listedEntry(reply.getEntries(i));
             if (i == 0) {
-                entries.recordContact(e.getAddress(), new DomainId(e.getDomain()), now);
+                e.ifPresent(x -> entries.recordContact(x.address(), x.domain(), now));
             } else {
-                entries.recordMention(e.getAddress(), new DomainId(e.getDomain()), now);
+                e.ifPresent(x -> entries.recordMention(x.address(), x.domain(), now));
             }
         }
         state.recordPeerStoreHealth(reply.getStoreWellMillis());
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.papayawalk.core.id.DomainId;
@@ -183,6 +184,16 @@
         return EntryAddress.newBuilder().setAddress(address).setDomain(domain.value()).build();
     }
 
+    /**
+     * Decodes the address and failure domain of an entry.
+     *
+     * @param message message
+     * @return entry, empty if the message is malformed
+     */
+    static Optional<ListedEntry> listedEntry(EntryAddress message) {
+        return ListedEntry.of(message.getAddress(), message.getDomain());
+    }
+
     /**
      * Encodes the crash evidence: for each request, by its fingerprint, the upstream processes that
      * crashed while they ran it.
@@ -244,14 +255,26 @@
     }
 
     /**
-     * Adds what upstreams stated of their limits to a peer.
+     * Adds what upstreams stated of their limits to a peer. Leaves out what is malformed.
      *
      * @param notices messages
      * @param limits limits known to this daemon
      * @param now present time
      */
     static void apply(List<UpstreamLimit> notices, UpstreamLimits limits, Instant now) {
-        limits.heard(notices.stream().map(StateSyncMessages::limit).toList(), now);
+        limits.heard(
+                notices.stream()
+                        .filter(StateSyncMessages::isValid)
+                        .map(StateSyncMessages::limit)
+                        .toList(),
+                now);
+    }
+
+    private static boolean isValid(UpstreamLimit notice) {
+        boolean validRate =
+                notice.getEnded()
+                        || (Double.isFinite(notice.getPerSecond()) && notice.getPerSecond() >= 0);
+        return validRate && !notice.getUpstream().isEmpty();
     }
 
     private static LimitNotice limit(UpstreamLimit notice) {
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
@@ -81,8 +81,8 @@
         ViewQuery query = message.getViewQuery();
         Instant now = clock.instant();
         if (query.hasEntry()) {
-            DomainId senderDomain = new DomainId(query.getEntry().getDomain());
-            entries.recordContact(query.getEntry().getAddress(), senderDomain, now);
+            StateSyncMessages.listedEntry(query.getEntry())
+                    .ifPresent(e -> entries.recordContact(e.address(), e.domain(), now));
         }
         StateSyncMessages.apply(query.getLostRunsList(), evidence.suspects(), now);
         StateSyncMessages.apply(query.getLimitsList(), evidence.limits(), now);
