Let one odd record hide no host of the host list

Cause: the list was read as a whole. A malformed name, an unknown role or state or a value of another type made the whole list a fault; a missing field or a null record was passed on and threw in the control task that applies the list.

Change: HostListCodec reads the list record by record, for the platform's list and for that of a peer; a record that lacks a field or has an address without a usable port is left out and counted in the log. A text that is the literal null is malformed for every type.

Measured: HttpHostListTest failed 19 of 26 before, all pass; lists that nest 100,000 deep or hold 100,000 digits were faults before too. DomainCheckTest and CutMessagesTest pass.

--- a/src/main/java/org/papayawalk/adapter/standalone/HttpHostList.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/HttpHostList.java
@@ -1,9 +1,10 @@
 package org.papayawalk.adapter.standalone;
 
-import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.util.List;
 import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.member.HostRecord;
 import org.papayawalk.core.port.HostList;
 
@@ -28,9 +29,16 @@
     public Either<Fault, List<HostRecord>> read() {
         ClientRequest request = ClientRequest.get("host-list", address, "/v1/hosts");
         return http.execute(request)
-                .flatMap(
-                        r ->
-                                ResponseMapper.readJson(
-                                        request, r, new TypeReference<List<HostRecord>>() {}));
+                .flatMap(r -> ResponseMapper.requireSuccess(request, r))
+                .flatMap(r -> decode(request, r));
+    }
+
+    private static Either<Fault, List<HostRecord>> decode(
+            ClientRequest request, ClientResponse response) {
+        try {
+            return Either.right(HostListCodec.read(response.body()));
+        } catch (IOException e) {
+            return Either.left(Fault.of(FaultKind.CORRUPT, request.step(), request.address(), e));
+        }
     }
 }
--- a/src/main/java/org/papayawalk/adapter/standalone/Json.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/Json.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -66,6 +67,19 @@
         return value;
     }
 
+    /**
+     * Reads a value from a part of a text.
+     *
+     * @param node part of a text
+     * @param type type of the value
+     * @param <T> type of the value
+     * @return the value, null if the part is the literal null
+     * @throws IOException if the part is not of that type
+     */
+    static <T> T convert(JsonNode node, Class<T> type) throws IOException {
+        return MAPPER.treeToValue(node, type);
+    }
+
     /**
      * Reads a value of a generic type.
      *
@@ -76,6 +90,10 @@
      * @throws IOException if the text is not JSON of that type
      */
     public static <T> T read(byte[] data, TypeReference<T> type) throws IOException {
-        return MAPPER.readValue(data, type);
+        T value = MAPPER.readValue(data, type);
+        if (value == null) {
+            throw new IOException("expected " + type.getType().getTypeName() + ", found null");
+        }
+        return value;
     }
 }
--- a/src/main/java/org/papayawalk/core/Addresses.java
+++ b/src/main/java/org/papayawalk/core/Addresses.java
@@ -11,6 +11,9 @@
     private static final Pattern IP_AND_PORT =
             Pattern.compile("(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3}):([1-9]\\d{0,4})");
 
+    private static final Pattern IPV6_AND_PORT =
+            Pattern.compile("\\[[0-9a-fA-F:]{2,39}]:([1-9]\\d{0,4})");
+
     private static final int IP_BYTES = 4;
 
     private static final int MAX_BYTE = 255;
@@ -48,6 +51,20 @@
         return first > 0 && first < FIRST_MULTICAST && port <= MAX_PORT;
     }
 
+    /**
+     * Tells whether a text has the form of an IPv6 address with a port.
+     *
+     * @param address text, may be null
+     * @return true for an address in brackets and a port, such as {@code [::1]:7000}
+     */
+    public static boolean isIpv6AndPort(String address) {
+        if (address == null) {
+            return false;
+        }
+        Matcher parts = IPV6_AND_PORT.matcher(address);
+        return parts.matches() && Integer.parseInt(parts.group(1)) <= MAX_PORT;
+    }
+
     /**
      * Parses an address.
      *
--- a/src/main/java/org/papayawalk/daemon/standalone/HostListSync.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/HostListSync.java
@@ -1,13 +1,12 @@
 package org.papayawalk.daemon.standalone;
 
-import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.function.Predicate;
-import org.papayawalk.adapter.standalone.Json;
+import org.papayawalk.adapter.standalone.HostListCodec;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.member.HostRecord;
 import org.papayawalk.core.port.HostList;
@@ -111,7 +110,7 @@
         }
         byte[] data = reply.getHostsDocument().getDocument().toByteArray();
         try {
-            applyList(Json.read(data, new TypeReference<List<HostRecord>>() {}));
+            applyList(HostListCodec.read(data));
         } catch (IOException e) {
             Event.named("host-list-failed").with("peer", seed).with("fault", e).warn();
         }
