Send no request on a kept connection that holds unasked bytes

Cause: the HTTP library leases a kept connection whatever came on it. Bytes behind an answer stay in the connection's input buffer if they came in one read with it, otherwise in the socket, and begin the next answer.

Change: a connection with bytes in its buffer or its socket when a request is about to be sent refuses it (UnaskedBytesException); nothing was sent, so the client closes its idle connections and sends the request on another one. The check reads what is there and doesn't wait. A second copy that comes behind the next request isn't seen by it: such servers get a connection for each call.

--- a/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
@@ -27,6 +27,7 @@
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.Fault;
@@ -121,14 +122,11 @@
     public Either<Fault, StreamingResponse> executeStreaming(ClientRequest request) {
         HttpHost host = toHttpHost(request.address());
         try {
-            ClassicHttpResponse response =
-                    requester.execute(
-                            host,
-                            toHttpRequest(request),
-                            CONNECT_TIMEOUT,
-                            HttpCoreContext.create());
-            return Either.right(new StreamingResponse(response));
-        } catch (ConnectException | NoRouteToHostException | IllegalStateException e) {
+            return Either.right(new StreamingResponse(send(host, request)));
+        } catch (ConnectException
+                | NoRouteToHostException
+                | UnaskedBytesException
+                | IllegalStateException e) {
             // The connection pool throws IllegalStateException once this client is closed.
             return Either.left(
                     Fault.of(FaultKind.UNREACHABLE, request.step(), request.address(), e));
@@ -156,6 +154,24 @@
         return new HttpHost("http", ip, ip.getHostAddress(), socket.getPort());
     }
 
+    // A kept connection on which bytes came unasked is closed, with the others that are idle, and
+    // the request is sent on another one.
+    private ClassicHttpResponse send(HttpHost host, ClientRequest request)
+            throws IOException, HttpException {
+        try {
+            return sendOnce(host, request);
+        } catch (UnaskedBytesException e) {
+            requester.closeIdle(TimeValue.ZERO_MILLISECONDS);
+            return sendOnce(host, request);
+        }
+    }
+
+    private ClassicHttpResponse sendOnce(HttpHost host, ClientRequest request)
+            throws IOException, HttpException {
+        return requester.execute(
+                host, toHttpRequest(request), CONNECT_TIMEOUT, HttpCoreContext.create());
+    }
+
     private static ClassicHttpRequest toHttpRequest(ClientRequest request) {
         ClassicRequestBuilder builder =
                 ClassicRequestBuilder.create(request.method()).setPath(request.path());
--- a/src/test/java/org/papayawalk/adapter/standalone/SecondAnswerTest.java
+++ b/src/test/java/org/papayawalk/adapter/standalone/SecondAnswerTest.java
@@ -95,6 +95,30 @@
         assertEquals(wrong, List.of());
     }
 
+    /** A connection that is kept is not used again if bytes came behind its last answer. */
+    @Test
+    public void keptConnectionWithBytesBehindItsAnswerGetsNoFurtherCall() {
+        List<String> wrong = new ArrayList<>();
+        for (Again again : List.of(Again.AT_ONCE, Again.WHILE_IDLE)) {
+            for (int length = 1; length <= SUCCESS.length(); length++) {
+                server.play(Script.of(SUCCESS, length, again, FAILURE));
+                String got = postTwiceOnKeptConnections();
+                if (!got.equals("500 no gold leaf") || server.connections() != 2) {
+                    wrong.add(again + " " + length + ": " + got);
+                }
+            }
+        }
+        assertEquals(wrong, List.of());
+    }
+
+    /** A connection without such bytes is used again. */
+    @Test
+    public void keptConnectionGetsNextCall() {
+        server.play(Script.of(SUCCESS, 0, Again.WHILE_IDLE, FAILURE));
+        assertEquals(postTwiceOnKeptConnections(), "500 no gold leaf");
+        assertEquals(server.connections(), 1);
+    }
+
     /**
      * A write that the table refused is not taken for written because an earlier one was.
      *
@@ -124,6 +148,14 @@
         return new Object[][] {{Again.AT_ONCE}, {Again.WHILE_IDLE}, {Again.AFTER_NEXT_REQUEST}};
     }
 
+    private String postTwiceOnKeptConnections() {
+        try (BlockingHttpClient client = BlockingHttpClient.keepingConnections(READ_TIMEOUT, 4)) {
+            post(client);
+            server.stutter();
+            return post(client);
+        }
+    }
+
     private String post(BlockingHttpClient client) {
         return client.execute(ClientRequest.post("test", server.address(), "/v1/orders", "leaf"))
                 .fold(f -> "fault " + f.message(), r -> r.status() + " " + r.text());
