Refuse a head that holds another status line in the HTTP client

Cause: only an empty line ends a head. If a server breaks off its answer inside the head and sends another one, the status is that of the first and the body that of the second, on a new connection too. The HTTP library even takes a status line that follows a line's end for a header, as it needs no colon.

Change: a head whose reason, header names or values hold a status line is a failure with unknown outcome (NestedStatusLine).

Not covered: an answer that is cut inside its body and followed by another one on the same connection. Its length counts the other one's bytes; nothing tells them apart.

--- a/src/main/java/org/papayawalk/adapter/standalone/BoundedHeadParser.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/BoundedHeadParser.java
@@ -6,13 +6,14 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.io.HttpMessageParser;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
  * Parser of response heads that ends a head which comes in trickles, a head that its connection
- * cuts off, and informational (1xx) heads without a response. One parser belongs to one connection.
- * Not thread-safe: confined to the reading thread.
+ * cuts off, a head in which another one begins, and informational (1xx) heads without a response.
+ * One parser belongs to one connection. Not thread-safe: confined to the reading thread.
  */
 final class BoundedHeadParser implements HttpMessageParser<ClassicHttpResponse> {
     /** Informational heads allowed before a response. */
@@ -42,6 +43,9 @@
     public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream in)
             throws IOException, HttpException {
         ClassicHttpResponse head = parser.parse(buffer, new TimedInputStream(in, timeout));
+        if (head != null && NestedStatusLine.isIn(head)) {
+            throw new ProtocolException("another response begins inside the head of a response");
+        }
         boolean informational = head != null && head.getCode() < FIRST_FINAL_STATUS;
         informationalHeads = informational ? informationalHeads + 1 : 0;
         if (informationalHeads > MAX_INFORMATIONAL_HEADS) {
--- a/src/test/java/org/papayawalk/adapter/standalone/SecondAnswerTest.java
+++ b/src/test/java/org/papayawalk/adapter/standalone/SecondAnswerTest.java
@@ -119,6 +119,41 @@
         assertEquals(server.connections(), 1);
     }
 
+    /**
+     * An answer that is cut inside its head and followed by another one is not read as one answer.
+     *
+     * @param headers headers of the first answer
+     */
+    @Test(dataProvider = "headers")
+    public void failureBehindCutHeadIsNotReadAsSuccess(String headers) {
+        String head = "HTTP/1.1 200 OK\r\n" + headers + "\r\n";
+        List<String> wrong = new ArrayList<>();
+        for (int length = 1; length < head.length(); length++) {
+            server.play(Script.of(head.substring(0, length) + FAILURE, 0, Again.AT_ONCE, FAILURE));
+            try (BlockingHttpClient client = new BlockingHttpClient(READ_TIMEOUT, 4)) {
+                String got = post(client);
+                if (!got.startsWith("fault ")) {
+                    wrong.add(length + ": " + got);
+                }
+            }
+        }
+        assertEquals(wrong, List.of());
+    }
+
+    /**
+     * Headers of an answer.
+     *
+     * @return lines
+     */
+    @DataProvider
+    public Object[][] headers() {
+        return new Object[][] {
+            {"Content-Length: 12\r\nX-Leaf: gold\r\n"},
+            {"X-Leaf: gold\r\nContent-Length: 12\r\n"},
+            {"X-Leaf: gold\r\nTransfer-Encoding: chunked\r\n"},
+        };
+    }
+
     /**
      * A write that the table refused is not taken for written because an earlier one was.
      *
