--- a/src/test/java/org/papayawalk/adapter/standalone/SecondAnswerTest.java
+++ b/src/test/java/org/papayawalk/adapter/standalone/SecondAnswerTest.java
@@ -95,6 +95,65 @@
         assertEquals(wrong, List.of());
     }
 
+    /** A connection that is kept is not used again if bytes came behind its last answer. */
+    @Test
+    public void keptConnectionWithBytesBehindItsAnswerGetsNoFurtherCall() {
+        List<String> wrong = new ArrayList<>();
+        for (Again again : List.of(Again.AT_ONCE, Again.WHILE_IDLE)) {
+            for (int length = 1; length <= SUCCESS.length(); length++) {
+                server.play(Script.of(SUCCESS, length, again, FAILURE));
+                String got = postTwiceOnKeptConnections();
+                if (!got.equals("500 no gold leaf") || server.connections() != 2) {
+                    wrong.add(again + " " + length + ": " + got);
+                }
+            }
+        }
+        assertEquals(wrong, List.of());
+    }
+
+    /** A connection without such bytes is used again. */
+    @Test
+    public void keptConnectionGetsNextCall() {
+        server.play(Script.of(SUCCESS, 0, Again.WHILE_IDLE, FAILURE));
+        assertEquals(postTwiceOnKeptConnections(), "500 no gold leaf");
+        assertEquals(server.connections(), 1);
+    }
+
+    /**
+     * An answer that is cut inside its head and followed by another one is not read as one answer.
+     *
+     * @param headers headers of the first answer
+     */
+    @Test(dataProvider = "headers")
+    public void failureBehindCutHeadIsNotReadAsSuccess(String headers) {
+        String head = "HTTP/1.1 200 OK\r\n" + headers + "\r\n";
+        List<String> wrong = new ArrayList<>();
+        for (int length = 1; length < head.length(); length++) {
+            server.play(Script.of(head.substring(0, length) + FAILURE, 0, Again.AT_ONCE, FAILURE));
+            try (BlockingHttpClient client = new BlockingHttpClient(READ_TIMEOUT, 4)) {
+                String got = post(client);
+                if (!got.startsWith("fault ")) {
+                    wrong.add(length + ": " + got);
+                }
+            }
+        }
+        assertEquals(wrong, List.of());
+    }
+
+    /**
+     * Headers of an answer.
+     *
+     * @return lines
+     */
+    @DataProvider
+    public Object[][] headers() {
+        return new Object[][] {
+            {"Content-Length: 12\r\nX-Leaf: gold\r\n"},
+            {"X-Leaf: gold\r\nContent-Length: 12\r\n"},
+            {"X-Leaf: gold\r\nTransfer-Encoding: chunked\r\n"},
+        };
+    }
+
     /**
      * A write that the table refused is not taken for written because an earlier one was.
      *
@@ -124,6 +183,14 @@
         return new Object[][] {{Again.AT_ONCE}, {Again.WHILE_IDLE}, {Again.AFTER_NEXT_REQUEST}};
     }
 
+    private String postTwiceOnKeptConnections() {
+        try (BlockingHttpClient client = BlockingHttpClient.keepingConnections(READ_TIMEOUT, 4)) {
+            post(client);
+            server.stutter();
+            return post(client);
+        }
+    }
+
     private String post(BlockingHttpClient client) {
         return client.execute(ClientRequest.post("test", server.address(), "/v1/orders", "leaf"))
                 .fold(f -> "fault " + f.message(), r -> r.status() + " " + r.text());
