Forward no event without an id into a resumed stream

Cause: ids tell which events of a resumed stream the caller already has. An event without one was always forwarded. So a stream without ids was repeated from its start at the next server, and the events of another run joined one that had ids.

Evidence: ResumedStreamTest, an error or a first part as event without an id behind the events of the first server, and a stream without ids that broke off.

Change: a resumed stream ends its attempt at an event without an id once the caller has an event, and a stream whose events had none is not sent elsewhere: its caller sees the break. Comments need no id.

Two rows of the test get one of their own: after a stream that broke off before its first event, a whole stream without ids is no defect, and the test took it for one. The test of a stream without ids stated a wrong chunk size.

--- a/src/main/java/org/papayawalk/core/stream/VerbatimEventSplitter.java
+++ b/src/main/java/org/papayawalk/core/stream/VerbatimEventSplitter.java
@@ -4,7 +4,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 /**
  * Splits a byte stream into complete server-sent events without changing a byte, so that a caller
@@ -15,6 +17,8 @@
 public final class VerbatimEventSplitter {
     private static final String ID_FIELD = "id:";
 
+    private static final String COMMENT = ":";
+
     /** Bytes of the incomplete event. */
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
@@ -26,7 +30,16 @@
      * @param bytes bytes of the event, including the empty line that ends it
      * @param id value of the first id field, empty if there is none or if it is not a number
      */
-    public record Event(byte[] bytes, OptionalLong id) {}
+    public record Event(byte[] bytes, OptionalLong id) {
+        /**
+         * Returns whether it has comments only.
+         *
+         * @return true if each line that is not empty begins with a colon
+         */
+        public boolean isComment() {
+            return lines(bytes).allMatch(l -> l.isEmpty() || l.startsWith(COMMENT));
+        }
+    }
 
     /**
      * Processes the next bytes of the stream.
@@ -94,15 +107,17 @@
     }
 
     private static OptionalLong parseId(byte[] event) {
-        String text = new String(event, StandardCharsets.UTF_8);
-        for (String line : text.split("\r\n|\r|\n")) {
-            if (line.startsWith(ID_FIELD)) {
-                String value = line.substring(ID_FIELD.length()).strip();
-                return value.matches("[0-9]{1,18}")
-                        ? OptionalLong.of(Long.parseLong(value))
-                        : OptionalLong.empty();
-            }
-        }
-        return OptionalLong.empty();
+        Optional<String> value =
+                lines(event)
+                        .filter(l -> l.startsWith(ID_FIELD))
+                        .findFirst()
+                        .map(l -> l.substring(ID_FIELD.length()).strip());
+        return value.filter(v -> v.matches("[0-9]{1,18}")).isPresent()
+                ? OptionalLong.of(Long.parseLong(value.get()))
+                : OptionalLong.empty();
+    }
+
+    private static Stream<String> lines(byte[] event) {
+        return new String(event, StandardCharsets.UTF_8).lines();
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
@@ -29,6 +29,12 @@
 
     private Instant firstEventAt;
 
+    /** Whether another upstream goes on after events that the caller has. */
+    private boolean resumed;
+
+    /** Whether the caller has an event without an id, so that its place can't be found again. */
+    private boolean unnumbered;
+
     /**
      * Creates a stream that has not started.
      *
@@ -47,10 +53,20 @@
      * Returns whether the body of a response can be forwarded.
      *
      * @param response head of an upstream's response that has events
-     * @return false if the caller has the head of a stream of another media type
+     * @return false if the caller has the head of a stream of another media type, or events that
+     *     would come twice
      */
     boolean accepts(HttpResponse response) {
-        return !started || Objects.equals(mediaType, mediaType(response));
+        return !started || (isResumable() && Objects.equals(mediaType, mediaType(response)));
+    }
+
+    /**
+     * Returns whether another upstream can go on after the events that the caller has.
+     *
+     * @return false once an event without an id was forwarded
+     */
+    boolean isResumable() {
+        return !unnumbered;
     }
 
     /**
@@ -60,6 +76,7 @@
      */
     void start(HttpResponse response) {
         if (started) {
+            resumed = firstEventAt != null;
             return;
         }
         started = true;
@@ -74,18 +91,26 @@
      *
      * @param event complete event
      * @param now present time
+     * @return false if it isn't forwarded as the caller may already have it: it has no id, and
+     *     another upstream has sent events before
      */
-    void forward(VerbatimEventSplitter.Event event, Instant now) {
+    boolean forward(VerbatimEventSplitter.Event event, Instant now) {
         if (event.id().isPresent()) {
             if (event.id().getAsLong() <= lastEventId) {
-                return;
+                return true;
             }
             lastEventId = event.id().getAsLong();
+        } else if (!event.isComment()) {
+            if (resumed) {
+                return false;
+            }
+            unnumbered = true;
         }
         if (firstEventAt == null) {
             firstEventAt = now;
         }
         caller.writeStreamData(event.bytes());
+        return true;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
-import org.papayawalk.core.call.AttemptParameters;
 import org.papayawalk.core.call.RequestMetadata;
 import org.papayawalk.core.desired.AuthorizedRequest;
 import org.papayawalk.core.desired.Denial;
@@ -98,10 +97,10 @@
         }
         DesiredState desired = entry.upstreams().snapshot().desired().orElseThrow();
         String host = request.head().headers().get(HttpHeaderNames.HOST);
-        String target = request.head().uri();
         double draw = entry.random().nextDouble();
         Either<Denial, AuthorizedRequest> decision =
-                RequestAuthorizer.authorize(desired, host, target, metadata.apiKey(), draw);
+                RequestAuthorizer.authorize(
+                        desired, host, request.head().uri(), metadata.apiKey(), draw);
         if (decision.isLeft()) {
             completion.deny(decision.getLeft());
             return;
@@ -267,7 +266,8 @@
      * @return false if another attempt is not allowed or would have to wait
      */
     boolean canRepeat(Instant now) {
-        return poison.mayRepeat(now)
+        return stream.isResumable()
+                && poison.mayRepeat(now)
                 && choice.canRepeat(now)
                 && entry.queue(authorized.service()).precedesAll(this, now);
     }
@@ -290,9 +290,8 @@
      * @return request, released when it is written
      */
     FullHttpRequest upstreamRequest(PlacementCandidate candidate, Instant now) {
-        AttemptParameters parameters =
-                choice.parameters(candidate.upstream(), stream.lastEventId(), now);
-        return UpstreamRequests.build(request, parameters);
+        return UpstreamRequests.build(
+                request, choice.parameters(candidate.upstream(), stream.lastEventId(), now));
     }
 
     /**
@@ -346,7 +345,8 @@
         attempt = null;
         completion.recordReason(reason);
         attempts.lastEnded(mayHaveRun, reached);
-        boolean allowed = !mayHaveRun || (authorized.route().retryable() && poison.mayRepeat(now));
+        boolean mayRepeat = authorized.route().retryable() && poison.mayRepeat(now);
+        boolean allowed = stream.isResumable() && (mayRepeat || !mayHaveRun);
         DispatchQueue queue = entry.queue(authorized.service());
         if (!allowed || !timing.leavesTime(Duration.ZERO, now) || !choice.hasAttemptsLeft()) {
             endUnanswered(reason, queue.retryAfter(this, now));
@@ -385,8 +385,7 @@
 
     private void endAsPoison() {
         if (!isCompleted()) {
-            Instant now = entry.clock().instant();
-            endUnanswered(PoisonGuard.REASON, poison.retryAfter(now));
+            endUnanswered(PoisonGuard.REASON, poison.retryAfter(entry.clock().instant()));
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -68,16 +68,23 @@
     }
 
     /**
-     * Receives part of the body and forwards the events that it completes.
+     * Receives part of the body and forwards the events that it completes, up to one that can't
+     * belong to the caller's stream.
      *
      * @param data bytes
      * @param now present time
+     * @return why the stream can't go on, empty if it can
      */
-    void receive(byte[] data, Instant now) {
+    Optional<String> receive(byte[] data, Instant now) {
         for (VerbatimEventSplitter.Event e : splitter.feed(data)) {
             progress.eventReceived(e, now);
-            stream.forward(e, now);
+            if (!stream.forward(e, now)) {
+                return Optional.of("resumed stream has an event without an id");
+            }
         }
+        return partialBytes() > StreamProgress.MAX_EVENT_BYTES
+                ? Optional.of("event is longer than " + StreamProgress.MAX_EVENT_BYTES + " bytes")
+                : Optional.empty();
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -187,9 +187,9 @@
             buffer(data);
             return;
         }
-        receiver.receive(ByteBufUtil.getBytes(data), now);
-        if (receiver.partialBytes() > StreamProgress.MAX_EVENT_BYTES) {
-            fail("event is longer than " + StreamProgress.MAX_EVENT_BYTES + " bytes");
+        Optional<String> defect = receiver.receive(ByteBufUtil.getBytes(data), now);
+        if (defect.isPresent()) {
+            fail(defect.get());
             return;
         }
         entry.bufferBudget().resize(bufferHandle, receiver.partialBytes());
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ResumedStreamTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ResumedStreamTest.java
@@ -102,8 +102,6 @@
         answers.put("json in chunks", chunked("200 OK", "Content-Type: a/json\r\n", "{}\n\n{}"));
         answers.put("no media type", answer("200 OK", "", "failure\n\n"));
         answers.put("encoded", answer("200 OK", events() + "Content-Encoding: gzip\r\n", "a\n\nb"));
-        answers.put("error events", chunked("200 OK", events(), "data: {\"error\":1}\n\n"));
-        answers.put("events without ids", chunked("200 OK", events(), "data: part 1\n\n"));
         answers.put("cut", answer("200 OK", events(), STREAM).replaceFirst("(?s)art 6\n\n$", ""));
         answers.put("ends inside", answer("200 OK", events(), STREAM.replaceFirst("6\n\n$", "")));
         answers.put("not stamped", answer("200 OK", events(), STREAM).replace("{headers}", "{id}"));
@@ -112,6 +110,31 @@
                 .toArray(Object[][]::new);
     }
 
+    /**
+     * Streams without ids, which could be whole answers of their own.
+     *
+     * @return text of the answer
+     */
+    @DataProvider
+    public Object[][] streamsWithoutIds() {
+        return new Object[][] {
+            {chunked("200 OK", events(), "data: {\"error\":1}\n\n")},
+            {chunked("200 OK", events(), "data: part 1\n\n")},
+        };
+    }
+
+    /**
+     * A broken stream with ids never goes on with events without ids, but at a third upstream. A
+     * caller that has no event yet may get them.
+     *
+     * @param answer second answer
+     */
+    @Test(dataProvider = "streamsWithoutIds")
+    public void brokenStreamTakesNoEventsWithoutIds(String answer) {
+        List<AnswerScript> broken = brokenStreams().subList(1, brokenStreams().size());
+        assertEquals(defects(broken, answer), List.of());
+    }
+
     /**
      * A broken stream never goes on with an answer of another kind, but at a third upstream.
      *
@@ -120,16 +143,7 @@
      */
     @Test(dataProvider = "otherAnswers")
     public void brokenStreamTakesNoBytesOfOtherAnswer(String name, String answer) {
-        List<String> defects = new ArrayList<>();
-        TestCaller.Response whole = send("/advice-3/", brokenStreams().get(1), text(answer));
-        if (!whole.complete() || !whole.body().equals(STREAM)) {
-            defects.add("does not go on: " + whole);
-        }
-        for (AnswerScript broken : brokenStreams()) {
-            Optional<String> defect = defect(send("/advice/", broken, text(answer)));
-            defect.ifPresent(d -> defects.add(describe(broken) + ": " + d));
-        }
-        assertEquals(defects, List.of());
+        assertEquals(defects(brokenStreams(), answer), List.of());
     }
 
     /**
@@ -178,7 +192,7 @@
     @Test
     public void streamWithoutIdsIsNotRepeated() {
         String whole = "data: part 1\n\ndata: part 2\n\n";
-        String cut = chunked("200 OK", events(), whole).replaceFirst("0\r\n\r\n$", "");
+        String cut = CHUNKED_STREAM + Integer.toHexString(whole.length()) + "\r\n" + whole;
         TestCaller.Response response =
                 send("/advice/", text(cut), text(chunked("200 OK", events(), whole)));
         assertEquals(response.complete(), false);
@@ -209,6 +223,20 @@
                 AnswerScript.cutStream(Framing.NEITHER, STREAM, inside, End.CLOSE));
     }
 
+    // Returns what callers must not see when streams break off and another answer follows.
+    private List<String> defects(List<AnswerScript> brokenStreams, String answer) {
+        List<String> defects = new ArrayList<>();
+        TestCaller.Response whole = send("/advice-3/", brokenStreams.get(1), text(answer));
+        if (!whole.complete() || !whole.body().equals(STREAM)) {
+            defects.add("does not go on: " + whole);
+        }
+        for (AnswerScript broken : brokenStreams) {
+            Optional<String> defect = defect(send("/advice/", broken, text(answer)));
+            defect.ifPresent(d -> defects.add(describe(broken) + ": " + d));
+        }
+        return defects;
+    }
+
     // Returns streams with the head and body of a failure behind a part.
     private static List<String> withHead(String part, String body) {
         String bytes = part + answer("500 Failure", "", body);
