End a stream at an event in which another head begins

Cause: the empty line after a head ends an event. A server that broke off its stream and wrote a failure on the same connection, behind an open chunk or without chunks, made an event of the cut one and the head. It was forwarded, and where the failure had no body, or a body with empty lines, the stream ended as complete.

Evidence: ResumedStreamTest.headInsideStreamIsNotForwarded failed at all five places: inside id, name and data of an event, behind its data, between events.

Change: an event with a status line outside of data and comments, or with lines that are no fields of an event behind a status line, ends the attempt (HeadInEvent). The stream goes on at another server. Answers of models that quote a head have it in data lines and arrive (HeadInEventTest, eventsThatQuoteHeads). Still open: a head without any header that is glued to a data line looks like data.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -77,6 +77,9 @@
      */
     Optional<String> receive(byte[] data, Instant now) {
         for (VerbatimEventSplitter.Event e : splitter.feed(data)) {
+            if (HeadInEvent.isIn(e.bytes())) {
+                return Optional.of("another response begins inside an event");
+            }
             progress.eventReceived(e, now);
             if (!stream.forward(e, now)) {
                 return Optional.of("resumed stream has an event without an id");
