Complete no stream with an answer that does not continue it

Cause: on a resumable streaming route, the stamped 200 of the next server was forwarded into the response that had begun, whatever its media type. A plain body has no events, so nothing told its bytes or its end from a continuation.

Change: CallerStream admits a response if nothing has begun, or if both what has begun and the response have events. Another response is buffered and ends the attempt, as a failure did before.

Measured: StreamContinuationTest passes; so does its third case, a stream that another one completes.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
@@ -2,15 +2,18 @@
 
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Instant;
 import java.util.Optional;
+import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
 import org.papayawalk.platform.HeaderCodec;
 
 /**
- * Streamed response to a caller. Another upstream may resume it: the caller gets the head of the
- * first upstream, and each event once and in order. Confined to the event loop thread.
+ * Streamed response to a caller. If it has events, another upstream may resume it: the caller gets
+ * the head of the first upstream, and each event once and in order. Confined to the event loop
+ * thread.
  */
 final class CallerStream {
     private final CallerHandler caller;
@@ -18,6 +21,9 @@
     /** Whether the head was sent. */
     private boolean started;
 
+    /** Whether the head that was sent begins a stream of events. */
+    private boolean resumable;
+
     /** Id of the last event that the caller has; negative if it has none. */
     private long lastEventId = -1;
 
@@ -37,6 +43,20 @@
                 .ifPresent(e -> lastEventId = Long.parseLong(e));
     }
 
+    /**
+     * Returns whether an upstream's response can be streamed, from its start or as a continuation.
+     *
+     * @param response head of the response
+     * @param metadata metadata stated by the upstream
+     * @return false for a failure, and for a response that does not continue what has begun
+     */
+    boolean admits(HttpResponse response, ResponseMetadata metadata) {
+        boolean continues = !started || (resumable && StreamReceiver.hasEvents(response));
+        return response.status().equals(HttpResponseStatus.OK)
+                && metadata.hasAuthenticationCode()
+                && continues;
+    }
+
     /**
      * Sends the head, unless the head of an earlier upstream was sent.
      *
@@ -47,6 +67,7 @@
             return;
         }
         started = true;
+        resumable = StreamReceiver.hasEvents(response);
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
         HeaderCodec.copyToCaller(response.headers(), head.headers());
         caller.startStream(head);
--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -33,7 +33,17 @@
     StreamReceiver(CallerStream stream, StreamProgress progress, HttpResponse head) {
         this.stream = stream;
         this.progress = progress;
-        this.hasEvents = HttpUtil.getMimeType(head) == null || isEventStream(head);
+        this.hasEvents = hasEvents(head);
+    }
+
+    /**
+     * Returns whether the body of a successful response to a streaming route has events.
+     *
+     * @param head head of the response
+     * @return true for an event stream, and without a media type
+     */
+    static boolean hasEvents(HttpResponse head) {
+        return HttpUtil.getMimeType(head) == null || isEventStream(head);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -167,8 +167,8 @@
                     .recordLimit(candidate.upstream().process(), metadata, startedAt, now);
         }
         entry.statements().recordWithheld(candidate.upstream().process(), status, metadata, now);
-        boolean eventStream = route().kind() == RequestKind.STREAMING && status == 200;
-        boolean streaming = eventStream && metadata.hasAuthenticationCode();
+        boolean streamed = route().kind() == RequestKind.STREAMING;
+        boolean streaming = streamed && exchange.stream().admits(response, metadata);
         progress.headReceived(response, streaming, now);
         if (streaming) {
             exchange.stream().start(response);
