--- a/src/test/java/org/papayawalk/adapter/standalone/HttpHostListTest.java
+++ b/src/test/java/org/papayawalk/adapter/standalone/HttpHostListTest.java
@@ -25,7 +25,7 @@
              "address":"10.0.0.1:7000","state":"LIVE"}
             """;
 
-    private final BlockingHttpClient http = new BlockingHttpClient(Duration.ofSeconds(5), 4, false);
+    private final BlockingHttpClient http = new BlockingHttpClient(Duration.ofSeconds(5), 4);
 
     private AnswerServer server;
 
