Bound the informational responses to a call of the HTTP client

Callers would see: nothing directly; a daemon whose store, engine or origin sends informational responses without end is busy decoding them.

Cause: only the 8 MB bound of a whole response ended them, some 330,000 heads. Seen again today: EndlessServerTest.requestFailsAtOnce[1xx heads] failed once in one run of 28 test classes on a busy machine (load 18 to 20 on 8 cores), after 2913 ms where 2000 are allowed.

Evidence: manyInformationalResponsesFail, before this change, gets a 200 behind 1,000 such heads.

Change: more than 64 of them fail the request and close the connection.

Measured: EndlessServerTest passes (12 of 12); the case takes 0.05 s, beside a load of 20. AsyncHttpClientTest, StutteringEngineTest, NestedAnswerTest, BytesBehindAnswerTest and BrokenServerAnswerTest pass.

--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -41,6 +41,9 @@
     /** Bound of one response in bytes, with its heads and framing. */
     private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+    /** Bound of the informational (1xx) responses to one request. */
+    private static final int MAX_INFORMATIONAL_RESPONSES = 64;
+
     /** Bound of all responses that are received at the same time, in bytes. */
     private static final long MAX_BUFFERED_BYTES = 12 * 1024 * 1024;
 
@@ -204,6 +207,9 @@
         /** Bytes received since the request was sent. */
         private int receivedBytes;
 
+        /** Informational (1xx) responses received since the request was sent. */
+        private int informationalCount;
+
         /** This connection in the budget of the client. */
         private final BufferBudget.Buffer bufferHandle = r -> failPending(new IOException(r));
 
@@ -242,6 +248,7 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
             boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (informational && response.decoderResult().isSuccess()) {
+                skipInformational(context);
                 return;
             }
             budget.release(bufferHandle);
@@ -275,6 +282,7 @@
          */
         void send(AsyncHttpRequest request, CompletableFuture<AsyncHttpResponse> response) {
             receivedBytes = 0;
+            informationalCount = 0;
             pendingResponse = response;
             response.whenComplete(
                     (a, e) -> {
@@ -311,6 +319,15 @@
             channel.close();
         }
 
+        private void skipInformational(ChannelHandlerContext context) {
+            informationalCount++;
+            if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+                String reason = "more than %d informational responses to a request";
+                failPending(new IOException(reason.formatted(MAX_INFORMATIONAL_RESPONSES)));
+                context.close();
+            }
+        }
+
         // Returns why a message is no response.
         private static Optional<Throwable> defect(FullHttpResponse response) {
             if (response.decoderResult().isFailure()) {
--- a/src/test/java/org/papayawalk/daemon/managed/EndlessServerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/EndlessServerTest.java
@@ -42,6 +42,8 @@
     /** Requests at once. */
     private static final int REQUESTS = 12;
 
+    private static final int MANY_RESPONSES = 1000;
+
     private final EventLoopGroup loops =
             new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
 
@@ -114,6 +116,14 @@
         assertEquals(new AsyncHttpClient(loops).send(request()).join().get().status(), 200);
     }
 
+    /** A request fails at a small part of endless informational responses. */
+    @Test
+    public void manyInformationalResponsesFail() {
+        String hints = "HTTP/1.1 100 Continue\r\n\r\n".repeat(MANY_RESPONSES);
+        endless(EndlessBytes.fast("hints", hints + EndlessBytes.EMPTY, "x"));
+        assertTrue(new AsyncHttpClient(loops).send(request()).join().isLeft());
+    }
+
     /** Many endless bodies at once hold no more than the bound, and nothing afterwards. */
     @Test
     public void memoryIsBounded() {
