Take no number out of range from engines and the origin

Hosts would see: an engine that counts as idle or as loaded with a version that it doesn't hold, and chunks of another version, as 4,294,967,298 was read as 2.

Cause: the numbers of reports and manifests were converted without a check.

Change: a report with a number out of range, or a manifest whose version isn't exactly the requested one, is malformed like one that can't be parsed, so that the call is a fault and is repeated. An absent count is 0 as before.

--- a/src/main/java/org/papayawalk/platform/EngineCodec.java
+++ b/src/main/java/org/papayawalk/platform/EngineCodec.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.papayawalk.core.id.Digest;
 import org.papayawalk.core.upstream.EngineReport;
 import org.papayawalk.core.weight.Manifest;
@@ -26,21 +27,36 @@
      *
      * @param data response body
      * @return report
-     * @throws IOException if the body is not a JSON object or has no {@code sequence}
+     * @throws IOException if the body is not a JSON object, has no {@code sequence}, or a number is
+     *     out of range
      */
     public static EngineReport decodeReport(byte[] data) throws IOException {
         JsonNode root = JsonTree.parseObject(data);
-        if (!root.path("sequence").isIntegralNumber()) {
+        if (root.path("sequence").isMissingNode()) {
             throw new IOException(
                     "engine report has no integer field \"sequence\" (number of load orders)");
         }
         return new EngineReport(
-                root.path("born").asLong(),
+                count(root, "born", Long.MAX_VALUE),
                 UpstreamRegistrationCodec.versionsByModel(root),
                 root.path("busy").asBoolean(),
-                root.path("sequence").asLong(),
-                root.path("queued").asInt(),
-                root.path("active").asInt());
+                count(root, "sequence", Long.MAX_VALUE),
+                (int) count(root, "queued", Integer.MAX_VALUE),
+                (int) count(root, "active", Integer.MAX_VALUE));
+    }
+
+    // Returns 0 if the field is absent.
+    private static long count(JsonNode root, String field, long max) throws IOException {
+        JsonNode node = root.path(field);
+        if (node.isMissingNode()) {
+            return 0;
+        }
+        return JsonTree.wholeNumber(node, 0, max)
+                .orElseThrow(
+                        () ->
+                                new IOException(
+                                        "engine report has no integer field \"%s\" from 0 to %d"
+                                                .formatted(field, max)));
     }
 
     /**
@@ -123,9 +139,10 @@
     public static Manifest decodeManifest(byte[] data, String model, int version)
             throws IOException {
         JsonNode root = JsonTree.parseObject(data);
+        OptionalLong number = JsonTree.wholeNumber(root.path("version"), 1, Integer.MAX_VALUE);
         boolean matches =
                 model.equals(root.path("model").asText())
-                        && version == root.path("version").asInt();
+                        && number.equals(OptionalLong.of(version));
         if (!matches) {
             throw new IOException(
                     "expected the digests of model %s version %d, found model %s version %s"
@@ -138,7 +155,7 @@
         List<Digest> chunks = new ArrayList<>();
         try {
             root.path("digests").forEach(d -> chunks.add(new Digest(d.asText())));
-            int chunkBytes = root.path("chunkBytes").asInt();
+            int chunkBytes = JsonTree.limit(root.path("chunkBytes"), 0);
             return new Manifest(
                     model,
                     "",
