--- a/src/test/java/org/papayawalk/daemon/managed/entry/TestCaller.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/TestCaller.java
@@ -50,6 +50,15 @@
         return new TestCaller(port);
     }
 
+    /**
+     * Returns the port of the entry.
+     *
+     * @return port on loopback
+     */
+    int port() {
+        return port;
+    }
+
     /**
      * Returns the id of the last request.
      *
