Take no success for a statement that a request did not run

Cause: the header that states that a request did not run counted with any status, also with a 200 or 201, and with a stream that had begun.

Evidence: EarlierRefusalTest, 3 of 16 cases failed, each with a 503 for a POST that may run once: a whole 200, a whole 201, a 200 that is cut.

Change: only an answer with a status of 400 or more can state it (RefusalRule). Such an answer is forwarded if it is whole, else the request may have run.

The other 13 cases passed before the change. A refusal (503, 429, 421, 408, 400) with the id of an earlier request, with Retry-After, Server-Limit and Server-Leaving, is written once more: in one read with the answer before, once or twice before the next answer, after 100 Continue; after safe, streaming and non-idempotent requests, before each of these; on new connections; and cut, so that it swallows the next answer. No request was refused, repeated or run twice, and the upstream stayed in use.

Measured: all 16 of EarlierRefusalTest pass.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -28,9 +28,6 @@
 
     private static final Duration REPEAT_CHECK_INTERVAL = Duration.ofMillis(100);
 
-    /** Status of an upstream that is not the one addressed. */
-    private static final int MISDIRECTED_REQUEST = 421;
-
     private final EntryContext entry;
 
     private final Exchange exchange;
@@ -158,8 +155,8 @@
                         l -> candidate.load().loadReported(l, now),
                         () -> candidate.load().responseStarted());
         int status = response.status().code();
-        notRun = metadata.notRun() || status == MISDIRECTED_REQUEST;
-        if (status == MISDIRECTED_REQUEST) {
+        notRun = RefusalRule.isNotRun(status, metadata);
+        if (RefusalRule.isMisdirected(status)) {
             entry.upstreams().pauseMisdirected(candidate.upstream().id(), now);
         } else {
             entry.statements()
