--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -4,13 +4,17 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.time.Instant;
 import java.util.Optional;
 import org.papayawalk.core.call.ResponseMetadata;
+import org.papayawalk.core.desired.RequestKind;
+import org.papayawalk.core.desired.RouteRule;
 import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.core.stream.StreamEndRule;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
+import org.papayawalk.platform.HeaderCodec;
 
 /**
  * Receives the stream of one upstream and forwards each event once it is complete. Confined to the
@@ -37,28 +41,35 @@
     /**
      * Returns whether the body of a response can be forwarded event by event.
      *
-     * @param head head of the response to a request for a stream
+     * @param route route of the request
+     * @param head head of the response
      * @param metadata metadata in the head
      * @param stream streamed response to the caller
-     * @return false for a body without events, and for one that doesn't continue what the caller
-     *     has
+     * @return false for a route without streams, for a body without events, and for one that
+     *     doesn't continue what the caller has
      */
-    static boolean accepts(HttpResponse head, ResponseMetadata metadata, CallerStream stream) {
-        return head.status().code() == HttpResponseStatus.OK.code()
+    static boolean accepts(
+            RouteRule route, HttpResponse head, ResponseMetadata metadata, CallerStream stream) {
+        return route.kind() == RequestKind.STREAMING
+                && head.status().code() == HttpResponseStatus.OK.code()
                 && metadata.hasAuthenticationCode()
                 && hasEvents(head)
                 && stream.accepts(head);
     }
 
     /**
-     * Returns why a buffered body is incomplete although it has ended.
+     * Returns why a buffered response is no answer although its body has ended.
      *
      * @param head head of the response
      * @param body body
      * @param end what told the end of the body
-     * @return reason, empty if the body is complete or no event stream
+     * @return reason; empty if the body is complete or no event stream, and a success is stamped
      */
     static Optional<String> bufferedDefect(HttpResponse head, byte[] body, BodyEnd end) {
+        boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (success && !HeaderCodec.responseMetadata(head.headers()).hasAuthenticationCode()) {
+            return Optional.of("success carries no authentication code");
+        }
         if (!isEventStream(head) || !hasEvents(head)) {
             return Optional.empty();
         }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.call.ResponseMetadata;
-import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.desired.RouteRule;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.AttemptResult;
@@ -98,6 +97,7 @@
         upstream.pool()
                 .acquire(
                         !route().retryable(),
+                        exchange.metadata().requestId(),
                         this::sendOn,
                         reason -> onFailure("cannot connect: " + reason, false));
         if (sentAt == null && !done) {
@@ -163,9 +163,7 @@
                     .recordLimit(candidate.upstream().process(), metadata, startedAt, now);
         }
         entry.statements().recordWithheld(candidate.upstream().process(), status, metadata, now);
-        boolean streaming =
-                route().kind() == RequestKind.STREAMING
-                        && StreamReceiver.accepts(response, metadata, exchange.stream());
+        boolean streaming = StreamReceiver.accepts(route(), response, metadata, exchange.stream());
         progress.headReceived(response, streaming, now);
         if (streaming) {
             exchange.stream().start(response);
@@ -303,8 +301,8 @@
             return;
         }
         connection = newConnection;
-        String id = exchange.metadata().requestId();
-        newConnection.send(exchange.upstreamRequest(candidate, now), id, this);
+        newConnection.send(
+                exchange.upstreamRequest(candidate, now), exchange.metadata().requestId(), this);
         if (!done && route().retryable()) {
             schedule(this::checkStall, progress.untilNextCheck(now));
         }
