Show that a refusal without an id on a kept connection refuses nothing

EarlierRefusalTest gets a row for each refusal (503, 429, 421, 408, 400) without an id before the next answer, on connections that carried safe, streaming and non-idempotent requests. The next caller isn't told to try again, the request isn't booked as not run, and the statements of the refusal keep no later request from the upstream.

--- a/src/test/java/org/papayawalk/daemon/managed/entry/EarlierRefusalTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EarlierRefusalTest.java
@@ -104,6 +104,40 @@
         }
     }
 
+    /**
+     * Refusals without an id.
+     *
+     * @return status line and target of the first request
+     */
+    @DataProvider
+    public Object[][] refusalsWithoutId() {
+        List<Object[]> rows = new ArrayList<>();
+        for (String status : List.of("503 Busy", "429 Busy", "421 Other", "408 Late", "400 Bad")) {
+            for (String first : List.of("/read/a", "/advice/a", "/pay/a")) {
+                rows.add(new Object[] {status, first});
+            }
+        }
+        return rows.toArray(Object[][]::new);
+    }
+
+    /**
+     * A refusal without an id on a kept connection may be an earlier one: the request may have run,
+     * and the upstream stays in use.
+     *
+     * @param status status of the refusal
+     * @param first target of the first request
+     */
+    @Test(dataProvider = "refusalsWithoutId")
+    public void refusalWithoutIdOnKeptConnectionIsNoRefusal(String status, String first) {
+        String late = refusal(status, "", STATEMENTS).replace("X-Request-Id: \r\n", "");
+        play(new KeptConnectionScript(List.of(WHOLE, late + WHOLE), ids), 9);
+        assertEquals(fixture.caller().send("POST", first, KEY).status(), 200);
+        assertEquals(fixture.caller().send("GET", "/read/b", KEY).status(), 502);
+        assertEquals(ran(), 1);
+        TestCaller.Response response = fixture.caller().send("POST", "/pay/b", KEY);
+        assertEquals(response.status() + response.body(), ANSWER);
+    }
+
     /**
      * A refusal with an earlier id before the answer on a new connection changes nothing for a
      * request that may run once: it is neither refused nor sent again.
