Give up a server whose row became unreadable in an outage

Callers would see: requests that are sent to a server that left, for good, after its row was overwritten by one that can't be read while the store had trouble.

Change: both go through one method, which sets the timer.

Measured: OddRowInOutageTest failed before (1 of 1, the server was still usable after 5 s) and passes. OddServerRowTest, OddOperatorRowTest and StoreRestoreTest pass.

--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -245,21 +245,14 @@
         }
         UpstreamId id = usableId.get();
         if (row.removed()) {
-            upstreams.remove(id, clock.instant());
+            removeUpstream(id);
             Event.named("upstream-removed").with("upstream", id).info();
-            upstreams
-                    .nextExpiry()
-                    .ifPresent(
-                            t ->
-                                    thread.schedule(
-                                            UpstreamTracker.EXPIRY_GRACE,
-                                            this::expireLapsedUpstreams));
             return;
         }
         Optional<UpstreamRegistration> registration =
                 UpstreamRegistrationCodec.decode(id, row.value(), Instant.now());
         if (registration.isEmpty()) {
-            upstreams.remove(id, clock.instant());
+            removeUpstream(id);
             Event.named("upstream-unreadable").with("upstream", id).warn();
             return;
         }
@@ -274,6 +267,16 @@
                 .info();
     }
 
+    private void removeUpstream(UpstreamId id) {
+        upstreams.remove(id, clock.instant());
+        upstreams
+                .nextExpiry()
+                .ifPresent(
+                        t ->
+                                thread.schedule(
+                                        UpstreamTracker.EXPIRY_GRACE, this::expireLapsedUpstreams));
+    }
+
     // Removes upstreams whose registrations lapsed in an outage of the store and were not renewed.
     private void expireLapsedUpstreams() {
         List<UpstreamId> expired = upstreams.expire(clock.instant());
