End an event stream where another response begins in it

Cause: the end of the connection ends a body without length and chunks. A server that sends such an answer again before it closes makes the second copy part of the body. Its head ends with an empty line, as events do; only a copy cut inside its head or an event was noticed.

Evidence: ResponseInsideStreamTest failed in 2 of 3 cases, with the second answer cut at 4 of 14 places, and for a buffered answer.

Change: an event with a line that begins as a status line does ends what is forwarded; the attempt fails at the end of the body, and another server may go on behind the last event. No event has such a line: every line is a field or a comment, and a quote stands behind its field's name. A buffered event stream is checked in the same way. A body of another media type can't be checked so.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -8,12 +8,15 @@
 import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.core.stream.StreamEndRule;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
+import org.papayawalk.http.StatusLine;
 
 /**
- * Receives the stream of one upstream and forwards each event once it is complete. Confined to the
- * event loop thread.
+ * Receives the stream of one upstream and forwards each event once it is complete, up to the start
+ * of another response. Confined to the event loop thread.
  */
 final class StreamReceiver {
+    private static final String RESPONSE_INSIDE = "another response begins inside the stream";
+
     private final VerbatimEventSplitter splitter = new VerbatimEventSplitter();
 
     private final CallerStream stream;
@@ -23,6 +26,9 @@
     /** Whether the body has events; one of another media type has none. */
     private final boolean hasEvents;
 
+    /** Whether another response began where the next event was due. */
+    private boolean responseBegan;
+
     /**
      * Creates a receiver of a stream whose head was received.
      *
@@ -59,7 +65,9 @@
             return Optional.empty();
         }
         VerbatimEventSplitter events = new VerbatimEventSplitter();
-        events.feed(body);
+        if (events.feed(body).stream().anyMatch(e -> StatusLine.isIn(e.bytes()))) {
+            return Optional.of(RESPONSE_INSIDE);
+        }
         return StreamEndRule.defect(end, events.isInsideEvent(), events.eventSeen());
     }
 
@@ -71,6 +79,10 @@
      */
     void receive(byte[] data, Instant now) {
         for (VerbatimEventSplitter.Event e : splitter.feed(data)) {
+            responseBegan |= hasEvents && StatusLine.isIn(e.bytes());
+            if (responseBegan) {
+                return;
+            }
             progress.eventReceived(e, now);
             stream.forward(e, now);
         }
@@ -101,6 +113,9 @@
      * @return reason, empty if the stream is complete
      */
     Optional<String> defect(BodyEnd end) {
+        if (responseBegan) {
+            return Optional.of(RESPONSE_INSIDE);
+        }
         return hasEvents
                 ? StreamEndRule.defect(end, isInsideEvent(), splitter.eventSeen())
                 : Optional.empty();
--- a/src/test/java/org/papayawalk/daemon/managed/Stutter.java
+++ b/src/test/java/org/papayawalk/daemon/managed/Stutter.java
@@ -15,7 +15,7 @@
     public enum Answer {
         /** Success, an event stream in chunks. */
         STREAM,
-        /** Success, an event stream that the end of the connection ends; never sent twice. */
+        /** Success, an event stream that the end of the connection ends; copies come before it. */
         UNFRAMED_STREAM,
         /** Success with a length. */
         LENGTH,
--- a/src/test/java/org/papayawalk/daemon/managed/StutterConnection.java
+++ b/src/test/java/org/papayawalk/daemon/managed/StutterConnection.java
@@ -109,6 +109,7 @@
             }
         }
         if (!answer.keepsConnection()) {
+            write(reply.stutter().arrival() == Arrival.AT_ONCE ? copy(reply) : "");
             socket.shutdownOutput();
             return false;
         }
@@ -138,8 +139,7 @@
 
     private static String copy(Reply reply) {
         String text = reply.answer().text();
-        boolean again = reply.answer().keepsConnection();
-        return again ? text.substring(0, Math.min(text.length(), reply.stutter().cut())) : "";
+        return text.substring(0, Math.min(text.length(), reply.stutter().cut()));
     }
 
     private String takeLate() {
--- a/src/test/java/org/papayawalk/daemon/managed/entry/SecondAnswerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/SecondAnswerTest.java
@@ -166,7 +166,7 @@
         List<Received> answers = new ArrayList<>();
         List<StutterRun> runs;
         try (KeptCaller caller = new KeptCaller(bench.fixture().caller().port())) {
-            for (Answer first : ANSWERS.subList(0, ANSWERS.size() - 1)) {
+            for (Answer first : ANSWERS) {
                 for (int cut : cuts(first == Answer.STREAM ? STREAM_BYTES : PLAIN_BYTES)) {
                     Answer next = ANSWERS.get(random.nextInt(ANSWERS.size()));
                     String id = newAttempt();
