--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
@@ -2,18 +2,18 @@
 
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Instant;
+import java.util.Locale;
+import java.util.Objects;
 import java.util.Optional;
-import org.papayawalk.core.call.ResponseMetadata;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
 import org.papayawalk.platform.HeaderCodec;
 
 /**
- * Streamed response to a caller. If it has events, another upstream may resume it: the caller gets
- * the head of the first upstream, and each event once and in order. Confined to the event loop
- * thread.
+ * Streamed response to a caller. Another upstream may resume it: the caller gets the head of the
+ * first upstream, and each event once and in order. Confined to the event loop thread.
  */
 final class CallerStream {
     private final CallerHandler caller;
@@ -21,8 +21,8 @@
     /** Whether the head was sent. */
     private boolean started;
 
-    /** Whether the head that was sent begins a stream of events. */
-    private boolean resumable;
+    /** Media type in the head that was sent; null if it states none. */
+    private String mediaType;
 
     /** Id of the last event that the caller has; negative if it has none. */
     private long lastEventId = -1;
@@ -44,17 +44,13 @@
     }
 
     /**
-     * Returns whether an upstream's response can be streamed, from its start or as a continuation.
+     * Returns whether the body of a response can be forwarded.
      *
-     * @param response head of the response
-     * @param metadata metadata stated by the upstream
-     * @return false for a failure, and for a response that does not continue what has begun
+     * @param response head of an upstream's response that has events
+     * @return false if the caller has the head of a stream of another media type
      */
-    boolean admits(HttpResponse response, ResponseMetadata metadata) {
-        boolean continues = !started || (resumable && StreamReceiver.hasEvents(response));
-        return response.status().equals(HttpResponseStatus.OK)
-                && metadata.hasAuthenticationCode()
-                && continues;
+    boolean accepts(HttpResponse response) {
+        return !started || Objects.equals(mediaType, mediaType(response));
     }
 
     /**
@@ -67,7 +63,7 @@
             return;
         }
         started = true;
-        resumable = StreamReceiver.hasEvents(response);
+        mediaType = mediaType(response);
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
         HeaderCodec.copyToCaller(response.headers(), head.headers());
         caller.startStream(head);
@@ -148,4 +144,9 @@
     Optional<Instant> firstEventAt() {
         return Optional.ofNullable(firstEventAt);
     }
+
+    private static String mediaType(HttpResponse response) {
+        CharSequence type = HttpUtil.getMimeType(response);
+        return type == null ? null : type.toString().toLowerCase(Locale.ROOT);
+    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -1,14 +1,21 @@
 package org.papayawalk.daemon.managed.entry;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.time.Instant;
 import java.util.Optional;
+import org.papayawalk.core.call.ResponseMetadata;
+import org.papayawalk.core.desired.RequestKind;
+import org.papayawalk.core.desired.RouteRule;
 import org.papayawalk.core.stream.BodyEnd;
 import org.papayawalk.core.stream.StreamEndRule;
 import org.papayawalk.core.stream.VerbatimEventSplitter;
 import org.papayawalk.http.StatusLine;
+import org.papayawalk.platform.HeaderCodec;
 
 /**
  * Receives the stream of one upstream and forwards each event once it is complete, up to the start
@@ -23,9 +30,6 @@
 
     private final StreamProgress progress;
 
-    /** Whether the body has events; one of another media type has none. */
-    private final boolean hasEvents;
-
     /** Whether another response began where the next event was due. */
     private boolean responseBegan;
 
@@ -34,34 +38,45 @@
      *
      * @param stream streamed response to the caller
      * @param progress progress of the stream
-     * @param head head of the upstream's response; without a media type it has events
      */
-    StreamReceiver(CallerStream stream, StreamProgress progress, HttpResponse head) {
+    StreamReceiver(CallerStream stream, StreamProgress progress) {
         this.stream = stream;
         this.progress = progress;
-        this.hasEvents = hasEvents(head);
     }
 
     /**
-     * Returns whether the body of a successful response to a streaming route has events.
+     * Returns whether the body of a response can be forwarded event by event.
      *
+     * @param route route of the request
      * @param head head of the response
-     * @return true for an event stream, and without a media type
+     * @param metadata metadata in the head
+     * @param stream streamed response to the caller
+     * @return false for a route without streams, for a body without events, and for one that
+     *     doesn't continue what the caller has
      */
-    static boolean hasEvents(HttpResponse head) {
-        return HttpUtil.getMimeType(head) == null || isEventStream(head);
+    static boolean accepts(
+            RouteRule route, HttpResponse head, ResponseMetadata metadata, CallerStream stream) {
+        return route.kind() == RequestKind.STREAMING
+                && head.status().code() == HttpResponseStatus.OK.code()
+                && metadata.hasAuthenticationCode()
+                && hasEvents(head)
+                && stream.accepts(head);
     }
 
     /**
-     * Returns why a buffered body is incomplete although it has ended.
+     * Returns why a buffered response is no answer although its body has ended.
      *
      * @param head head of the response
      * @param body body
      * @param end what told the end of the body
-     * @return reason, empty if the body is complete or no event stream
+     * @return reason; empty if the body is complete or no event stream, and a success is stamped
      */
     static Optional<String> bufferedDefect(HttpResponse head, byte[] body, BodyEnd end) {
-        if (!isEventStream(head)) {
+        boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (success && !HeaderCodec.responseMetadata(head.headers()).hasAuthenticationCode()) {
+            return Optional.of("success carries no authentication code");
+        }
+        if (!isEventStream(head) || !hasEvents(head)) {
             return Optional.empty();
         }
         VerbatimEventSplitter events = new VerbatimEventSplitter();
@@ -79,7 +94,7 @@
      */
     void receive(byte[] data, Instant now) {
         for (VerbatimEventSplitter.Event e : splitter.feed(data)) {
-            responseBegan |= hasEvents && StatusLine.isIn(e.bytes());
+            responseBegan |= StatusLine.isIn(e.bytes());
             if (responseBegan) {
                 return;
             }
@@ -103,7 +118,7 @@
      * @return true if an event has begun and is incomplete
      */
     boolean isInsideEvent() {
-        return hasEvents && splitter.isInsideEvent();
+        return splitter.isInsideEvent();
     }
 
     /**
@@ -116,9 +131,7 @@
         if (responseBegan) {
             return Optional.of(RESPONSE_INSIDE);
         }
-        return hasEvents
-                ? StreamEndRule.defect(end, isInsideEvent(), splitter.eventSeen())
-                : Optional.empty();
+        return StreamEndRule.defect(end, isInsideEvent(), splitter.eventSeen());
     }
 
     /** Forwards the bytes after the last event of a complete stream. */
@@ -126,6 +139,12 @@
         stream.forwardRemainder(splitter.takePartial());
     }
 
+    // A body without a media type has events; an encoded one can't be split into them.
+    private static boolean hasEvents(HttpResponse head) {
+        boolean encoded = head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
+        return !encoded && (HttpUtil.getMimeType(head) == null || isEventStream(head));
+    }
+
     private static boolean isEventStream(HttpResponse head) {
         CharSequence type = HttpUtil.getMimeType(head);
         return type != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.call.ResponseMetadata;
-import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.desired.RouteRule;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.AttemptResult;
@@ -167,12 +166,11 @@
                     .recordLimit(candidate.upstream().process(), metadata, startedAt, now);
         }
         entry.statements().recordWithheld(candidate.upstream().process(), status, metadata, now);
-        boolean streamed = route().kind() == RequestKind.STREAMING;
-        boolean streaming = streamed && exchange.stream().admits(response, metadata);
+        boolean streaming = StreamReceiver.accepts(route(), response, metadata, exchange.stream());
         progress.headReceived(response, streaming, now);
         if (streaming) {
             exchange.stream().start(response);
-            receiver = new StreamReceiver(exchange.stream(), progress.stream(), response);
+            receiver = new StreamReceiver(exchange.stream(), progress.stream());
         } else {
             bufferedBody = Unpooled.buffer();
         }
