Refuse a buffered event stream in which another head begins

Cause: only streams that are forwarded as they come were searched for heads.

Change: the events of a buffered stream are searched too; the attempt ends as broken, and a request that may be repeated goes to another server.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -21,6 +21,8 @@
  * event loop thread.
  */
 final class StreamReceiver {
+    private static final String HEAD_IN_EVENT = "another response begins inside an event";
+
     private final VerbatimEventSplitter splitter = new VerbatimEventSplitter();
 
     private final CallerStream stream;
@@ -74,7 +76,9 @@
             return Optional.empty();
         }
         VerbatimEventSplitter events = new VerbatimEventSplitter();
-        events.feed(body);
+        if (events.feed(body).stream().anyMatch(e -> HeadInEvent.isIn(e.bytes()))) {
+            return Optional.of(HEAD_IN_EVENT);
+        }
         return StreamEndRule.defect(end, events.isInsideEvent(), events.eventSeen());
     }
 
@@ -89,7 +93,7 @@
     Optional<String> receive(byte[] data, Instant now) {
         for (VerbatimEventSplitter.Event e : splitter.feed(data)) {
             if (HeadInEvent.isIn(e.bytes())) {
-                return Optional.of("another response begins inside an event");
+                return Optional.of(HEAD_IN_EVENT);
             }
             progress.eventReceived(e, now);
             if (!stream.forward(e, now)) {
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ResumedStreamTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ResumedStreamTest.java
@@ -177,6 +177,19 @@
         assertEquals(defects, List.of());
     }
 
+    /** The head of a failure inside an event stream on a route without streams is no event. */
+    @Test
+    public void headInsideBufferedStreamIsNotForwarded() {
+        List<String> defects = new ArrayList<>();
+        for (String answer : withHead("id: 1\ndata: part 1\n\nid: 2\nda", "")) {
+            TestCaller.Response response = send("/read/", text(answer));
+            if (!response.body().equals(STREAM)) {
+                defects.add("other bytes: " + response);
+            }
+        }
+        assertEquals(defects, List.of());
+    }
+
     /** Events that quote a head are forwarded. */
     @Test
     public void eventsThatQuoteHeadsArrive() {
