--- a/src/test/java/org/papayawalk/daemon/managed/entry/SecondAnswerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/SecondAnswerAtEntryTest.java
@@ -26,7 +26,7 @@
  * answer twice, the second copy cut at any byte. {@code -Dstutter.cuts} sets the number of cuts
  * that are drawn for each kind of answer; 0 stands for a cut at every byte.
  */
-public final class SecondAnswerTest {
+public final class SecondAnswerAtEntryTest {
     private static final int CUTS = Integer.getInteger("stutter.cuts", 1);
 
     /** Longer than a stream here. */
