Resume streams behind comments, and up to an end mark without an id

Callers would see: a resumed stream that is broken off although the next server sent all of it.

Cause: took each block without an id for an event that the caller may have. A comment or a retry field is none, and an end mark behind numbered events of the same server can't be one of an earlier server.

Evidence: ResumeBehindCommentTest, from a review of these changes, failed in 3 of 5 cases; all 5 passed before.

Change: only blocks with data are events; one without an id is held back only until its upstream has sent a numbered one.

Measured: all 5 pass, as do ResumedStreamTest, StreamContinuationTest, BrokenAnswerTest and the tests of the splitter.

--- a/src/main/java/org/papayawalk/core/stream/VerbatimEventSplitter.java
+++ b/src/main/java/org/papayawalk/core/stream/VerbatimEventSplitter.java
@@ -17,7 +17,9 @@
 public final class VerbatimEventSplitter {
     private static final String ID_FIELD = "id:";
 
-    private static final String COMMENT = ":";
+    private static final String DATA_FIELD = "data";
+
+    private static final String DATA_PREFIX = "data:";
 
     /** Bytes of the incomplete event. */
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
@@ -32,12 +34,13 @@
      */
     public record Event(byte[] bytes, OptionalLong id) {
         /**
-         * Returns whether it has comments only.
+         * Returns whether it has data. A block without data, such as a comment, is no event to its
+         * reader.
          *
-         * @return true if each line that is not empty begins with a colon
+         * @return true if a line is a data field
          */
-        public boolean isComment() {
-            return lines(bytes).allMatch(l -> l.isEmpty() || l.startsWith(COMMENT));
+        public boolean hasData() {
+            return lines(bytes).anyMatch(l -> l.equals(DATA_FIELD) || l.startsWith(DATA_PREFIX));
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
@@ -29,8 +29,11 @@
 
     private Instant firstEventAt;
 
-    /** Whether another upstream goes on after events that the caller has. */
-    private boolean resumed;
+    /** Whether the caller has an event. */
+    private boolean eventForwarded;
+
+    /** Whether an event without an id may be one that the caller has from an earlier upstream. */
+    private boolean mayRepeat;
 
     /** Whether the caller has an event without an id, so that its place can't be found again. */
     private boolean unnumbered;
@@ -76,7 +79,7 @@
      */
     void start(HttpResponse response) {
         if (started) {
-            resumed = firstEventAt != null;
+            mayRepeat = eventForwarded;
             return;
         }
         started = true;
@@ -91,21 +94,23 @@
      *
      * @param event complete event
      * @param now present time
-     * @return false if it isn't forwarded as the caller may already have it: it has no id, and
-     *     another upstream has sent events before
+     * @return false if it isn't forwarded as the caller may already have it: it has no id, none
+     *     before it of its upstream has one, and another upstream has sent events
      */
     boolean forward(VerbatimEventSplitter.Event event, Instant now) {
         if (event.id().isPresent()) {
+            mayRepeat = false;
             if (event.id().getAsLong() <= lastEventId) {
                 return true;
             }
             lastEventId = event.id().getAsLong();
-        } else if (!event.isComment()) {
-            if (resumed) {
+        } else if (event.hasData()) {
+            if (mayRepeat) {
                 return false;
             }
             unnumbered = true;
         }
+        eventForwarded |= event.id().isPresent() || event.hasData();
         if (firstEventAt == null) {
             firstEventAt = now;
         }
