Answer HEAD on a streaming route with its head alone

Cause: the head of a chunked event stream started a stream to the caller, which ended with a last chunk, as nothing there knew the method.

Change: the answer to HEAD is never streamed.

Measured: the test passes, as does EarlierAnswerOnKeptConnectionTest.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerStream.java
@@ -1,6 +1,7 @@
 package org.papayawalk.daemon.managed.entry;
 
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -18,6 +19,9 @@
 final class CallerStream {
     private final CallerHandler caller;
 
+    /** Method of the caller's request. */
+    private final HttpMethod method;
+
     /** Whether the head was sent. */
     private boolean started;
 
@@ -42,11 +46,13 @@
      * Creates a stream that has not started.
      *
      * @param caller connection of the caller
+     * @param method method of the caller's request
      * @param resumedAfter Last-Event-Id of the caller's request; ignored unless it is a decimal
      *     number of at most 18 digits
      */
-    CallerStream(CallerHandler caller, Optional<String> resumedAfter) {
+    CallerStream(CallerHandler caller, HttpMethod method, Optional<String> resumedAfter) {
         this.caller = caller;
+        this.method = method;
         resumedAfter
                 .filter(e -> e.matches("[0-9]{1,18}"))
                 .ifPresent(e -> lastEventId = Long.parseLong(e));
@@ -57,9 +63,12 @@
      *
      * @param response head of an upstream's response that has events
      * @return false if the caller has the head of a stream of another media type, or events that
-     *     would come twice
+     *     would come twice, or asked for the head alone
      */
     boolean accepts(HttpResponse response) {
+        if (method.equals(HttpMethod.HEAD)) {
+            return false;
+        }
         return !started || (isResumable() && Objects.equals(mediaType, mediaType(response)));
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -74,7 +74,7 @@
         this.entry = entry;
         this.request = request;
         this.metadata = HeaderCodec.requestMetadata(request.head().headers());
-        this.stream = new CallerStream(caller, metadata.lastEventId());
+        this.stream = new CallerStream(caller, request.head().method(), metadata.lastEventId());
         this.completion =
                 new ExchangeCompletion(
                         entry, caller, request, metadata, stream, attempts, this::abandonAttempt);
