Reject a request whose head holds the head of another one

Servers would see: a request that no caller sent (UNASKED): the target of one request with the id and key of the next.

A caller's head that is cut off inside a header's value goes on into its next request on the connection.

Change: a head with two Host lines, or with a value that ends as a request line does, is answered with 400 and its connection closes.

Open: a cut inside a body can't be told.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
@@ -28,6 +28,7 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.desired.CallerLimits;
+import org.papayawalk.http.NestedHead;
 import org.papayawalk.log.Event;
 
 /**
@@ -236,6 +237,11 @@
             return;
         }
         if (part instanceof HttpRequest request) {
+            boolean severalHosts = request.headers().getAll(HttpHeaderNames.HOST).size() > 1;
+            if (severalHosts || NestedHead.isIn(request)) {
+                reject(HttpResponseStatus.BAD_REQUEST, "head holds the head of another request");
+                return;
+            }
             headStarted = false;
             head = request;
             startTimer(limits.idleTimeout(), () -> rejectTimedOut("body", limits.idleTimeout()));
