Close a connection that can record no further id

Callers would see nothing; a connection that had carried 256 requests stayed idle in the pool and took a place there and at its server until its idle limit.

Cause: only the pool's search passed over it. Evidence: by a review; FailureReadAsSuccessTest.connectionIsReplacedBeforeItForgetsIds is new with this change and was not run without it.

Change: such a connection isn't kept after its answer.

Measured: the test passes.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CarriedIds.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CarriedIds.java
@@ -37,7 +37,7 @@
      * Returns whether a request may be sent without its id being carried twice.
      *
      * @param id id
-     * @return false if the id may have been carried, or if no further id can be recorded
+     * @return false if the id may have been carried
      */
     boolean admits(String id) {
         long wanted = hash(id);
@@ -46,7 +46,16 @@
                 return false;
             }
         }
-        return count < MAX_COUNT;
+        return true;
+    }
+
+    /**
+     * Returns whether the connection has to be replaced.
+     *
+     * @return true if no further id can be recorded
+     */
+    boolean isFull() {
+        return count >= MAX_COUNT;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamConnection.java
@@ -250,7 +250,8 @@
                         && bodyEnd != BodyEnd.CONNECTION
                         && metadata.requestId().isPresent()
                         && !strayReceived
-                        && !decoder.isHead();
+                        && !decoder.isHead()
+                        && !carried.isFull();
         idleLimit = DEFAULT_IDLE_LIMIT;
         metadata.keepAliveSeconds()
                 .ifPresent(
--- a/src/test/java/org/papayawalk/daemon/managed/entry/FailureReadAsSuccessTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/FailureReadAsSuccessTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -108,6 +109,26 @@
         }
     }
 
+    /** A connection is replaced before it would have to forget an id that it has carried. */
+    @Test
+    public void connectionIsReplacedBeforeItForgetsIds() {
+        List<UpstreamConnection> released = new ArrayList<>();
+        UpstreamConnection connection = new UpstreamConnection(() -> NOW, released::add);
+        EmbeddedChannel channel = new EmbeddedChannel(connection.decoder(), connection);
+        int sent = 0;
+        while (released.size() == sent && channel.isOpen()) {
+            sent++;
+            String id = "r" + sent;
+            assertTrue(connection.admits(id));
+            send(connection, id, new Recorder());
+            receive(channel, answer(SUCCESS, id, "a", BodyEnd.LENGTH, Order.ID_FIRST), 4096);
+            channel.runPendingTasks();
+            assertFalse(connection.admits(id));
+        }
+        assertEquals(sent, 256);
+        assertFalse(channel.isOpen());
+    }
+
     // Returns what the second of two requests on a connection gets.
     private static String play(
             String first, String copy, String next, Arrival arrival, int bufferBytes) {
