--- a/src/test/java/org/papayawalk/adapter/standalone/SecondAnswerTest.java
+++ b/src/test/java/org/papayawalk/adapter/standalone/SecondAnswerTest.java
@@ -18,10 +18,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * A server sends its answer to one call again, whole or cut at any byte. Checks that the next call
- * of a {@link BlockingHttpClient} gets its own answer.
- */
+/** Guards against the answer to an earlier call that passes for that to the next one. */
 public final class SecondAnswerTest {
     private static final Duration READ_TIMEOUT = Duration.ofMillis(500);
 
--- a/src/test/java/org/papayawalk/daemon/managed/BytesBehindAnswerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/BytesBehindAnswerTest.java
@@ -19,10 +19,7 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
-/**
- * Guards against an answer that is taken from bytes behind an earlier one: a server sends a second
- * copy of an answer, whole or cut, in one write with the first.
- */
+/** Guards against an answer that is taken from bytes behind an earlier one. */
 public final class BytesBehindAnswerTest {
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
 
--- a/src/test/java/org/papayawalk/daemon/managed/NestedAnswerTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/NestedAnswerTest.java
@@ -19,11 +19,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * Guards against a failure of a server that is read as a success: before its answer to the next
- * request on a kept connection, the server sends a second copy of its last one that ends inside its
- * head or trailers.
- */
+/** Guards against a failure of a server that is read as a success. */
 public final class NestedAnswerTest {
     private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(500);
 
--- a/src/test/java/org/papayawalk/daemon/managed/agent/StutteringEngineTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/StutteringEngineTest.java
@@ -22,10 +22,7 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
-/**
- * Guards against an order or a write that counts as done, or a chunk that counts as read, because
- * the engine sends its answer to the call before once more.
- */
+/** Guards against the answer to an earlier call that passes for that of an order. */
 public final class StutteringEngineTest {
     private static final String REPORT = report(1, 3);
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/CutCallerRequestTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/CutCallerRequestTest.java
@@ -12,10 +12,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * Guards against servers that run a request which no caller made: the head of one that was cut off,
- * continued by the next request on the caller's connection.
- */
+/** Guards against a caller's cut request that goes on into the next one. */
 public final class CutCallerRequestTest {
     private ManagedEntryFixture fixture;
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EarlierAnswerOnKeptConnectionTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EarlierAnswerOnKeptConnectionTest.java
@@ -13,10 +13,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/**
- * Guards against answers of earlier requests that callers get as their own: the upstream sends them
- * once more on a connection that the entry has kept.
- */
+/** Guards against answers of earlier requests that callers get as their own. */
 public final class EarlierAnswerOnKeptConnectionTest {
     private static final String ROW =
             """
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EarlierRefusalTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EarlierRefusalTest.java
@@ -17,10 +17,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * An upstream writes an earlier refusal once more. Guards against a request that counts as not run
- * although it has run, and against statements that are booked once more.
- */
+/** Guards against an earlier refusal, written again, of a request that has run. */
 public final class EarlierRefusalTest {
     private static final String KEY = "key-1";
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EarlyRefusalTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EarlyRefusalTest.java
@@ -19,10 +19,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/**
- * An upstream refuses a request before it has read a long body, keeps the connection and reads on.
- * Guards against another request where the rest of that body is due.
- */
+/** Guards against another request where the rest of a refused body is due. */
 public final class EarlyRefusalTest {
     private static final String KEY = "key-1";
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/FailureReadAsSuccessTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/FailureReadAsSuccessTest.java
@@ -20,10 +20,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * Guards against a failure that callers get as a success: an upstream sends a second copy of an
- * earlier answer, cut at any byte, before its answer to the next request on the connection.
- */
+/** Guards against a failure of an upstream that its caller gets as a success. */
 public final class FailureReadAsSuccessTest {
     private static final Instant NOW = Instant.EPOCH.plusSeconds(100);
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ResponseInsideStreamTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ResponseInsideStreamTest.java
@@ -12,10 +12,7 @@
 import org.papayawalk.daemon.managed.FakeUpstream.Mode;
 import org.testng.annotations.Test;
 
-/**
- * Guards against callers that get a second answer as events of the first: a stream that only the
- * end of its connection ends is sent twice.
- */
+/** Guards against callers that get a second answer as events of the first. */
 public final class ResponseInsideStreamTest {
     private static final String EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ResumeBehindCommentTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ResumeBehindCommentTest.java
@@ -13,10 +13,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * Guards against streams that fail though another server sent all that was missing: the first one
- * broke off before any event, or after numbered ones.
- */
+/** Guards against streams that fail though another server sent what was missing. */
 public final class ResumeBehindCommentTest {
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ResumedStreamTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ResumedStreamTest.java
@@ -23,10 +23,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * Streams that have begun and break off. Guards against bytes of another answer in the middle of a
- * caller's stream, and against a stream that looks complete before its last event.
- */
+/** Guards against bytes of another answer in the middle of a caller's stream. */
 public final class ResumedStreamTest {
     private static final String KEY = "key-1";
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/SecondAnswerAtEntryTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/SecondAnswerAtEntryTest.java
@@ -21,11 +21,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * Guards against callers that get an answer to another sending of a request: a server sends its
- * answer twice, the second copy cut at any byte. {@code -Dstutter.cuts} sets the number of cuts
- * that are drawn for each kind of answer; 0 stands for a cut at every byte.
- */
+/** Guards against callers that get the answer to another sending of a request. */
 public final class SecondAnswerAtEntryTest {
     private static final int CUTS = Integer.getInteger("stutter.cuts", 1);
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/StutterSoakTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/StutterSoakTest.java
@@ -24,10 +24,7 @@
 import org.papayawalk.support.Threads;
 import org.testng.annotations.Test;
 
-/**
- * Callers with kept connections before two servers that stutter at random. {@code -Dstutter.seeds}
- * sets the number of seeds, {@code -Dstutter.first} the first one.
- */
+/** Callers with kept connections before two servers that stutter at random. */
 public final class StutterSoakTest {
     private static final long SEEDS = Long.getLong("stutter.seeds", 4);
 
--- a/src/test/java/org/papayawalk/daemon/managed/weight/StutteringOriginTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/weight/StutteringOriginTest.java
@@ -22,10 +22,7 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
-/**
- * Guards against a corrupt manifest that is accepted, and chunks that are taken for others, because
- * the origin sends each answer twice, the second time before its next one.
- */
+/** Guards against chunks and manifests that are taken for others of their origin. */
 public final class StutteringOriginTest {
     private static final WeightVersion VERSION = new WeightVersion("m", 2);
 
