Use a desired state without the texts in it that cannot be used

By the code, later versions with that team were not taken either. Change: a team's name is any text that a header can carry, sent in UTF-8; a route, service or team that cannot be used is left out alone and named in one log line; an origin's odd domain is an unknown one. The stand-alone program still asks for plain names. Not covered: failure domains (settings and rows) still have plain names; keys and paths are compared as Latin-1.

--- a/src/main/java/org/papayawalk/core/config/SheetRowParser.java
+++ b/src/main/java/org/papayawalk/core/config/SheetRowParser.java
@@ -201,7 +201,7 @@
                         "\"%s\" is not a team and its weight; expected for example \"shop=3\""
                                 .formatted(entry));
             }
-            TeamId team = new TeamId(parts[0].trim());
+            TeamId team = TeamId.ofPlainName(parts[0].trim());
             if (weights.put(team, parseNumber(parts[1].trim(), 1)) != null) {
                 throw new IllegalArgumentException(
                         "team \"%s\" is listed twice; expected one weight for each team"
--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -15,7 +15,7 @@
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.id.UpstreamId;
-import org.papayawalk.core.place.RequestedVersion;
+import org.papayawalk.core.place.RequestedVersions;
 import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.core.upstream.EngineNotices;
 import org.papayawalk.core.upstream.StoreClock;
@@ -27,6 +27,7 @@
 import org.papayawalk.core.upstream.UpstreamTracker;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.log.Event;
+import org.papayawalk.platform.DecodedDesiredState;
 import org.papayawalk.platform.DesiredStateCodec;
 import org.papayawalk.platform.StoreCodec;
 import org.papayawalk.platform.UpstreamRegistrationCodec;
@@ -38,8 +39,6 @@
  * which may be called from any thread.
  */
 public final class PlatformState {
-    private static final int MAX_VERSIONS_PER_MODEL = 16;
-
     // Time without a failure after which the store counts as healthy for a peer.
     private static final Duration PEER_STORE_HEALTHY_AFTER = Duration.ofSeconds(3);
 
@@ -49,8 +48,7 @@
 
     private final EngineNotices engines = new EngineNotices();
 
-    // Requested versions by model, the newest last.
-    private final Map<String, List<RequestedVersion>> versions = new HashMap<>();
+    private final RequestedVersions versions = new RequestedVersions();
 
     private final List<Consumer<PlatformSnapshot>> listeners = new ArrayList<>();
 
@@ -313,7 +311,8 @@
     }
 
     // Ignores a desired state that is not newer than the one in force.
-    private void adoptDesiredState(DesiredState desired, String source) {
+    private void adoptDesiredState(DecodedDesiredState decoded, String source) {
+        DesiredState desired = decoded.desired();
         long known = snapshot.desired().map(DesiredState::version).orElse(Long.MIN_VALUE);
         if (desired.version() <= known) {
             return;
@@ -331,18 +330,20 @@
                 .with("keys", desired.callersByKey().size())
                 .with("source", source)
                 .info();
+        if (decoded.omittedCount() > 0) {
+            Event.named("desired-state-parts-omitted")
+                    .with("version", desired.version())
+                    .with("count", decoded.omittedCount())
+                    .with("first", decoded.omitted())
+                    .warn();
+        }
     }
 
     // Ignores a version that is not newer than the last one requested.
     private void addVersion(String model, int number, Instant requestedBy, String source) {
-        List<RequestedVersion> known = versions.getOrDefault(model, List.of());
-        if (!known.isEmpty() && known.get(known.size() - 1).number() >= number) {
+        if (!versions.add(model, number, requestedBy)) {
             return;
         }
-        List<RequestedVersion> requested = new ArrayList<>(known);
-        requested.add(new RequestedVersion(number, requestedBy));
-        int from = Math.max(0, requested.size() - MAX_VERSIONS_PER_MODEL);
-        versions.put(model, List.copyOf(requested.subList(from, requested.size())));
         Event.named("weights-named")
                 .with("model", model)
                 .with("version", number)
@@ -364,14 +365,7 @@
      * @param requestedBy time by which it was requested
      */
     void recordRequestedBy(String model, int number, Instant requestedBy) {
-        List<RequestedVersion> known = versions.getOrDefault(model, List.of());
-        List<RequestedVersion> dated = new ArrayList<>();
-        for (RequestedVersion v : known) {
-            boolean earlier = v.number() == number && requestedBy.isBefore(v.receivedAt());
-            dated.add(earlier ? new RequestedVersion(number, requestedBy) : v);
-        }
-        if (!dated.equals(known)) {
-            versions.put(model, List.copyOf(dated));
+        if (versions.correctTime(model, number, requestedBy)) {
             publishSnapshot();
         }
     }
@@ -393,7 +387,7 @@
                         snapshot.desired(),
                         serversRead ? Optional.of(byService) : Optional.empty(),
                         Set.copyOf(loading),
-                        Map.copyOf(versions));
+                        versions.byModel());
         listeners.forEach(l -> l.accept(snapshot));
     }
 }
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/UpstreamGateway.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/UpstreamGateway.java
@@ -115,7 +115,7 @@
         AgentCall call;
         synchronized (this) {
             Instant deadline = now.plusMillis(r.getRemainingMillis());
-            TeamId team = new TeamId(r.getTeam());
+            TeamId team = TeamId.ofPlainName(r.getTeam());
             int weight = plan == null ? 1 : plan.spec().weightOf(team);
             Ticket ticket = new Ticket(team, weight, Priority.ofNumber(r.getPriority()), deadline);
             call = new AgentCall(message, entry, ticket);
--- a/src/main/java/org/papayawalk/daemon/standalone/entry/RequestParser.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/entry/RequestParser.java
@@ -100,7 +100,7 @@
      */
     static TeamId team(ClassicHttpRequest http) throws RequestRejectedException {
         try {
-            return new TeamId(header(http, CallerHeaders.TEAM).orElse(DEFAULT_TEAM));
+            return TeamId.ofPlainName(header(http, CallerHeaders.TEAM).orElse(DEFAULT_TEAM));
         } catch (IllegalArgumentException e) {
             throw rejected(BAD_REQUEST, "header " + CallerHeaders.TEAM + ": " + e.getMessage());
         }
--- a/src/main/java/org/papayawalk/platform/DesiredStateCodec.java
+++ b/src/main/java/org/papayawalk/platform/DesiredStateCodec.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.papayawalk.core.desired.Caller;
 import org.papayawalk.core.desired.CallerLimits;
 import org.papayawalk.core.desired.DesiredState;
@@ -31,42 +32,43 @@
     /** Timeout of a route without {@code timeoutMs}. */
     private static final int DEFAULT_TIMEOUT_MILLIS = 30_000;
 
+    /** Domain of an origin that states none, or none that can be used. */
+    private static final DomainId UNKNOWN_DOMAIN = new DomainId("unknown");
+
     private DesiredStateCodec() {}
 
     /**
-     * Decodes a desired state. Fields that are absent get their defaults.
+     * Decodes a desired state. Fields that are absent get their defaults. A route, a service or a
+     * team that cannot be used is left out, so that it keeps nothing else from being in force.
      *
      * @param data JSON text
-     * @return desired state
-     * @throws IOException if the text is not a JSON object or a field has an invalid value
+     * @return desired state and what was left out of it
+     * @throws IOException if the text is not a JSON object or has no valid version
      */
-    public static DesiredState decode(byte[] data) throws IOException {
+    public static DecodedDesiredState decode(byte[] data) throws IOException {
         JsonNode root = JsonTree.parseObject(data);
-        try {
-            List<RouteRule> routes = new ArrayList<>();
-            root.path("routes").forEach(r -> routes.add(route(r)));
-            Map<ServiceId, ServiceSpec> services = new HashMap<>();
-            root.path("services")
-                    .forEach(
-                            s -> {
-                                ServiceSpec spec = service(s);
-                                services.put(spec.id(), spec);
-                            });
-            return new DesiredState(
-                    version(root.path("version")),
-                    new RouteTable(routes),
-                    services,
-                    limits(root.path("limits")),
-                    root.has("tenants"),
-                    callersByKey(root.path("tenants")));
-        } catch (IllegalArgumentException e) {
-            throw new IOException("invalid desired state: " + e.getMessage(), e);
+        OptionalLong version = JsonTree.wholeNumber(root.path("version"), 0, Long.MAX_VALUE);
+        if (version.isEmpty()) {
+            throw new IOException("invalid desired state: version is no whole number");
         }
-    }
-
-    private static long version(JsonNode node) {
-        return JsonTree.wholeNumber(node, 0, Long.MAX_VALUE)
-                .orElseThrow(() -> new IllegalArgumentException("version is no whole number"));
+        OmittedParts omitted = new OmittedParts();
+        List<RouteRule> routes =
+                omitted.decodeEach("route", root.path("routes"), DesiredStateCodec::route);
+        Map<ServiceId, ServiceSpec> services = new HashMap<>();
+        omitted.decodeEach("service", root.path("services"), DesiredStateCodec::service)
+                .forEach(s -> services.put(s.id(), s));
+        Map<String, Caller> callersByKey = new HashMap<>();
+        omitted.decodeEach("team", root.path("tenants"), DesiredStateCodec::callersByKey)
+                .forEach(callersByKey::putAll);
+        DesiredState desired =
+                new DesiredState(
+                        version.getAsLong(),
+                        new RouteTable(routes),
+                        services,
+                        limits(root.path("limits")),
+                        root.has("tenants"),
+                        callersByKey);
+        return new DecodedDesiredState(desired, omitted.count(), omitted.descriptions());
     }
 
     private static RouteRule route(JsonNode node) {
@@ -108,7 +110,7 @@
                         ? Optional.of(
                                 new OriginSpec(
                                         node.get("origin").asText(),
-                                        new DomainId(node.path("zone").asText("unknown")),
+                                        domain(node.path("zone")),
                                         limit(node, "maxConnections", 8)))
                         : Optional.empty();
         Optional<EngineSpec> engine =
@@ -160,17 +162,22 @@
     }
 
     private static Map<String, Caller> callersByKey(JsonNode node) {
+        JsonNode priority = node.path("priority");
+        Caller caller =
+                new Caller(
+                        new TeamId(node.path("name").asText()),
+                        priority.isInt() ? OptionalInt.of(priority.asInt()) : OptionalInt.empty());
         Map<String, Caller> callers = new HashMap<>();
-        for (JsonNode t : node) {
-            JsonNode priority = t.path("priority");
-            Caller caller =
-                    new Caller(
-                            new TeamId(t.path("name").asText()),
-                            priority.isInt()
-                                    ? OptionalInt.of(priority.asInt())
-                                    : OptionalInt.empty());
-            t.path("apiKeys").forEach(k -> callers.put(k.asText(), caller));
-        }
+        node.path("apiKeys").forEach(k -> callers.put(k.asText(), caller));
         return callers;
     }
+
+    // The domain of an origin only decides who is near it.
+    private static DomainId domain(JsonNode node) {
+        try {
+            return new DomainId(node.asText());
+        } catch (IllegalArgumentException e) {
+            return UNKNOWN_DOMAIN;
+        }
+    }
 }
--- a/src/main/java/org/papayawalk/platform/HeaderCodec.java
+++ b/src/main/java/org/papayawalk/platform/HeaderCodec.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Collections;
@@ -108,6 +109,9 @@
     private static final Pattern DECIMAL =
             Pattern.compile(" *([0-9]{1,20}([.][0-9]{0,30})?|[.][0-9]{1,30})(e[+-]?[0-9]{1,2})? *");
 
+    /** Blanks that do not belong to the value of a header. */
+    private static final Pattern SURROUNDING_BLANKS = Pattern.compile("^[ \\t]+|[ \\t]+$");
+
     private static final Pattern PROMPT_PART = Pattern.compile("([0-9A-Fa-f]{1,64}):[0-9]{1,9}");
 
     private HeaderCodec() {}
@@ -121,7 +125,7 @@
     public static RequestMetadata requestMetadata(HttpHeaders headers) {
         int[] tokens = parseNumbers(headers.get(TOKENS));
         return new RequestMetadata(
-                Optional.ofNullable(headers.get(REQUEST_ID)).orElse(""),
+                requestId(headers),
                 Optional.ofNullable(headers.get(API_KEY)),
                 millis(headers.get(REMAINING_MILLIS)),
                 Optional.ofNullable(headers.get(MODEL)),
@@ -131,6 +135,16 @@
                 sharedPromptParts(headers.getAll(PROMPT_PARTS)));
     }
 
+    /**
+     * Decodes the id of a request.
+     *
+     * @param headers headers of the request
+     * @return id that the caller gave it, empty if it gave none
+     */
+    public static String requestId(HttpHeaders headers) {
+        return headers.get(REQUEST_ID, "");
+    }
+
     /**
      * Decodes the metadata of a response. Values that are not valid numbers count as absent.
      *
@@ -168,7 +182,7 @@
         to.remove(PRIORITY);
         to.set(REMAINING_MILLIS, parameters.remainingMillis());
         to.set(EXPECTED_SERVER, parameters.upstream().value());
-        parameters.team().ifPresent(t -> to.set(TEAM, t.value()));
+        parameters.team().ifPresent(t -> to.set(TEAM, utf8Value(t.value())));
         parameters.weightVersion().ifPresent(v -> to.set(EXPECTED_VERSION, v));
         parameters.priority().ifPresent(p -> to.set(PRIORITY, p));
         parameters.lastEventId().ifPresent(e -> to.set(LAST_EVENT_ID, e));
@@ -228,6 +242,15 @@
         return List.copyOf(parts);
     }
 
+    // Returns a header value whose bytes on the wire, one for each character, are the text in
+    // UTF-8.
+    private static String utf8Value(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return SURROUNDING_BLANKS
+                .matcher(new String(bytes, StandardCharsets.ISO_8859_1))
+                .replaceAll("");
+    }
+
     // Returns the value on which all lines of a header agree.
     private static Optional<String> singleValue(List<String> lines) {
         return lines.stream().distinct().count() == 1
