Answer all requests of a planned stop, and take none that may be cut

Cause: an entry took every request for 2.8 s after SIGTERM. One that may run only once and has a timeout beyond the grace was passed on and cut with the process, without an answer. Change: StopSchedule decides: such a request is taken only if its deadline lies before the end of the process, and refused truly otherwise; what is unfinished at the end gets its answer (504 if it may have run, 503 if not) in place of a close. Before: LateInGraceTest failed (a request without an answer).

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
@@ -69,6 +69,9 @@
     /** Whether the caller of the current exchange understands chunks; false for HTTP/1.0. */
     private boolean chunksAccepted = true;
 
+    /** Whether the caller of the current exchange keeps its connection open. */
+    private boolean keepAlive = true;
+
     /** Whether the connection accepts no further request. */
     private boolean closing;
 
@@ -129,7 +132,7 @@
         Exchange current = exchange;
         exchange = null;
         if (current != null) {
-            current.callerDisconnected();
+            current.completion().callerDisconnected();
         }
     }
 
@@ -222,6 +225,14 @@
         }
     }
 
+    /** Answers the current request, if any, because the entry ends. */
+    void endUnfinished() {
+        closing = true;
+        if (exchange != null) {
+            exchange.completion().endUnfinished("entry is stopping");
+        }
+    }
+
     /**
      * Returns whether a request is in progress.
      *
@@ -294,6 +305,7 @@
         CallerRequest request = pipelined.removeFirst();
         context.channel().config().setAutoRead(true);
         chunksAccepted = request.head().protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+        keepAlive = HttpUtil.isKeepAlive(request.head());
         exchange = new Exchange(entry, this, request);
         exchange.start();
     }
@@ -311,7 +323,7 @@
 
     // True if the caller asked to close, the entry is stopping or a request was rejected.
     private boolean closesAfterResponse() {
-        return closing || entry.stopping() || (exchange != null && !exchange.isKeepAlive());
+        return closing || entry.stopping() || !keepAlive;
     }
 
     private void rejectMalformed(Throwable cause) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -1,7 +1,6 @@
 package org.papayawalk.daemon.managed.entry;
 
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
@@ -13,7 +12,9 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.RunningTime;
+import org.papayawalk.core.admit.StopSchedule;
 import org.papayawalk.core.desired.EngineSpec;
+import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.limit.UpstreamLimits;
@@ -23,7 +24,6 @@
 import org.papayawalk.core.place.WithheldUpstreams;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.http.BufferBudget;
-import org.papayawalk.log.Event;
 
 /**
  * State and services that all exchanges of one entry share. Confined to the event loop thread,
@@ -67,10 +67,8 @@
 
     private final PlacementRules placementRules;
 
-    private volatile boolean stopping;
-
-    /** Whether new requests are refused; false for the first seconds of a stop. */
-    private volatile boolean refusesRequests;
+    /** Null unless the entry is stopping. */
+    private volatile StopSchedule stop;
 
     /**
      * Creates the shared state of an entry.
@@ -276,29 +274,7 @@
      */
     void requestCompleted(RequestRecord request) {
         metrics.completed(request);
-        Event event =
-                Event.named("request")
-                        .with("id", request.requestId())
-                        .with("status", request.status())
-                        .with("route", request.route())
-                        .with("service", request.service())
-                        .with("team", request.team())
-                        .with("upstreams", request.upstreams())
-                        .with("sendings", request.attempts())
-                        .with(
-                                "first_ms",
-                                request.firstPartAt()
-                                        .map(t -> elapsedMillis(request, t))
-                                        .orElse(-1L))
-                        .with("total_ms", elapsedMillis(request, request.completedAt()))
-                        .with("stated_ms", request.statedMillis().orElse(-1L))
-                        .with(
-                                "desired",
-                                upstreams.snapshot().desired().map(d -> d.version()).orElse(0L));
-        if (!request.reason().isEmpty()) {
-            event.with("reason", request.reason());
-        }
-        event.info();
+        request.log(upstreams.snapshot().desired().map(d -> d.version()).orElse(0L));
     }
 
     /**
@@ -331,10 +307,10 @@
     /**
      * Returns whether the entry is stopping.
      *
-     * @return true after {@link #stop()}
+     * @return true after {@link #stop(StopSchedule)}
      */
     boolean stopping() {
-        return stopping;
+        return stop != null;
     }
 
     /**
@@ -345,26 +321,25 @@
         queues.values().forEach(DispatchQueue::capacityAvailable);
     }
 
-    /** Marks the entry as stopping: from now on, connections close after their current response. */
-    void stop() {
-        stopping = true;
-    }
-
-    /** Refuses new requests from now on, because they might not end before the process does. */
-    void refuseRequests() {
-        refusesRequests = true;
-    }
-
     /**
-     * Returns whether new requests are refused.
+     * Marks the entry as stopping: from now on, connections close after their current response.
      *
-     * @return true after {@link #refuseRequests()}
+     * @param schedule decides which requests are still taken
      */
-    boolean refusesRequests() {
-        return refusesRequests;
+    void stop(StopSchedule schedule) {
+        stop = schedule;
     }
 
-    private static long elapsedMillis(RequestRecord request, Instant at) {
-        return Duration.between(request.receivedAt(), at).toMillis();
+    /**
+     * Returns whether a new request is taken.
+     *
+     * @param kind kind of the request
+     * @param deadline when its answer is due
+     * @param now present time
+     * @return false if the entry stops and could not end the request
+     */
+    boolean accepts(RequestKind kind, Instant deadline, Instant now) {
+        StopSchedule schedule = stop;
+        return schedule == null || schedule.accepts(kind, deadline, now);
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
@@ -86,10 +85,6 @@
     void start() {
         Instant now = entry.clock().instant();
         entry.metrics().received();
-        if (entry.refusesRequests()) {
-            completion.refuse("entry is stopping", STOPPING_RETRY_AFTER);
-            return;
-        }
         if (!entry.upstreams().snapshot().complete()) {
             completion.refuse(
                     "no desired state or upstream list received yet", NO_STATE_RETRY_AFTER);
@@ -106,13 +101,17 @@
             return;
         }
         authorized = decision.get();
+        RouteRule route = authorized.route();
+        Instant deadline = request.receivedAt().plus(metadata.timeout(route.timeout()));
+        if (!entry.accepts(route.kind(), deadline, now)) {
+            completion.refuse("entry is stopping", STOPPING_RETRY_AFTER);
+            return;
+        }
         poison = new PoisonCheck(entry.poison(), RequestSignature.of(request, metadata));
         if (!poison.permits(now)) {
             completion.refuse(PoisonGuard.REASON, poison.retryAfter(now));
             return;
         }
-        RouteRule route = authorized.route();
-        Instant deadline = request.receivedAt().plus(metadata.timeout(route.timeout()));
         timing =
                 new RequestTiming(
                         request.receivedAt(), deadline, route.timeout(), route.targetLatency());
@@ -123,17 +122,12 @@
     }
 
     /**
-     * Returns whether the caller keeps its connection open for further requests.
+     * Returns the end of the request.
      *
-     * @return true unless the request asks to close the connection
+     * @return completion
      */
-    boolean isKeepAlive() {
-        return HttpUtil.isKeepAlive(request.head());
-    }
-
-    /** Ends the request because its caller closed the connection. */
-    void callerDisconnected() {
-        completion.callerDisconnected();
+    ExchangeCompletion completion() {
+        return completion;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
@@ -94,7 +94,9 @@
     void requestAuthorized(AuthorizedRequest authorized, Instant deadline, Instant now) {
         authorizedRequest = authorized;
         long millis = Math.max(0, Duration.between(now, deadline).toMillis());
-        deadlineTimer = entry.loop().schedule(this::deadlineReached, millis, TimeUnit.MILLISECONDS);
+        deadlineTimer =
+                entry.loop()
+                        .schedule(() -> endUnfinished("deadline"), millis, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -123,6 +125,24 @@
         }
     }
 
+    /**
+     * Ends the request, if it has not ended, because it cannot be waited for any longer.
+     *
+     * @param newReason reason for the log
+     */
+    void endUnfinished(String newReason) {
+        if (completed) {
+            return;
+        }
+        if (stream.started()) {
+            abortStream(newReason, AttemptResult.CANCELLED);
+        } else if (attempts.mayRun()) {
+            respondLocally(HttpResponseStatus.GATEWAY_TIMEOUT, newReason, Duration.ZERO);
+        } else {
+            refuse(newReason, DEADLINE_RETRY_AFTER);
+        }
+    }
+
     /** Ends the request because its stream is complete. */
     void completeStream() {
         reason = "";
@@ -191,19 +211,6 @@
         respondLocally(status, newReason, Duration.ZERO);
     }
 
-    private void deadlineReached() {
-        if (completed) {
-            return;
-        }
-        if (stream.started()) {
-            abortStream("deadline", AttemptResult.CANCELLED);
-        } else if (attempts.mayRun()) {
-            respondLocally(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline", Duration.ZERO);
-        } else {
-            refuse("deadline", DEADLINE_RETRY_AFTER);
-        }
-    }
-
     private void respondLocally(HttpResponseStatus status, String newReason, Duration retryAfter) {
         reason =
                 reason.isEmpty() || reason.equals(newReason)
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.Addresses;
+import org.papayawalk.core.admit.StopSchedule;
 import org.papayawalk.core.desired.CallerLimits;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.suspect.PromptPartRegistry;
@@ -119,20 +120,18 @@
         stopping = true;
         Event.named("stopping").with("ready", ready).info();
         Instant stopAt = node.clock().instant();
-        Instant deadline = stopAt.plus(node.settings().limits().grace()).minus(KILL_MARGIN);
-        Instant serveUntil = stopAt.plus(SERVE_AFTER_STOP);
-        loop.execute(entry::stop);
+        Instant endsAt = stopAt.plus(node.settings().limits().grace()).minus(KILL_MARGIN);
+        Instant servesUntil = stopAt.plus(SERVE_AFTER_STOP);
+        entry.stop(new StopSchedule(servesUntil, endsAt));
         node.deregister();
-        while (node.clock().instant().isBefore(deadline)) {
-            boolean closing = node.clock().instant().isAfter(serveUntil);
-            if (closing) {
-                entry.refuseRequests();
-            }
-            if (closing && closeIdleConnections()) {
+        while (node.clock().instant().isBefore(endsAt)) {
+            if (node.clock().instant().isAfter(servesUntil) && closeIdleConnections()) {
                 break;
             }
             sleepPollInterval();
         }
+        loop.submit(() -> entry.callers().forEach(CallerHandler::endUnfinished))
+                .awaitUninterruptibly(DRAIN_POLL_INTERVAL.toMillis());
         Event.named("stopped").info();
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/RequestRecord.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/RequestRecord.java
@@ -1,11 +1,13 @@
 package org.papayawalk.daemon.managed.entry;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.papayawalk.core.desired.AuthorizedRequest;
 import org.papayawalk.core.id.UpstreamId;
+import org.papayawalk.log.Event;
 
 /**
  * Data of a request that has ended, for the log and the metrics. Immutable.
@@ -64,4 +66,33 @@
     String team() {
         return authorized.flatMap(AuthorizedRequest::caller).map(c -> c.team().value()).orElse("");
     }
+
+    /**
+     * Writes the log line of the request.
+     *
+     * @param desiredVersion version of the desired state in force, 0 if there is none
+     */
+    void log(long desiredVersion) {
+        Event event =
+                Event.named("request")
+                        .with("id", requestId)
+                        .with("status", status)
+                        .with("route", route())
+                        .with("service", service())
+                        .with("team", team())
+                        .with("upstreams", upstreams)
+                        .with("sendings", attempts)
+                        .with("first_ms", firstPartAt.map(this::millisUntil).orElse(-1L))
+                        .with("total_ms", millisUntil(completedAt))
+                        .with("stated_ms", statedMillis.orElse(-1L))
+                        .with("desired", desiredVersion);
+        if (!reason.isEmpty()) {
+            event.with("reason", reason);
+        }
+        event.info();
+    }
+
+    private long millisUntil(Instant at) {
+        return Duration.between(receivedAt, at).toMillis();
+    }
 }
