Keep connections of a stopping entry whose callers still read

Change: UnsentResponse: a connection is busy until its answer is with the kernel; an idle timeout closes only callers that take nothing. Complete answers count in BufferBudget and are never discarded; incomplete ones give way, small ones last.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
@@ -22,11 +22,9 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.desired.CallerLimits;
 import org.papayawalk.http.NestedHead;
 import org.papayawalk.log.Event;
@@ -58,6 +56,8 @@
 
     private ChannelHandlerContext context;
 
+    private UnsentResponse unsent;
+
     /** Head of the request that is being read; null if there is none. */
     private HttpRequest head;
 
@@ -75,8 +75,8 @@
     /** Whether the connection accepts no further request. */
     private boolean closing;
 
-    /** Idle timeout, header timeout or body timeout, whichever applies; null if there is none. */
-    private ScheduledFuture<?> timer;
+    /** Idle timeout, header timeout or body timeout, whichever applies. */
+    private ConnectionTimer timer;
 
     /** Whether the header timeout runs for a head that is not complete yet. */
     private boolean headStarted;
@@ -95,6 +95,8 @@
     @Override
     public void channelActive(ChannelHandlerContext newContext) {
         context = newContext;
+        unsent = new UnsentResponse(newContext.channel(), entry.bufferBudget());
+        timer = new ConnectionTimer(newContext.executor());
         entry.addCaller(this);
         startIdleTimer();
     }
@@ -115,7 +117,7 @@
         boolean newHead = event == CallerDecoder.Progress.PARTIAL && head == null && !headStarted;
         if (newHead && exchange == null && pipelined.isEmpty() && !closing) {
             headStarted = true;
-            startTimer(
+            timer.start(
                     limits.headerTimeout(),
                     () -> rejectTimedOut("headers", limits.headerTimeout()));
         }
@@ -125,7 +127,7 @@
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
         entry.removeCaller(this);
-        cancelTimer();
+        timer.cancel();
         discardPartialRequest();
         pipelined.forEach(r -> r.body().release());
         pipelined.clear();
@@ -159,7 +161,8 @@
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        context.writeAndFlush(response);
+        int bytes = response.content().readableBytes();
+        unsent.written(context.writeAndFlush(response), bytes);
         exchangeFinished(close);
     }
 
@@ -194,7 +197,7 @@
         if (!chunksAccepted) {
             context.channel().config().setOption(ChannelOption.SO_LINGER, DRAIN_ON_CLOSE);
         }
-        context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        unsent.written(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), 0);
         exchangeFinished(closing);
     }
 
@@ -217,9 +220,9 @@
         return context.channel().isWritable();
     }
 
-    /** Closes the connection if no request is in progress or being read. */
+    /** Closes the connection if no request is in progress and no response is being sent. */
     void closeIfIdle() {
-        if (exchange == null && head == null && pipelined.isEmpty()) {
+        if (!isBusy()) {
             closing = true;
             context.close();
         }
@@ -236,10 +239,12 @@
     /**
      * Returns whether a request is in progress.
      *
-     * @return true if a request is being read, waits or is being answered
+     * @return true if a request is being read, waits or is being answered, or if its caller has not
+     *     taken the whole response yet
      */
     boolean isBusy() {
-        return exchange != null || head != null || !pipelined.isEmpty();
+        boolean answering = exchange != null || !pipelined.isEmpty() || !unsent.isEmpty();
+        return answering || head != null;
     }
 
     private void readPart(HttpObject part) {
@@ -255,7 +260,7 @@
             }
             headStarted = false;
             head = request;
-            startTimer(limits.idleTimeout(), () -> rejectTimedOut("body", limits.idleTimeout()));
+            timer.start(limits.idleTimeout(), () -> rejectTimedOut("body", limits.idleTimeout()));
             if (HttpUtil.is100ContinueExpected(request)) {
                 context.writeAndFlush(
                         new DefaultFullHttpResponse(
@@ -283,7 +288,7 @@
         }
         if (content instanceof LastHttpContent) {
             CallerRequest request = new CallerRequest(head, body, entry.clock().instant());
-            cancelTimer();
+            timer.cancel();
             head = null;
             body = Unpooled.EMPTY_BUFFER;
             pipelined.addLast(request);
@@ -371,19 +376,17 @@
     }
 
     private void startIdleTimer() {
-        startTimer(limits.idleTimeout().plus(IDLE_TIMEOUT_MARGIN), this::closeIfIdle);
-    }
-
-    // Replaces the current timer.
-    private void startTimer(Duration limit, Runnable task) {
-        cancelTimer();
-        timer = context.executor().schedule(task, limit.toMillis(), TimeUnit.MILLISECONDS);
+        timer.start(limits.idleTimeout().plus(IDLE_TIMEOUT_MARGIN), this::checkIdle);
     }
 
-    private void cancelTimer() {
-        if (timer != null) {
-            timer.cancel(false);
-            timer = null;
+    // Closes an idle connection, also if its caller takes nothing of a response any more.
+    private void checkIdle() {
+        boolean reading = !unsent.isEmpty() && unsent.hasAdvanced();
+        if (reading) {
+            startIdleTimer();
+        } else if (exchange == null && head == null && pipelined.isEmpty()) {
+            closing = true;
+            context.close();
         }
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -34,6 +34,9 @@
     /** Bound of all responses that are buffered at the same time, in bytes. */
     private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
 
+    /** Bound of these and of the complete responses that callers have not read, in bytes. */
+    private static final long MAX_RESPONSE_BYTES = 40 * 1024 * 1024;
+
     private final ManagedSettings settings;
 
     private final EventLoop loop;
@@ -61,7 +64,8 @@
 
     private final Map<ServiceId, DispatchQueue> queues = new HashMap<>();
 
-    private final BufferBudget bufferBudget = new BufferBudget(MAX_BUFFERED_BYTES);
+    private final BufferBudget bufferBudget =
+            new BufferBudget(MAX_BUFFERED_BYTES, MAX_RESPONSE_BYTES);
 
     private final Set<CallerHandler> callers = new HashSet<>();
 
--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -31,7 +31,7 @@
 
     private final EventLoopGroup group;
 
-    private final BufferBudget budget = new BufferBudget(MAX_BUFFERED_BYTES);
+    private final BufferBudget budget = new BufferBudget(MAX_BUFFERED_BYTES, MAX_BUFFERED_BYTES);
 
     /** Idle connections by address; each deque is guarded by its own monitor. */
     private final Map<String, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
--- a/src/main/java/org/papayawalk/http/BufferBudget.java
+++ b/src/main/java/org/papayawalk/http/BufferBudget.java
@@ -7,17 +7,29 @@
 
 /**
  * Bounds the memory of all responses that are buffered at the same time. When the bound is
- * exceeded, the largest ones are discarded, because endless responses grow and proper ones end.
- * Thread-safe.
+ * exceeded, the largest incomplete ones are discarded, because endless responses grow and proper
+ * ones end. Complete ones that wait for slow callers are never discarded; small ones are received
+ * all the same. Thread-safe.
  */
 public final class BufferBudget {
+    /** Largest response that counts as small, in bytes. */
+    private static final int SMALL_BYTES = 64 * 1024;
+
+    /** Memory beyond the bound of all responses that only small ones use, in bytes. */
+    private static final long SMALL_RESERVE_BYTES = 4 * 1024 * 1024;
+
+    private final long maxIncompleteBytes;
+
     private final long maxBytes;
 
-    /** Sizes of the buffers in bytes; guarded by this. */
+    /** Sizes of the incomplete responses in bytes; guarded by this. */
     private final Map<Buffer, Integer> sizes = new IdentityHashMap<>();
 
     /** Sum of the sizes; guarded by this. */
-    private long heldBytes;
+    private long incompleteBytes;
+
+    /** Sum of the complete responses in bytes; guarded by this. */
+    private long completeBytes;
 
     /** Response that is being buffered. */
     @FunctionalInterface
@@ -33,9 +45,11 @@
     /**
      * Creates a budget of which nothing is used.
      *
-     * @param maxBytes bound of the sum of all buffers, in bytes
+     * @param maxIncompleteBytes bound of the sum of all incomplete responses, in bytes
+     * @param maxBytes bound of the sum of all responses, in bytes; complete ones may exceed it
      */
-    public BufferBudget(long maxBytes) {
+    public BufferBudget(long maxIncompleteBytes, long maxBytes) {
+        this.maxIncompleteBytes = maxIncompleteBytes;
         this.maxBytes = maxBytes;
     }
 
@@ -48,7 +62,7 @@
      */
     public void resize(Buffer buffer, int bytes) {
         for (Buffer b : resizeAndEvict(buffer, bytes)) {
-            b.discard("buffered responses are longer than " + maxBytes + " bytes");
+            b.discard("buffered responses are longer than " + maxIncompleteBytes + " bytes");
         }
     }
 
@@ -59,30 +73,56 @@
      */
     public synchronized void release(Buffer buffer) {
         Integer old = sizes.remove(buffer);
-        heldBytes -= old == null ? 0 : old;
+        incompleteBytes -= old == null ? 0 : old;
+    }
+
+    /**
+     * Adds a complete response that waits for its caller to read.
+     *
+     * @param bytes its size in bytes
+     */
+    public synchronized void hold(int bytes) {
+        completeBytes += bytes;
+    }
+
+    /**
+     * Records that a complete response was sent.
+     *
+     * @param bytes its size in bytes
+     */
+    public synchronized void unhold(int bytes) {
+        completeBytes -= bytes;
     }
 
     /**
      * Returns the memory in use.
      *
-     * @return sum of the sizes of all buffers, in bytes
+     * @return sum of the sizes of all buffers and complete responses, in bytes
      */
     public synchronized long heldBytes() {
-        return heldBytes;
+        return incompleteBytes + completeBytes;
     }
 
     private synchronized List<Buffer> resizeAndEvict(Buffer buffer, int bytes) {
         Integer old = sizes.put(buffer, bytes);
-        heldBytes += bytes - (old == null ? 0 : old);
+        incompleteBytes += bytes - (old == null ? 0 : old);
         List<Buffer> evicted = new ArrayList<>();
-        while (heldBytes > maxBytes) {
+        while (isExceeded(0) && !sizes.isEmpty()) {
             Buffer largest = largest();
+            if (sizes.get(largest) <= SMALL_BYTES && !isExceeded(SMALL_RESERVE_BYTES)) {
+                break;
+            }
             release(largest);
             evicted.add(largest);
         }
         return evicted;
     }
 
+    private boolean isExceeded(long reserveBytes) {
+        return incompleteBytes > maxIncompleteBytes
+                || incompleteBytes + completeBytes > maxBytes + reserveBytes;
+    }
+
     private Buffer largest() {
         return sizes.entrySet().stream()
                 .max(Map.Entry.comparingByValue())
--- a/src/test/java/org/papayawalk/http/BufferBudgetTest.java
+++ b/src/test/java/org/papayawalk/http/BufferBudgetTest.java
@@ -13,7 +13,7 @@
     /** The largest buffer goes, the others stay. */
     @Test
     public void largestBufferIsDiscarded() {
-        BufferBudget budget = new BufferBudget(100);
+        BufferBudget budget = new BufferBudget(100, 100);
         BufferBudget.Buffer small = reason -> discarded.add("small");
         BufferBudget.Buffer large = reason -> discarded.add("large");
         budget.resize(large, 70);
@@ -26,4 +26,22 @@
         budget.release(small);
         assertEquals(budget.heldBytes(), 0);
     }
+
+    /** Complete responses that wait for slow callers stay, and leave room for small ones. */
+    @Test
+    public void completeResponsesStayAndLeaveRoomForSmallOnes() {
+        BufferBudget budget = new BufferBudget(100_000, 1000);
+        List<String> reasons = new ArrayList<>();
+        budget.hold(1000);
+        BufferBudget.Buffer small = reasons::add;
+        budget.resize(small, 500);
+        assertEquals(reasons, List.of());
+        BufferBudget.Buffer large = reasons::add;
+        budget.resize(large, 70_000);
+        assertEquals(reasons.size(), 1);
+        assertEquals(budget.heldBytes(), 1500);
+        budget.release(small);
+        budget.unhold(1000);
+        assertEquals(budget.heldBytes(), 0);
+    }
 }
