Apply the limits in force to each request, not to each connection

Change: RequestReceiver, taken out of CallerHandler, reads the limits when a head is complete; the decoder is replaced between two requests if the limit of heads has changed; an idle connection is closed only after the idle limit now in force. A head that is being received while its limit changes keeps the older one.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerDecoder.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerDecoder.java
@@ -1,15 +1,20 @@
 package org.papayawalk.daemon.managed.entry;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
+import java.util.function.IntSupplier;
 
 /**
  * Decoder of callers' HTTP requests. It rejects requests that another parser could read differently
  * (request smuggling): those with both a length and chunked encoding, and those whose request line
  * is separated by anything but single spaces. It also fires {@link Progress#PARTIAL} to the next
- * handler while part of a request is buffered. Confined to one event loop.
+ * handler while part of a request is buffered. The size limit of a head is the one in force when
+ * its first byte is received. Confined to one event loop.
  */
 final class CallerDecoder extends HttpRequestDecoder {
 
@@ -19,22 +24,37 @@
         PARTIAL
     }
 
+    private final IntSupplier maxHeaderBytes;
+
+    /** Value that this decoder was created with. */
+    private final int headerBytes;
+
+    /** Whether no byte of a next request was received. */
+    private boolean betweenRequests = true;
+
     /**
      * Creates a decoder.
      *
-     * @param config limits and parsing options
+     * @param maxHeaderBytes returns the maximum size of the header section, and of the request
+     *     line, in bytes, that is in force
      */
-    CallerDecoder(HttpDecoderConfig config) {
-        super(config);
+    CallerDecoder(IntSupplier maxHeaderBytes) {
+        this(maxHeaderBytes, maxHeaderBytes.getAsInt());
+    }
+
+    private CallerDecoder(IntSupplier maxHeaderBytes, int headerBytes) {
+        super(config(headerBytes));
+        this.maxHeaderBytes = maxHeaderBytes;
+        this.headerBytes = headerBytes;
     }
 
     /**
      * Returns a strict configuration that accepts no ambiguous message framing.
      *
      * @param headerBytes maximum size of the header section, and of the request line, in bytes
-     * @return configuration for {@link #CallerDecoder(HttpDecoderConfig)}
+     * @return configuration of a decoder
      */
-    static HttpDecoderConfig config(int headerBytes) {
+    private static HttpDecoderConfig config(int headerBytes) {
         return new HttpDecoderConfig()
                 .setMaxInitialLineLength(headerBytes)
                 .setMaxHeaderSize(headerBytes)
@@ -45,12 +65,25 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (betweenRequests && maxHeaderBytes.getAsInt() != headerBytes) {
+            context.pipeline().replace(this, null, new CallerDecoder(maxHeaderBytes));
+            context.fireChannelRead(message);
+            return;
+        }
         super.channelRead(context, message);
         if (actualReadableBytes() > 0) {
             context.fireUserEventTriggered(Progress.PARTIAL);
         }
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+            throws Exception {
+        super.decode(context, in, out);
+        boolean ended = !out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent;
+        betweenRequests = ended && !in.isReadable();
+    }
+
     @Override
     protected String splitSecondWordInitialLine(byte[] line, int start, int length) {
         requireSingleSpace(line, start);
--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
@@ -1,32 +1,25 @@
 package org.papayawalk.daemon.managed.entry;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import org.papayawalk.core.desired.CallerLimits;
-import org.papayawalk.http.NestedHead;
 import org.papayawalk.log.Event;
 
 /**
@@ -34,7 +27,7 @@
  * are answered one at a time and in order. When a caller closes its connection, its request is
  * cancelled at once. Confined to the event loop thread.
  */
-final class CallerHandler extends ChannelDuplexHandler {
+final class CallerHandler extends ChannelDuplexHandler implements RequestReceiver.Listener {
     /** Value of SO_LINGER with which any close resets the connection. */
     private static final int RESET_ON_CLOSE = 0;
 
@@ -49,8 +42,6 @@
 
     private final EntryContext entry;
 
-    private final CallerLimits limits;
-
     /** Complete requests that wait for the current exchange to end. */
     private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
 
@@ -58,10 +49,7 @@
 
     private UnsentResponse unsent;
 
-    /** Head of the request that is being read; null if there is none. */
-    private HttpRequest head;
-
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private RequestReceiver receiver;
 
     /** Exchange of the current request; null if there is none. */
     private Exchange exchange;
@@ -78,18 +66,16 @@
     /** Idle timeout, header timeout or body timeout, whichever applies. */
     private ConnectionTimer timer;
 
-    /** Whether the header timeout runs for a head that is not complete yet. */
-    private boolean headStarted;
+    /** When the connection became idle. */
+    private Instant idleSince;
 
     /**
      * Creates the handler of a connection.
      *
      * @param entry shared state of the entry
-     * @param limits size limits and timeouts for callers
      */
-    CallerHandler(EntryContext entry, CallerLimits limits) {
+    CallerHandler(EntryContext entry) {
         this.entry = entry;
-        this.limits = limits;
     }
 
     @Override
@@ -97,6 +83,7 @@
         context = newContext;
         unsent = new UnsentResponse(newContext.channel(), entry.bufferBudget());
         timer = new ConnectionTimer(newContext.executor());
+        receiver = new RequestReceiver(entry, newContext, timer, this);
         entry.addCaller(this);
         startIdleTimer();
     }
@@ -105,7 +92,7 @@
     public void channelRead(ChannelHandlerContext ignored, Object message) {
         try {
             if (!closing) {
-                readPart((HttpObject) message);
+                receiver.receive((HttpObject) message);
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -114,12 +101,9 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ignored, Object event) {
-        boolean newHead = event == CallerDecoder.Progress.PARTIAL && head == null && !headStarted;
-        if (newHead && exchange == null && pipelined.isEmpty() && !closing) {
-            headStarted = true;
-            timer.start(
-                    limits.headerTimeout(),
-                    () -> rejectTimedOut("headers", limits.headerTimeout()));
+        boolean partial = event == CallerDecoder.Progress.PARTIAL;
+        if (partial && exchange == null && pipelined.isEmpty() && !closing) {
+            receiver.headBegan();
         }
     }
 
@@ -128,7 +112,7 @@
         closing = true;
         entry.removeCaller(this);
         timer.cancel();
-        discardPartialRequest();
+        receiver.discard();
         pipelined.forEach(r -> r.body().release());
         pipelined.clear();
         Exchange current = exchange;
@@ -244,59 +228,19 @@
      */
     boolean isBusy() {
         boolean answering = exchange != null || !pipelined.isEmpty() || !unsent.isEmpty();
-        return answering || head != null;
+        return answering || receiver.isReceiving();
     }
 
-    private void readPart(HttpObject part) {
-        if (part.decoderResult().isFailure()) {
-            rejectMalformed(part.decoderResult().cause());
-            return;
-        }
-        if (part instanceof HttpRequest request) {
-            boolean severalHosts = request.headers().getAll(HttpHeaderNames.HOST).size() > 1;
-            if (severalHosts || NestedHead.isIn(request)) {
-                reject(HttpResponseStatus.BAD_REQUEST, "head holds the head of another request");
-                return;
-            }
-            headStarted = false;
-            head = request;
-            timer.start(limits.idleTimeout(), () -> rejectTimedOut("body", limits.idleTimeout()));
-            if (HttpUtil.is100ContinueExpected(request)) {
-                context.writeAndFlush(
-                        new DefaultFullHttpResponse(
-                                HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-            }
-        }
-        if (part instanceof HttpContent content && head != null) {
-            appendBody(content);
-        }
+    @Override
+    public void requestReceived(CallerRequest request) {
+        pipelined.addLast(request);
+        updateReading();
+        startNext();
     }
 
-    private void appendBody(HttpContent content) {
-        int length = content.content().readableBytes();
-        if (body.readableBytes() + length > limits.maxBodyBytes()) {
-            reject(
-                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                    "request body is longer than " + limits.maxBodyBytes() + " bytes");
-            return;
-        }
-        if (length > 0) {
-            if (body == Unpooled.EMPTY_BUFFER) {
-                body = Unpooled.buffer(length);
-            }
-            body.writeBytes(content.content());
-        }
-        if (content instanceof LastHttpContent) {
-            CallerRequest request = new CallerRequest(head, body, entry.clock().instant());
-            timer.cancel();
-            head = null;
-            body = Unpooled.EMPTY_BUFFER;
-            pipelined.addLast(request);
-            if (pipelined.size() > MAX_PIPELINED) {
-                context.channel().config().setAutoRead(false);
-            }
-            startNext();
-        }
+    // Reads unless too many requests wait.
+    private void updateReading() {
+        context.channel().config().setAutoRead(pipelined.size() <= MAX_PIPELINED);
     }
 
     private void startNext() {
@@ -304,11 +248,13 @@
             return;
         }
         if (pipelined.isEmpty()) {
-            startIdleTimer();
+            if (!receiver.isReceiving()) {
+                startIdleTimer();
+            }
             return;
         }
         CallerRequest request = pipelined.removeFirst();
-        context.channel().config().setAutoRead(true);
+        updateReading();
         chunksAccepted = request.head().protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         keepAlive = HttpUtil.isKeepAlive(request.head());
         exchange = new Exchange(entry, this, request);
@@ -331,62 +277,47 @@
         return closing || entry.stopping() || !keepAlive;
     }
 
-    private void rejectMalformed(Throwable cause) {
-        boolean tooLong =
-                cause instanceof TooLongHttpHeaderException
-                        || cause instanceof TooLongHttpLineException;
-        reject(
-                tooLong
-                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                        : HttpResponseStatus.BAD_REQUEST,
-                String.valueOf(cause.getMessage()));
-    }
-
-    // Rejects the request being read. The connection closes after the current response, if any.
-    private void reject(HttpResponseStatus status, String reason) {
+    @Override
+    public void requestRejected(HttpResponseStatus status, String reason) {
         Event.named("request-rejected")
                 .with("caller", context.channel().remoteAddress())
                 .with("status", status.code())
                 .with("reason", reason)
                 .info();
         closing = true;
-        discardPartialRequest();
         if (exchange != null) {
             return;
         }
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        FullHttpResponse response = LocalResponses.build(status, "", Duration.ZERO);
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, 0)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
-    // Rejects a request that was not received in time. It was not forwarded and cannot run.
-    private void rejectTimedOut(String part, Duration limit) {
-        reject(
-                HttpResponseStatus.REQUEST_TIMEOUT,
-                "request " + part + " not complete after " + limit.toMillis() + " ms");
-    }
-
-    private void discardPartialRequest() {
-        head = null;
-        body.release();
-        body = Unpooled.EMPTY_BUFFER;
-    }
-
     private void startIdleTimer() {
-        timer.start(limits.idleTimeout().plus(IDLE_TIMEOUT_MARGIN), this::checkIdle);
+        idleSince = entry.clock().instant();
+        timer.start(idleLimit(), this::checkIdle);
     }
 
-    // Closes an idle connection, also if its caller takes nothing of a response any more.
+    // Runs only between requests. Closes the connection if it was idle for as long as the limits
+    // now in force allow, and if its
+    // caller takes nothing of a response any more.
     private void checkIdle() {
-        boolean reading = !unsent.isEmpty() && unsent.hasAdvanced();
-        if (reading) {
+        if (!unsent.isEmpty() && unsent.hasAdvanced()) {
             startIdleTimer();
-        } else if (exchange == null && head == null && pipelined.isEmpty()) {
-            closing = true;
-            context.close();
+            return;
+        }
+        Duration left = idleLimit().minus(Duration.between(idleSince, entry.clock().instant()));
+        if (left.toMillis() > 0) {
+            timer.start(left, this::checkIdle);
+            return;
         }
+        closing = true;
+        context.close();
+    }
+
+    private Duration idleLimit() {
+        return entry.callerLimits().idleTimeout().plus(IDLE_TIMEOUT_MARGIN);
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -13,6 +13,8 @@
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.RunningTime;
 import org.papayawalk.core.admit.StopSchedule;
+import org.papayawalk.core.desired.CallerLimits;
+import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.desired.EngineSpec;
 import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.id.HostId;
@@ -151,6 +153,19 @@
         return bufferBudget;
     }
 
+    /**
+     * Returns the limits on callers that are in force.
+     *
+     * @return limits of the desired state, or the default before one is received
+     */
+    CallerLimits callerLimits() {
+        return upstreams
+                .snapshot()
+                .desired()
+                .map(DesiredState::limits)
+                .orElse(CallerLimits.DEFAULT);
+    }
+
     /**
      * Returns the upstreams that requests may be sent to.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -14,10 +14,9 @@
 import java.time.Instant;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.admit.StopSchedule;
-import org.papayawalk.core.desired.CallerLimits;
-import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.suspect.PromptPartRegistry;
 import org.papayawalk.daemon.managed.ManagedNode;
 import org.papayawalk.daemon.managed.ManagedRole;
@@ -153,18 +152,12 @@
         return entry.poison().promptParts();
     }
 
-    // The limits are those in force when the connection opens.
     private void initCallerChannel(Channel channel) {
-        CallerLimits limits =
-                entry.upstreams()
-                        .snapshot()
-                        .desired()
-                        .map(DesiredState::limits)
-                        .orElse(CallerLimits.DEFAULT);
+        IntSupplier headerBytes = () -> entry.callerLimits().maxHeaderBytes();
         channel.pipeline()
-                .addLast(new CallerDecoder(CallerDecoder.config(limits.maxHeaderBytes())))
+                .addLast(new CallerDecoder(headerBytes))
                 .addLast(new HttpResponseEncoder())
-                .addLast(new CallerHandler(entry, limits));
+                .addLast(new CallerHandler(entry));
     }
 
     // Called on the control thread; the snapshot is applied on the event loop thread.
--- /dev/null
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
@@ -0,0 +1,181 @@
+package org.papayawalk.daemon.managed.entry;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.time.Duration;
+import org.papayawalk.core.desired.CallerLimits;
+import org.papayawalk.http.NestedHead;
+
+/**
+ * Receives the requests on one connection of a caller. The limits of a request are those in force
+ * when its head is complete. Confined to the event loop thread.
+ */
+final class RequestReceiver {
+    private final EntryContext entry;
+
+    private final ChannelHandlerContext context;
+
+    /** Runs from the first byte of a request to its last one. */
+    private final ConnectionTimer timer;
+
+    private final Listener listener;
+
+    /** Request whose head was received; null if there is none. */
+    private PartialRequest partial;
+
+    /** Whether the header timeout runs for a head that is not complete yet. */
+    private boolean headStarted;
+
+    /** Handles what was received. */
+    interface Listener {
+        /**
+         * Handles a complete request.
+         *
+         * @param request request, to be released
+         */
+        void requestReceived(CallerRequest request);
+
+        /**
+         * Answers a request that was not received as a whole. It was not forwarded and cannot run.
+         * The connection takes no further request.
+         *
+         * @param status status of the answer
+         * @param reason reason for the log
+         */
+        void requestRejected(HttpResponseStatus status, String reason);
+    }
+
+    /**
+     * Creates a receiver before the first request.
+     *
+     * @param entry shared state of the entry
+     * @param context connection
+     * @param timer timer of the connection
+     * @param listener handles what was received
+     */
+    RequestReceiver(
+            EntryContext entry,
+            ChannelHandlerContext context,
+            ConnectionTimer timer,
+            Listener listener) {
+        this.entry = entry;
+        this.context = context;
+        this.timer = timer;
+        this.listener = listener;
+    }
+
+    /** Starts the header timeout, as part of a head was received. */
+    void headBegan() {
+        if (partial == null && !headStarted) {
+            headStarted = true;
+            Duration limit = entry.callerLimits().headerTimeout();
+            timer.start(limit, () -> rejectTimedOut("headers", limit));
+        }
+    }
+
+    /**
+     * Receives part of a request.
+     *
+     * @param part head or part of a body
+     */
+    void receive(HttpObject part) {
+        if (part.decoderResult().isFailure()) {
+            rejectMalformed(part.decoderResult().cause());
+            return;
+        }
+        if (part instanceof HttpRequest request) {
+            boolean severalHosts = request.headers().getAll(HttpHeaderNames.HOST).size() > 1;
+            if (severalHosts || NestedHead.isIn(request)) {
+                reject(HttpResponseStatus.BAD_REQUEST, "head holds the head of another request");
+                return;
+            }
+            startRequest(request);
+        }
+        if (part instanceof HttpContent content && partial != null) {
+            appendBody(content);
+        }
+    }
+
+    /**
+     * Returns whether the head of a request was received and its body is not complete.
+     *
+     * @return false between requests and in a head
+     */
+    boolean isReceiving() {
+        return partial != null;
+    }
+
+    /** Frees the request that is being received, if any. */
+    void discard() {
+        if (partial != null) {
+            PartialRequest discarded = partial;
+            partial = null;
+            discarded.discard();
+        }
+    }
+
+    private void startRequest(HttpRequest request) {
+        headStarted = false;
+        CallerLimits limits = entry.callerLimits();
+        partial = new PartialRequest(request, limits);
+        Duration limit = partial.limits().idleTimeout();
+        timer.start(limit, () -> rejectTimedOut("body", limit));
+        if (HttpUtil.is100ContinueExpected(partial.head())) {
+            context.writeAndFlush(
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void appendBody(HttpContent content) {
+        if (partial.exceedsLimit(content.content().readableBytes())) {
+            rejectTooLong();
+            return;
+        }
+        partial.append(content.content());
+        if (content instanceof LastHttpContent) {
+            CallerRequest request = partial.complete(entry.clock().instant());
+            timer.cancel();
+            partial = null;
+            listener.requestReceived(request);
+        }
+    }
+
+    private void rejectMalformed(Throwable cause) {
+        boolean tooLong =
+                cause instanceof TooLongHttpHeaderException
+                        || cause instanceof TooLongHttpLineException;
+        reject(
+                tooLong
+                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                        : HttpResponseStatus.BAD_REQUEST,
+                String.valueOf(cause.getMessage()));
+    }
+
+    private void rejectTimedOut(String part, Duration limit) {
+        reject(
+                HttpResponseStatus.REQUEST_TIMEOUT,
+                "request " + part + " not complete after " + limit.toMillis() + " ms");
+    }
+
+    private void rejectTooLong() {
+        reject(
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                "request body is longer than " + partial.limits().maxBodyBytes() + " bytes");
+    }
+
+    private void reject(HttpResponseStatus status, String reason) {
+        timer.cancel();
+        discard();
+        listener.requestRejected(status, reason);
+    }
+}
--- a/src/test/java/org/papayawalk/daemon/managed/entry/CallerDecoderFuzzTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/CallerDecoderFuzzTest.java
@@ -96,8 +96,7 @@
 
     // Returns the requests that the decoder completes before the first error.
     private static List<Read> read(List<byte[]> parts) {
-        EmbeddedChannel channel =
-                new EmbeddedChannel(new CallerDecoder(CallerDecoder.config(MAX_HEAD_BYTES)));
+        EmbeddedChannel channel = new EmbeddedChannel(new CallerDecoder(() -> MAX_HEAD_BYTES));
         parts.forEach(p -> channel.writeInbound(Unpooled.wrappedBuffer(p)));
         List<Read> requests = new ArrayList<>();
         HttpRequest head = null;
--- a/src/test/java/org/papayawalk/daemon/managed/entry/KeptCaller.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/KeptCaller.java
@@ -120,6 +120,20 @@
         return received;
     }
 
+    /**
+     * Sends the text of a request on the connection that is open, or on the first one.
+     *
+     * @param text whole request
+     * @return status of the answer
+     * @throws IOException if the connection is lost
+     */
+    int sendOnKept(String text) throws IOException {
+        connect(false);
+        TestCaller.write(socket, text);
+        Request request = new Request("", "", "POST", "", 0);
+        return read(request, Pace.FAST).status();
+    }
+
     /**
      * Returns what was received while no request was waiting.
      *
