Let long request bodies take turns in a bounded memory

Change: BodyAdmission bounds the memory of all bodies from their heads on. Long ones wait in order while nothing is read from them, at most 2 s, and are then refused truly with a time to come back; a quarter of the memory is for short ones, which never wait. Behind an answer to a request that is still being sent, the rest is read for a second, as a close would reset the connection and lose the answer. Open: heads of requests, of which each connection may hold one, count in no sum; the cache of weights may exceed the heap of an agent.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -40,6 +41,11 @@
     /** Added to the callers' idle timeout before an idle connection is closed. */
     private static final Duration IDLE_TIMEOUT_MARGIN = Duration.ofSeconds(1);
 
+    /**
+     * Time for which the rest of a rejected request is read, so that its caller gets the answer.
+     */
+    private static final Duration LINGER = Duration.ofSeconds(1);
+
     private final EntryContext entry;
 
     /** Complete requests that wait for the current exchange to end. */
@@ -113,7 +119,7 @@
         entry.removeCaller(this);
         timer.cancel();
         receiver.discard();
-        pipelined.forEach(r -> r.body().release());
+        pipelined.forEach(CallerRequest::release);
         pipelined.clear();
         Exchange current = exchange;
         exchange = null;
@@ -238,9 +244,11 @@
         startNext();
     }
 
-    // Reads unless too many requests wait.
-    private void updateReading() {
-        context.channel().config().setAutoRead(pipelined.size() <= MAX_PIPELINED);
+    // Reads unless too many requests wait, or the body of one waits for room in memory.
+    @Override
+    public void updateReading() {
+        boolean reads = !receiver.waitsForMemory() && pipelined.size() <= MAX_PIPELINED;
+        context.channel().config().setAutoRead(reads);
     }
 
     private void startNext() {
@@ -278,21 +286,32 @@
     }
 
     @Override
-    public void requestRejected(HttpResponseStatus status, String reason) {
+    public void requestRejected(
+            HttpResponseStatus status, String reason, String requestId, Duration retryAfter) {
         Event.named("request-rejected")
                 .with("caller", context.channel().remoteAddress())
                 .with("status", status.code())
                 .with("reason", reason)
                 .info();
         closing = true;
+        updateReading();
         if (exchange != null) {
             return;
         }
-        FullHttpResponse response = LocalResponses.build(status, "", Duration.ZERO);
+        FullHttpResponse response = LocalResponses.build(status, requestId, retryAfter);
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, 0)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(response).addListener(f -> closeAfterRequest());
+    }
+
+    // Closes the connection once its caller has had time to read the response. Closing it while
+    // bytes of the request are unread would reset it, and the response would be lost.
+    private void closeAfterRequest() {
+        if (context.channel() instanceof SocketChannel socket) {
+            socket.shutdownOutput();
+        }
+        timer.start(LINGER, context::close);
     }
 
     private void startIdleTimer() {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerRequest.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerRequest.java
@@ -5,10 +5,17 @@
 import java.time.Instant;
 
 /**
- * Complete request of a caller. The handler of the request must release the body.
+ * Complete request of a caller. The handler of the request must release it.
  *
  * @param head method, target and headers
  * @param body complete body, reference counted
+ * @param onRelease gives the memory of the body back
  * @param receivedAt when the last byte of the request was received
  */
-record CallerRequest(HttpRequest head, ByteBuf body, Instant receivedAt) {}
+record CallerRequest(HttpRequest head, ByteBuf body, Runnable onRelease, Instant receivedAt) {
+    /** Frees the body. Called once. */
+    void release() {
+        body.release();
+        onRelease.run();
+    }
+}
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -19,6 +19,7 @@
 import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.limit.BodyAdmission;
 import org.papayawalk.core.limit.UpstreamLimits;
 import org.papayawalk.core.place.MinimumVersionRule;
 import org.papayawalk.core.place.PlacementRule;
@@ -33,6 +34,9 @@
  * are thread-safe.
  */
 final class EntryContext {
+    /** Bound of all request bodies that are held at the same time, in bytes. */
+    static final long MAX_BODY_BYTES = 20 * 1024 * 1024;
+
     /** Bound of all responses that are buffered at the same time, in bytes. */
     private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
 
@@ -69,6 +73,8 @@
     private final BufferBudget bufferBudget =
             new BufferBudget(MAX_BUFFERED_BYTES, MAX_RESPONSE_BYTES);
 
+    private final BodyAdmission bodies = new BodyAdmission(MAX_BODY_BYTES);
+
     private final Set<CallerHandler> callers = new HashSet<>();
 
     private final PlacementRules placementRules;
@@ -153,6 +159,15 @@
         return bufferBudget;
     }
 
+    /**
+     * Returns the bound of the request bodies that are held.
+     *
+     * @return admission for use on the event loop thread only
+     */
+    BodyAdmission bodies() {
+        return bodies;
+    }
+
     /**
      * Returns the limits on callers that are in force.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ExchangeCompletion.java
@@ -228,7 +228,7 @@
             deadlineTimer.cancel(false);
         }
         abandonAttempt.accept(result);
-        request.body().release();
+        request.release();
         entry.requestCompleted(
                 new RequestRecord(
                         metadata.requestId(),
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -143,6 +143,15 @@
         return entry.bufferBudget().heldBytes();
     }
 
+    /**
+     * Returns the memory of the request bodies that are held.
+     *
+     * @return bytes
+     */
+    long heldBodyBytes() {
+        return loop.submit(() -> entry.bodies().heldBytes()).syncUninterruptibly().getNow();
+    }
+
     /**
      * Returns the evidence on parts of prompts.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PartialRequest.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PartialRequest.java
@@ -3,29 +3,51 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
 import java.time.Instant;
 import org.papayawalk.core.desired.CallerLimits;
+import org.papayawalk.core.limit.BodyAdmission;
+import org.papayawalk.core.limit.BodyAdmission.Decision;
 
 /**
- * Request of a caller whose head was received and whose body is being received. Confined to the
- * event loop thread.
+ * Request of a caller whose head was received and whose body is being received. Its body counts in
+ * the memory of all bodies from the head on. Confined to the event loop thread.
  */
 final class PartialRequest {
     private final HttpRequest head;
 
     private final CallerLimits limits;
 
+    private final BodyAdmission bodies;
+
+    private final BodyAdmission.Ticket memory;
+
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
     /**
-     * Creates a request without a body.
+     * Creates a request and asks for room for its body.
      *
      * @param head head of the request
      * @param limits limits in force when the head was received
+     * @param bodies memory of all bodies
+     * @param onAdmitted called when a body that had to wait has room
      */
-    PartialRequest(HttpRequest head, CallerLimits limits) {
+    PartialRequest(
+            HttpRequest head, CallerLimits limits, BodyAdmission bodies, Runnable onAdmitted) {
         this.head = head;
         this.limits = limits;
+        this.bodies = bodies;
+        this.memory = bodies.request(statedLength(head), onAdmitted);
+    }
+
+    /**
+     * Returns the length of a body.
+     *
+     * @param head head of a request
+     * @return bytes, 0 if the head states no length
+     */
+    static long statedLength(HttpRequest head) {
+        return HttpUtil.getContentLength(head, 0L);
     }
 
     /**
@@ -46,6 +68,15 @@
         return limits;
     }
 
+    /**
+     * Returns whether the body may be received.
+     *
+     * @return decision on its memory
+     */
+    Decision admission() {
+        return memory.decision();
+    }
+
     /**
      * Returns whether further bytes would exceed the limit.
      *
@@ -60,12 +91,21 @@
      * Appends part of the body.
      *
      * @param part bytes, within the limit
+     * @return false if there is no memory for them
      */
-    void append(ByteBuf part) {
+    boolean append(ByteBuf part) {
+        int length = body.readableBytes() + part.readableBytes();
+        if (memory.decision() == Decision.ADMITTED && !bodies.grow(memory, length)) {
+            return false;
+        }
         if (body == Unpooled.EMPTY_BUFFER && part.isReadable()) {
-            body = Unpooled.buffer(part.readableBytes());
+            boolean admitted = memory.decision() == Decision.ADMITTED;
+            body =
+                    Unpooled.buffer(
+                            (int) (admitted ? Math.max(length, statedLength(head)) : length));
         }
         body.writeBytes(part);
+        return true;
     }
 
     /**
@@ -75,11 +115,13 @@
      * @return request, to be released
      */
     CallerRequest complete(Instant now) {
-        return new CallerRequest(head, body, now);
+        bodies.admitReceived(memory);
+        return new CallerRequest(head, body, () -> bodies.release(memory), now);
     }
 
     /** Frees the body of a request that does not become complete. */
     void discard() {
         body.release();
+        bodies.release(memory);
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
@@ -14,13 +14,22 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.time.Duration;
 import org.papayawalk.core.desired.CallerLimits;
+import org.papayawalk.core.limit.BodyAdmission.Decision;
 import org.papayawalk.http.NestedHead;
+import org.papayawalk.platform.HeaderCodec;
 
 /**
  * Receives the requests on one connection of a caller. The limits of a request are those in force
- * when its head is complete. Confined to the event loop thread.
+ * when its head is complete, and its body is received once there is memory for it. Confined to the
+ * event loop thread.
  */
 final class RequestReceiver {
+    /** Longest wait of a long request body for room in memory. */
+    private static final Duration MAX_BODY_WAIT = Duration.ofSeconds(2);
+
+    /** Retry delay of a request whose body found no room. */
+    private static final Duration NO_MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
+
     private final EntryContext entry;
 
     private final ChannelHandlerContext context;
@@ -51,8 +60,14 @@
          *
          * @param status status of the answer
          * @param reason reason for the log
+         * @param requestId id of the request, empty if it is not known
+         * @param retryAfter delay after which the caller may retry, zero to state none
          */
-        void requestRejected(HttpResponseStatus status, String reason);
+        void requestRejected(
+                HttpResponseStatus status, String reason, String requestId, Duration retryAfter);
+
+        /** Reads on, or not, after {@link #waitsForMemory()} may have changed. */
+        void updateReading();
     }
 
     /**
@@ -115,6 +130,15 @@
         return partial != null;
     }
 
+    /**
+     * Returns whether a body waits for room in memory, so that nothing may be read.
+     *
+     * @return false if there is no request or it has room
+     */
+    boolean waitsForMemory() {
+        return partial != null && partial.admission() == Decision.WAITING;
+    }
+
     /** Frees the request that is being received, if any. */
     void discard() {
         if (partial != null) {
@@ -127,7 +151,26 @@
     private void startRequest(HttpRequest request) {
         headStarted = false;
         CallerLimits limits = entry.callerLimits();
-        partial = new PartialRequest(request, limits);
+        long length = PartialRequest.statedLength(request);
+        partial = new PartialRequest(request, limits, entry.bodies(), this::bodyAdmitted);
+        if (length > limits.maxBodyBytes() || !entry.bodies().fits(length)) {
+            rejectTooLong();
+        } else if (partial.admission() == Decision.ADMITTED) {
+            receiveBody();
+        } else if (partial.admission() == Decision.WAITING) {
+            listener.updateReading();
+            timer.start(MAX_BODY_WAIT, this::rejectWithoutMemory);
+        } else {
+            rejectWithoutMemory();
+        }
+    }
+
+    private void bodyAdmitted() {
+        receiveBody();
+        listener.updateReading();
+    }
+
+    private void receiveBody() {
         Duration limit = partial.limits().idleTimeout();
         timer.start(limit, () -> rejectTimedOut("body", limit));
         if (HttpUtil.is100ContinueExpected(partial.head())) {
@@ -141,7 +184,10 @@
             rejectTooLong();
             return;
         }
-        partial.append(content.content());
+        if (!partial.append(content.content())) {
+            rejectWithoutMemory();
+            return;
+        }
         if (content instanceof LastHttpContent) {
             CallerRequest request = partial.complete(entry.clock().instant());
             timer.cancel();
@@ -173,9 +219,21 @@
                 "request body is longer than " + partial.limits().maxBodyBytes() + " bytes");
     }
 
+    private void rejectWithoutMemory() {
+        reject(
+                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                "no memory for the request body",
+                NO_MEMORY_RETRY_AFTER);
+    }
+
     private void reject(HttpResponseStatus status, String reason) {
+        reject(status, reason, Duration.ZERO);
+    }
+
+    private void reject(HttpResponseStatus status, String reason, Duration retryAfter) {
+        String id = partial == null ? "" : HeaderCodec.requestId(partial.head().headers());
         timer.cancel();
         discard();
-        listener.requestRejected(status, reason);
+        listener.requestRejected(status, reason, id, retryAfter);
     }
 }
