Read changes of a table together while many come in a row

A change in calm is read as before. Before: TableWatcherTest.changesInARowAreReadTogether failed (46 polls for 60 changes on, 16 allowed). After: it and CoalescePauseTest pass.

--- a/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
+++ b/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
@@ -25,12 +25,17 @@
     // Time for late timers, a new connection and the answer to the call that ends a gap.
     private static final Duration RESERVE = Duration.ofMillis(600);
 
+    // Part of the longest delay of a change that may pass before it is read with later ones.
+    private static final int COALESCE_DIVISOR = 10;
+
     private final Duration longPollWait;
 
     private final Duration longestPause;
 
     private final Duration checkInterval;
 
+    private final Duration longestCoalescePause;
+
     /**
      * Creates a schedule.
      *
@@ -54,6 +59,7 @@
         longestPause = clamp(spare, MIN_PAUSE, MAX_PAUSE);
         // The other half is left for the call itself.
         checkInterval = clamp(maxDelay.dividedBy(2), MIN_WAIT, longPollWait);
+        longestCoalescePause = maxDelay.dividedBy(COALESCE_DIVISOR);
     }
 
     /**
@@ -110,6 +116,16 @@
         return checkInterval.dividedBy(2);
     }
 
+    /**
+     * Returns the longest time that the next read of a table is put off after one that brought
+     * changes.
+     *
+     * @return bound of a {@link CoalescePause}
+     */
+    public Duration longestCoalescePause() {
+        return longestCoalescePause;
+    }
+
     /**
      * Returns how long another daemon may hold a query while it has nothing newer.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -13,6 +13,7 @@
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.id.StoreEra;
+import org.papayawalk.core.upstream.CoalescePause;
 import org.papayawalk.core.upstream.PollSchedule;
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableUpdate;
@@ -33,9 +34,6 @@
  * at intervals whether the store has newer ones. Confined to the control thread.
  */
 final class TableWatcher {
-    // Pause after an answer with changes, so that the next answer covers several changes.
-    private static final Duration COALESCE_PAUSE = Duration.ofMillis(60);
-
     // Pause before a full read is repeated that was older than the history of the store.
     private static final Duration STALE_READ_PAUSE = Duration.ofMillis(250);
 
@@ -96,15 +94,14 @@
 
     private final PollSchedule schedule;
 
+    private final CoalescePause coalescePause;
+
     // False while another daemon delivers the rows.
     private final BooleanSupplier followsStore;
 
     private final InstantSource clock;
 
-    private int consecutiveFailures;
-
-    // Last call that succeeded, initially the creation of the watcher.
-    private Instant lastSuccessAt;
+    private final StoreContact contact;
 
     // Whether the store has dropped changes that this daemon has not received, or was restored.
     private boolean needsFullRead;
@@ -154,9 +151,10 @@
         this.thread = thread;
         this.receiver = receiver;
         this.schedule = schedule;
+        this.coalescePause = new CoalescePause(schedule.longestCoalescePause());
         this.followsStore = followsStore;
         this.clock = clock;
-        this.lastSuccessAt = clock.instant();
+        this.contact = new StoreContact(table, clock.instant());
     }
 
     /** Starts watching the table; no effect while it runs. */
@@ -210,7 +208,7 @@
      * @return false also before the table was read
      */
     boolean isInContact() {
-        return consecutiveFailures == 0 && !receiver.version().isUnread();
+        return contact.failures() == 0 && !receiver.version().isUnread();
     }
 
     private void sendNextRequest(int callGeneration) {
@@ -224,7 +222,7 @@
         long after = receiver.version().number();
         boolean direct = followsStore.getAsBoolean();
         Kind kind = direct ? Kind.FOLLOW : Kind.CHECK;
-        Duration wait = direct ? schedule.wait(consecutiveFailures) : Duration.ZERO;
+        Duration wait = direct ? schedule.wait(contact.failures()) : Duration.ZERO;
         calledAt = clock.instant();
         String target = StoreCodec.changesTarget(table, after, wait);
         http.send(AsyncHttpRequest.get(storeAddress, target, schedule.timeout(wait)))
@@ -259,7 +257,7 @@
         try {
             TableUpdate update = StoreCodec.decode(result.get().body(), era(result.get()), false);
             receiver.callEnded(kind, update.rows().isEmpty() ? Outcome.NOTHING : Outcome.DONE);
-            recordSuccess();
+            contact.succeeded(clock.instant());
             consecutiveDrops = 0;
             // A task of its own, so that the polls go on whatever the receiver does.
             thread.execute(() -> continueAfter(update, callGeneration));
@@ -271,7 +269,10 @@
 
     private void continueAfter(TableUpdate update, int callGeneration) {
         if (followsStore.getAsBoolean()) {
-            Duration pause = update.rows().isEmpty() ? Duration.ZERO : COALESCE_PAUSE;
+            Duration pause =
+                    update.rows().isEmpty()
+                            ? Duration.ZERO
+                            : coalescePause.afterChanges(clock.instant());
             thread.schedule(pause, () -> sendNextRequest(callGeneration));
             return;
         }
@@ -297,7 +298,7 @@
     // Changes of a later era cannot follow the known version, which the store may have given out
     // again.
     private void readFullyInNewEra(int callGeneration) {
-        recordSuccess();
+        contact.succeeded(clock.instant());
         needsFullRead = true;
         long pause = ThreadLocalRandom.current().nextLong(MAX_ERA_PAUSE.toMillis());
         thread.schedule(Duration.ofMillis(pause), () -> sendNextRequest(callGeneration));
@@ -343,7 +344,7 @@
                 readPage(last + '\u0000', rows, Optional.of(covered), callGeneration);
                 return;
             }
-            recordSuccess();
+            contact.succeeded(clock.instant());
             needsFullRead = false;
             thread.execute(() -> sendNextRequest(callGeneration));
             receiver.apply(new TableUpdate(rows, covered, true), 0);
@@ -356,39 +357,16 @@
         return StoreCodec.decodeEra(answer.header(StoreCodec.ERA_HEADER));
     }
 
-    private void recordSuccess() {
-        Instant now = clock.instant();
-        if (consecutiveFailures > 0) {
-            Event.named("store-regained")
-                    .with("table", table)
-                    .with("failures", consecutiveFailures)
-                    .with("unanswered_ms", Duration.between(lastSuccessAt, now).toMillis())
-                    .info();
-        }
-        consecutiveFailures = 0;
-        lastSuccessAt = now;
-    }
-
     private void retryAfterFailure(Either<Fault, AsyncHttpResponse> result, int callGeneration) {
         String reason =
                 result.fold(
                         Fault::toString,
                         a -> "HTTP status " + a.status() + " from the store at " + storeAddress);
-        consecutiveFailures++;
-        if (consecutiveFailures == 1) {
-            Event.named("store-lost").with("table", table).with("reason", reason).warn();
-        } else if (Integer.bitCount(consecutiveFailures) == 1) {
-            // Failures 2, 4, 8 and so on, so that a long outage does not fill the log.
-            Event.named("store-call-failed")
-                    .with("table", table)
-                    .with("failures", consecutiveFailures)
-                    .with("reason", reason)
-                    .info();
-        }
+        contact.failed(reason);
         receiver.storeFailed();
         double draw = ThreadLocalRandom.current().nextDouble();
         thread.schedule(
-                schedule.pause(consecutiveFailures, draw), () -> sendNextRequest(callGeneration));
+                schedule.pause(contact.failures(), draw), () -> sendNextRequest(callGeneration));
     }
 
     private void retryAfterMalformedAnswer(IOException cause, int callGeneration) {
--- a/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/TableWatcherTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.upstream.PollSchedule;
@@ -29,6 +30,13 @@
 
     private static final int COUNTED_READS = 6;
 
+    private static final int CHANGES = 60;
+
+    private static final long CHANGE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    // One in 0.3 s of 3 s, and some for the beginning of the wave.
+    private static final int MAX_POLLS = 16;
+
     // Least time that COUNTED_READS full reads of a stale table take.
     private static final long MIN_MILLIS = 700;
 
@@ -124,6 +132,19 @@
         Await.within(TIMEOUT_MILLIS, () -> rows() == 3);
     }
 
+    /** Changes in a row are read together, and the last one within the bound. */
+    @Test
+    public void changesInARowAreReadTogether() {
+        int before = store.polls().polls(TABLE);
+        for (int i = 0; i < CHANGES; i++) {
+            store.put(TABLE, "row-" + i, "1");
+            LockSupport.parkNanos(CHANGE_INTERVAL_NANOS);
+        }
+        Await.within(MAX_STALENESS.toMillis() / 5, () -> rows() == CHANGES + 1);
+        int polls = store.polls().polls(TABLE) - before;
+        assertTrue(polls <= MAX_POLLS, polls + " polls for " + CHANGES + " changes");
+    }
+
     /** A change arrives in time although the call that was pending when it was made is lost. */
     @Test
     public void lostLongPollDoesNotHoldBackLaterChanges() {
