Fetch a version that was just requested at once

The origin went away at 20.5 s with 44 of 48 chunks sent, and the last four came 6 s later. Ruled out: a second copy, cut fetchers (they are cut from the store alone), lost answers of the origin (two failures, both after it went away).

--- a/src/main/java/org/papayawalk/core/weight/FetchSchedule.java
+++ b/src/main/java/org/papayawalk/core/weight/FetchSchedule.java
@@ -11,9 +11,6 @@
  * its planner.
  */
 final class FetchSchedule {
-    /** Delay for an assigned chunk, in which a neighbor may offer it before the origin is used. */
-    private static final Duration ASSIGNED_DELAY = Duration.ofMillis(150);
-
     /** Delay for a chunk that is assigned to another host. */
     private static final Duration FALLBACK_DELAY = Duration.ofSeconds(1);
 
@@ -25,6 +22,9 @@
 
     private final Instant startedAt;
 
+    /** Delay for an assigned chunk, in which a neighbor may offer it. */
+    private final Duration offerWait;
+
     /** Rank of this host, by chunk index. */
     private final int[] ranks;
 
@@ -33,10 +33,12 @@
      *
      * @param chunkCount number of chunks
      * @param startedAt time at which the download started
+     * @param offerWait delay for an assigned chunk, in which a neighbor may offer it
      */
-    FetchSchedule(int chunkCount, Instant startedAt) {
+    FetchSchedule(int chunkCount, Instant startedAt, Duration offerWait) {
         this.ranks = new int[chunkCount];
         this.startedAt = startedAt;
+        this.offerWait = offerWait;
     }
 
     /**
@@ -69,7 +71,7 @@
      */
     boolean isDue(int index, Instant now) {
         if (isAssigned(index)) {
-            return !now.isBefore(startedAt.plus(ASSIGNED_DELAY));
+            return !now.isBefore(startedAt.plus(offerWait));
         }
         long steps = Math.min(ranks[index], MAX_DELAY_RANKS);
         Duration delay = FALLBACK_DELAY.plus(FALLBACK_DELAY_PER_RANK.multipliedBy(steps));
--- a/src/main/java/org/papayawalk/core/weight/NewVersionRule.java
+++ b/src/main/java/org/papayawalk/core/weight/NewVersionRule.java
@@ -1,5 +1,6 @@
 package org.papayawalk.core.weight;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import org.papayawalk.core.place.RequestedVersion;
@@ -11,6 +12,9 @@
  */
 public final class NewVersionRule {
 
+    /** Age up to which no host holds chunks that it could offer in time. */
+    private static final Duration JUST_REQUESTED = Duration.ofMillis(500);
+
     private NewVersionRule() {}
 
     /**
@@ -28,4 +32,19 @@
                 requested.filter(v -> !v.receivedAt().equals(Instant.MIN)).isPresent();
         return whileRunning || (!firstStart && !served);
     }
+
+    /**
+     * Returns whether a version was requested so recently that its chunks are best fetched at once.
+     * Answers the load of a slow origin, whose link should be in use from the first moment.
+     *
+     * @param requested version that the operator requested, empty if none was requested
+     * @param now present time
+     * @return false also if the time of the request is not known
+     */
+    public static boolean isJustRequested(Optional<RequestedVersion> requested, Instant now) {
+        return requested
+                .filter(v -> !v.receivedAt().equals(Instant.MIN))
+                .filter(v -> now.isBefore(v.receivedAt().plus(JUST_REQUESTED)))
+                .isPresent();
+    }
 }
--- a/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
+++ b/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
@@ -115,7 +115,7 @@
         this.chunkCount = chunkCount;
         this.settings = settings;
         this.random = random;
-        this.schedule = new FetchSchedule(chunkCount, startedAt);
+        this.schedule = new FetchSchedule(chunkCount, startedAt, settings.offerWait());
         updatePeers(List.of());
     }
 
--- a/src/main/java/org/papayawalk/core/weight/SwarmPlannerSettings.java
+++ b/src/main/java/org/papayawalk/core/weight/SwarmPlannerSettings.java
@@ -1,5 +1,6 @@
 package org.papayawalk.core.weight;
 
+import java.time.Duration;
 import org.papayawalk.core.id.RegionId;
 
 /**
@@ -12,13 +13,18 @@
  * @param maxOriginRequests maximum number of in-flight requests to the origin, at least 1
  * @param relay whether the host is a relay; a relay fetches chunks by ascending index, the order in
  *     which its clients request them
+ * @param offerWait time in which a neighbor may offer a chunk that is assigned to this host, before
+ *     the host fetches it; zero if no neighbor can hold one
  */
 public record SwarmPlannerSettings(
         DistributionPolicy policy,
         RegionId originRegion,
         int maxRequests,
         int maxOriginRequests,
-        boolean relay) {
+        boolean relay,
+        Duration offerWait) {
+    /** Time for a neighbor's first offer, if neighbors may hold chunks. */
+    public static final Duration OFFER_WAIT = Duration.ofMillis(150);
 
     /**
      * Creates the settings of a host that is not a relay.
@@ -33,6 +39,6 @@
             RegionId originRegion,
             int maxRequests,
             int maxOriginRequests) {
-        this(policy, originRegion, maxRequests, maxOriginRequests, false);
+        this(policy, originRegion, maxRequests, maxOriginRequests, false, OFFER_WAIT);
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -222,7 +222,7 @@
         fetching = Optional.of(targetVersion);
         settled = false;
         fetchStartedAt = now;
-        swarm.setWantedVersion(targetVersion, isNew, Optional.empty());
+        swarm.setWantedVersion(targetVersion, isNew, Optional.empty(), Optional.empty());
         Event.named("weights-wanted")
                 .with("version", targetVersion)
                 .with("held", served.map(String::valueOf).orElse("none"))
--- a/src/main/java/org/papayawalk/daemon/managed/weight/ManagedSwarm.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/ManagedSwarm.java
@@ -77,6 +77,9 @@
     /** Whether the wanted version is new, see {@link NewVersionRule}. */
     private volatile boolean newVersion;
 
+    /** Request for the wanted version; empty if it is not known or does not matter. */
+    private volatile Optional<RequestedVersion> requested = Optional.empty();
+
     /** This host, identified by its IP address. */
     private final HostId self;
 
@@ -129,9 +132,15 @@
      * @param version version
      * @param isNew whether possibly no host holds the version yet, see {@link NewVersionRule}
      * @param agents service whose agents hold the version if it is not new; may be empty
+     * @param request request for the version, empty to give neighbors time to offer chunks first
      */
-    public void setWantedVersion(WeightVersion version, boolean isNew, Optional<ServiceId> agents) {
+    public void setWantedVersion(
+            WeightVersion version,
+            boolean isNew,
+            Optional<ServiceId> agents,
+            Optional<RequestedVersion> request) {
         newVersion = isNew;
+        requested = request;
         holderService = isNew ? Optional.empty() : agents;
         swarm.setWantedVersion(version.digest());
     }
@@ -139,12 +148,12 @@
     /**
      * Returns whether a version is new, see {@link NewVersionRule}.
      *
-     * @param requested version that the operator requested, empty if none was requested
+     * @param request version that the operator requested, empty if none was requested
      * @param served whether an engine is known to serve the version
      * @return true if the version may have to be fetched from the origin
      */
-    public boolean isNewVersion(Optional<RequestedVersion> requested, boolean served) {
-        return NewVersionRule.isNew(requested, node.settings().firstStart(), served);
+    public boolean isNewVersion(Optional<RequestedVersion> request, boolean served) {
+        return NewVersionRule.isNew(request, node.settings().firstStart(), served);
     }
 
     /**
@@ -215,7 +224,10 @@
                         originRegion,
                         MAX_REQUESTS,
                         MAX_ORIGIN_REQUESTS,
-                        host.relay());
+                        host.relay(),
+                        NewVersionRule.isJustRequested(requested, startedAt)
+                                ? Duration.ZERO
+                                : SwarmPlannerSettings.OFFER_WAIT);
         SwarmPlanner swarmPlanner =
                 new SwarmPlanner(
                         host.host(),
--- a/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
@@ -104,7 +104,7 @@
         current = Optional.of(version);
         fetchDelayed = !isNew;
         Duration delay = isNew ? Duration.ZERO : OLD_VERSION_DELAY;
-        node.thread().schedule(delay, () -> fetch(version, isNew, service));
+        node.thread().schedule(delay, () -> fetch(version, isNew, service, requested));
     }
 
     private void scheduleFinishCheck() {
@@ -136,12 +136,16 @@
 
     // Does nothing if another version has become the current one during the delay, or if the fetch
     // has become urgent meanwhile, because the engines that served the version are gone.
-    private void fetch(WeightVersion version, boolean isNew, Optional<ServiceId> service) {
+    private void fetch(
+            WeightVersion version,
+            boolean isNew,
+            Optional<ServiceId> service,
+            Optional<RequestedVersion> requested) {
         boolean overtaken = !isNew && !fetchDelayed;
         if (current.equals(Optional.of(version)) && !overtaken) {
             fetchDelayed = false;
             origin.register(version);
-            swarm.setWantedVersion(version, isNew, service);
+            swarm.setWantedVersion(version, isNew, service, requested);
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/swarm/Swarm.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/Swarm.java
@@ -330,6 +330,7 @@
         }
         tally = new DownloadTally(wantedDigest, manifest.chunkCount(), clock.instant());
         publish("");
+        tick();
     }
 
     // Ignores results for a download that is no longer the current one.
--- a/src/test/java/org/papayawalk/core/weight/SwarmPlannerBusyTest.java
+++ b/src/test/java/org/papayawalk/core/weight/SwarmPlannerBusyTest.java
@@ -42,7 +42,12 @@
                         Digest.of(new byte[] {1}),
                         CHUNKS,
                         new SwarmPlannerSettings(
-                                DistributionPolicy.BYTES, ORIGIN_REGION, 4, 2, true),
+                                DistributionPolicy.BYTES,
+                                ORIGIN_REGION,
+                                4,
+                                2,
+                                true,
+                                SwarmPlannerSettings.OFFER_WAIT),
                         new SplittableRandom(7),
                         T0);
         planner.updatePeers(
--- a/src/test/java/org/papayawalk/daemon/swarm/SwarmSuccessiveVersionsTest.java
+++ b/src/test/java/org/papayawalk/daemon/swarm/SwarmSuccessiveVersionsTest.java
@@ -132,7 +132,12 @@
                                         digest,
                                         manifest.chunkCount(),
                                         new SwarmPlannerSettings(
-                                                DistributionPolicy.BYTES, REGION, 4, 2, true),
+                                                DistributionPolicy.BYTES,
+                                                REGION,
+                                                4,
+                                                2,
+                                                true,
+                                                SwarmPlannerSettings.OFFER_WAIT),
                                         new SplittableRandom(7),
                                         startedAt),
                         1e9,
