Let new seeds take effect in a running process, and name the rest

Change: the seeds of a valid file take effect in one step; settings-need-restart names the others that differ. A wrong file changes nothing, as before; no request waits for the reading. Open: the store's address, bounds and limits; reloads in series under load.

--- a/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
+++ b/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
@@ -1,8 +1,11 @@
 package org.papayawalk.core.settings;
 
+import java.lang.reflect.RecordComponent;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.HostId;
@@ -52,6 +55,19 @@
         seeds = List.copyOf(seeds);
     }
 
+    /**
+     * Returns the settings that another value of them has changed.
+     *
+     * @param other settings to compare with
+     * @return names of the components that differ, none if the settings are equal
+     */
+    public List<String> changedKeys(ManagedSettings other) {
+        return Arrays.stream(ManagedSettings.class.getRecordComponents())
+                .filter(c -> !Objects.equals(value(c, this), value(c, other)))
+                .map(RecordComponent::getName)
+                .toList();
+    }
+
     /**
      * Returns the address at which other daemons reach this process.
      *
@@ -80,6 +96,14 @@
         return region(domain);
     }
 
+    private static Object value(RecordComponent component, ManagedSettings of) {
+        try {
+            return component.getAccessor().invoke(of);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("cannot read " + component.getName(), e);
+        }
+    }
+
     /**
      * Limits set by the operators. Immutable.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/EntryRegistry.java
+++ b/src/main/java/org/papayawalk/daemon/managed/EntryRegistry.java
@@ -8,7 +8,10 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.settings.ManagedSettings;
@@ -28,6 +31,8 @@
 final class EntryRegistry {
     private static final String TABLE = "papayawalk-entries";
 
+    private static final Duration DEREGISTER_TIMEOUT = Duration.ofMillis(500);
+
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1500);
 
     private static final Duration RETRY_PAUSE = Duration.ofMillis(700);
@@ -118,13 +123,19 @@
     }
 
     /**
-     * Removes the row of this entry. A failure is not retried.
-     *
-     * @return completes with the answer of the store, or with a fault on an error or a timeout
+     * Removes the row of this entry. Blocks for 500 ms at most; a failure is logged and not
+     * retried.
      */
-    CompletableFuture<Either<Fault, AsyncHttpResponse>> deregister() {
+    void deregister() {
         deregistered = true;
-        return write(StoreCodec.removeBody(TABLE, settings.host().value()));
+        byte[] body = StoreCodec.removeBody(TABLE, settings.host().value());
+        try {
+            write(body).get(DEREGISTER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException e) {
+            Event.named("entry-row-left").with("reason", e).info();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Reads the rows now and then every 20 s; 700 ms after a failure. */
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedMain.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedMain.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import org.papayawalk.core.Product;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.daemon.managed.agent.ManagedAgentRole;
@@ -59,7 +60,7 @@
             System.exit(EXIT_START_FAILED);
         }
         Runtime.getRuntime().addShutdownHook(new Thread(role::stop, "stop"));
-        Signal.handle(new Signal("HUP"), s -> recheckSettings(file));
+        Signal.handle(new Signal("HUP"), s -> rereadSettings(node, file));
         Event.named("started")
                 .with("role", name)
                 .with("host", settings.host())
@@ -68,11 +69,15 @@
                 .info();
     }
 
-    // Reads the settings file again and logs whether it is valid. Values in use do not change.
-    private static void recheckSettings(Path file) {
+    // A file that cannot be read changes nothing.
+    private static void rereadSettings(ManagedNode node, Path file) {
         try {
             ManagedSettings settings = ManagedSettingsCodec.read(file);
+            List<String> atRestart = node.applySettings(settings);
             Event.named("settings-reread").with("seeds", settings.seeds()).info();
+            if (!atRestart.isEmpty()) {
+                Event.named("settings-need-restart").with("keys", atRestart).warn();
+            }
         } catch (IOException e) {
             Event.named("settings-wrong").with("reason", e.getMessage()).warn();
         }
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -10,9 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.stream.Collectors;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.MonotonicClock;
@@ -24,7 +21,6 @@
 import org.papayawalk.core.upstream.PollSchedule;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.http.AsyncHttpClient;
-import org.papayawalk.log.Event;
 import org.papayawalk.platform.StoreCodec;
 import org.papayawalk.wire.EventLoops;
 import org.papayawalk.wire.MessageHandler;
@@ -49,8 +45,6 @@
 
     private static final Duration CALL_LOG_INTERVAL = Duration.ofSeconds(10);
 
-    private static final Duration DEREGISTER_TIMEOUT = Duration.ofMillis(500);
-
     private final ManagedSettings settings;
 
     private final MonotonicClock clock = new MonotonicClock();
@@ -83,6 +77,9 @@
     // Last reply of an entry to this agent, initially the start; confined to the control thread.
     private Instant lastEntryReplyAt;
 
+    // Control addresses of some entries, by the settings read last.
+    private volatile List<String> seeds;
+
     // Failure domain by address, without this daemon. Immutable; replaced on the control thread.
     private volatile Map<String, DomainId> liveEntries = Map.of();
 
@@ -96,6 +93,7 @@
      */
     public ManagedNode(ManagedSettings settings) {
         this.settings = settings;
+        this.seeds = settings.seeds();
         directory = new EntryDirectory(settings.peerAddress());
         registry = new EntryRegistry(settings, http, storeCalls, directory, thread, clock);
         lastEntryReplyAt = clock.instant();
@@ -297,20 +295,26 @@
      * logged.
      */
     public void deregister() {
-        try {
-            registry.deregister().get(DEREGISTER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-        } catch (TimeoutException | ExecutionException e) {
-            Event.named("entry-row-left").with("reason", e).info();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        registry.deregister();
+    }
+
+    /**
+     * Applies settings that were read again: the seeds take effect, everything else stays as it was
+     * at the start.
+     *
+     * @param changed valid settings
+     * @return names of the changed settings that take effect only with a restart
+     */
+    public List<String> applySettings(ManagedSettings changed) {
+        seeds = changed.seeds();
+        return settings.changedKeys(changed).stream().filter(k -> !k.equals("seeds")).toList();
     }
 
     private StateSyncClient client(SharedEvidence evidence) {
         return new StateSyncClient(
                 state,
                 directory,
-                settings.seeds(),
+                () -> seeds,
                 evidence,
                 peers,
                 thread,
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
@@ -12,6 +12,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.id.DomainId;
@@ -49,7 +50,7 @@
 
     private final EntryDirectory entries;
 
-    private final List<String> seeds;
+    private final Supplier<List<String>> seeds;
 
     private final SharedEvidence evidence;
 
@@ -98,7 +99,7 @@
     StateSyncClient(
             PlatformState state,
             EntryDirectory entries,
-            List<String> seeds,
+            Supplier<List<String>> seeds,
             SharedEvidence evidence,
             PeerClient client,
             ControlThread thread,
@@ -118,7 +119,7 @@
         this.domain = domain;
         this.regions = regions;
         this.storeContact = storeContact;
-        this.seedIndex = ThreadLocalRandom.current().nextInt(Math.max(1, seeds.size()));
+        this.seedIndex = ThreadLocalRandom.current().nextInt(Math.max(1, seeds.get().size()));
     }
 
     /** Starts the query rounds of an entry. */
@@ -161,7 +162,7 @@
         List<String> own = targets.get(true);
         List<String> others = targets.get(false);
         if (own.isEmpty() && others.isEmpty()) {
-            others = seeds;
+            others = seeds.get();
         }
         boolean inContact = storeContact.getAsBoolean();
         return QueryRound.choose(own, others, round, inContact, ThreadLocalRandom.current());
@@ -245,11 +246,12 @@
     // Returns the seeds in turn, so that seeds that do not reply hide no other; null if there is
     // none.
     private String nextSeed() {
-        if (seeds.isEmpty()) {
+        List<String> present = seeds.get();
+        if (present.isEmpty()) {
             return null;
         }
-        seedIndex = (seedIndex + 1) % seeds.size();
-        return seeds.get(seedIndex);
+        seedIndex = (seedIndex + 1) % present.size();
+        return present.get(seedIndex);
     }
 
     // Returns an entry of the failure domain of this daemon, null if none is known.
