Keep the link of a slow origin in use to the last chunk

Two fetchers had fetched all theirs by 20.29 s; the third kept two requests in flight, each with a connection of its own, so the link stood idle between them. The two threads of a relay were both blocked by reads of the origin meanwhile, and what peers sent waited to be verified. Change: OriginShare: four requests a fetcher, or its share of the connections that the origin accepts; a relay has a thread for each and one more. Test: SlowOriginTest (shares; the link idle for less than a chunk).

--- a/src/main/java/org/papayawalk/daemon/managed/weight/ManagedSwarm.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/ManagedSwarm.java
@@ -22,6 +22,7 @@
 import org.papayawalk.core.weight.DistributionPolicy;
 import org.papayawalk.core.weight.Manifest;
 import org.papayawalk.core.weight.NewVersionRule;
+import org.papayawalk.core.weight.OriginShare;
 import org.papayawalk.core.weight.RelayFirstPlanner;
 import org.papayawalk.core.weight.SwarmPeer;
 import org.papayawalk.core.weight.SwarmPlanner;
@@ -50,7 +51,7 @@
     /** Limit of the in-flight requests to sources, see {@link SwarmPlannerSettings}. */
     private static final int MAX_REQUESTS = 4;
 
-    private static final int MAX_ORIGIN_REQUESTS = 2;
+    private static final int MAX_AGENT_ORIGIN_REQUESTS = 2;
 
     /**
      * Time in which an agent requests a new version from relays only, so that they have it first.
@@ -210,12 +211,9 @@
 
     private ChunkPlanner planner(
             SwarmPeer host, Digest digest, Manifest manifest, Instant startedAt) {
+        Optional<OriginSpec> spec = node.state().snapshot().desired().flatMap(DesiredState::origin);
         RegionId originRegion =
-                node.state()
-                        .snapshot()
-                        .desired()
-                        .flatMap(DesiredState::origin)
-                        .map(OriginSpec::domain)
+                spec.map(OriginSpec::domain)
                         .map(node.settings()::region)
                         .orElse(node.settings().region());
         SwarmPlannerSettings settings =
@@ -223,7 +221,9 @@
                         DistributionPolicy.BYTES,
                         originRegion,
                         MAX_REQUESTS,
-                        MAX_ORIGIN_REQUESTS,
+                        host.relay()
+                                ? relayOriginRequests(spec, originRegion, digest, startedAt)
+                                : MAX_AGENT_ORIGIN_REQUESTS,
                         host.relay(),
                         NewVersionRule.isJustRequested(requested, startedAt)
                                 ? Duration.ZERO
@@ -249,6 +249,15 @@
                 fallbackFrom);
     }
 
+    // The entries of the origin's region share its connections.
+    private int relayOriginRequests(
+            Optional<OriginSpec> origin, RegionId originRegion, Digest digest, Instant now) {
+        long hosts =
+                peers(digest, now).stream().filter(p -> p.region().equals(originRegion)).count();
+        int connections = origin.map(OriginSpec::maxConnections).orElse(1);
+        return OriginShare.requestsPerHost(connections, (int) hosts);
+    }
+
     // Returns the hosts to exchange the wanted version with, including this one: for a relay all
     // entries, for an agent only the entries of its region, and the agents that may hold it.
     private List<SwarmPeer> peers(Digest digest, Instant now) {
--- a/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/WeightRelay.java
@@ -12,6 +12,7 @@
 import org.papayawalk.core.place.RequestedVersion;
 import org.papayawalk.core.weight.FinishFirstRule;
 import org.papayawalk.core.weight.Manifest;
+import org.papayawalk.core.weight.OriginShare;
 import org.papayawalk.daemon.managed.ManagedNode;
 import org.papayawalk.daemon.managed.PlatformSnapshot;
 import org.papayawalk.daemon.swarm.DownloadProgress;
@@ -27,8 +28,11 @@
  * thread-safe.
  */
 public final class WeightRelay {
-    /** Number of threads for blocking calls. */
-    private static final int WORKERS = 2;
+    /**
+     * Number of threads for blocking calls: the requests to the origin, see {@link OriginShare},
+     * and one that verifies what peers send meanwhile.
+     */
+    private static final int WORKERS = 5;
 
     /** Delay before a version that agents hold already is fetched; agents fetch theirs first. */
     private static final Duration OLD_VERSION_DELAY = Duration.ofSeconds(6);
--- a/src/test/java/org/papayawalk/core/weight/SlowOriginEmulation.java
+++ b/src/test/java/org/papayawalk/core/weight/SlowOriginEmulation.java
@@ -24,8 +24,13 @@
 
     private static final int CHUNKS = 48;
 
-    /** Time of one chunk on the link, with headers and the opening of its connection. */
-    private static final int CHUNK_MILLIS = 48;
+    /** Time of one chunk on the link, with headers. */
+    private static final int CHUNK_MILLIS = 46;
+
+    /** Time until the first bytes of an answer: a new connection and its slow start. */
+    private static final int OPEN_MILLIS = 40;
+
+    private static final int MAX_CONNECTIONS = 48;
 
     private static final int REGIONS = 5;
 
@@ -58,6 +63,8 @@
 
     private int originFreeAt;
 
+    private int idleMillis;
+
     private final class Relay {
         private final HostId host;
         private final RegionId region;
@@ -86,7 +93,7 @@
                                     DistributionPolicy.BYTES,
                                     relays.get(0).region,
                                     4,
-                                    2,
+                                    OriginShare.requestsPerHost(MAX_CONNECTIONS, RELAYS_PER_REGION),
                                     true,
                                     just ? Duration.ZERO : SwarmPlannerSettings.OFFER_WAIT),
                             new SplittableRandom(random.nextLong()),
@@ -146,6 +153,15 @@
         return (double) sentChunks / CHUNKS;
     }
 
+    /**
+     * Returns how long the link of the origin was idle between two chunks.
+     *
+     * @return sum of the times
+     */
+    Duration idle() {
+        return Duration.ofMillis(idleMillis);
+    }
+
     private void tick(Relay relay, int now) {
         if (now < relay.startMillis) {
             return;
@@ -174,7 +190,11 @@
         if (!request.source().isOrigin()) {
             return now + PEER_MILLIS;
         }
-        originFreeAt = Math.max(originFreeAt, now) + CHUNK_MILLIS;
+        int begins = now + OPEN_MILLIS;
+        if (sentChunks > 0) {
+            idleMillis += Math.max(0, begins - originFreeAt);
+        }
+        originFreeAt = Math.max(originFreeAt, begins) + CHUNK_MILLIS;
         sentChunks++;
         return originFreeAt;
     }
--- a/src/test/java/org/papayawalk/core/weight/SlowOriginTest.java
+++ b/src/test/java/org/papayawalk/core/weight/SlowOriginTest.java
@@ -1,5 +1,6 @@
 package org.papayawalk.core.weight;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -18,6 +19,9 @@
     /** Bound of the time for one copy, relative to what the link of the origin needs. */
     private static final double MAX_RELATIVE_TIME = 1.2;
 
+    /** Less than one chunk on the link. */
+    private static final Duration MAX_IDLE = Duration.ofMillis(46);
+
     /** Bound of the copies that the origin sends. */
     private static final double MAX_COPIES = 1.2;
 
@@ -49,6 +53,7 @@
         assertTrue(
                 relative <= MAX_RELATIVE_TIME,
                 "one copy took " + relative + ", sent " + emulation.copiesSent());
+        assertTrue(emulation.idle().compareTo(MAX_IDLE) <= 0, "idle for " + emulation.idle());
         assertTrue(emulation.copiesSent() <= MAX_COPIES, emulation.copiesSent() + " copies");
     }
 
@@ -63,4 +68,13 @@
         assertFalse(NewVersionRule.isJustRequested(unknown, at));
         assertFalse(NewVersionRule.isJustRequested(Optional.empty(), at));
     }
+
+    /** The hosts together stay within the connections of the origin, if they can. */
+    @Test
+    public void connectionsOfTheOriginAreShared() {
+        assertEquals(OriginShare.requestsPerHost(48, 3), 4);
+        assertEquals(OriginShare.requestsPerHost(8, 3), 2);
+        assertEquals(OriginShare.requestsPerHost(8, 20), 1);
+        assertEquals(OriginShare.requestsPerHost(0, 0), 1);
+    }
 }
