Refuse a long body before it can be whole, in its test

Change: the upstream pauses 300 ms behind a refusal, so that the body cannot be in the buffers by then.

--- a/src/test/java/org/papayawalk/daemon/managed/entry/EarlyRefusalTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EarlyRefusalTest.java
@@ -12,6 +12,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.papayawalk.support.Threads;
@@ -29,6 +31,9 @@
     /** Receive buffer of the upstream, so that a long body is not written at once. */
     private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
+    /** Pause after a refusal, longer than the entry needs to read it. */
+    private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     private static final Pattern LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
 
     private static final String HEAD_END = "\r\n\r\n";
@@ -134,7 +139,8 @@
         }
     }
 
-    // Refuses each request once its head has come, and reads on.
+    // Refuses each request once its head has come, and reads on after a pause, so that the refusal
+    // is at the entry before the end of a long body is in the buffers.
     private void serve(Socket socket) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         received.add(bytes);
@@ -150,6 +156,7 @@
                 int end = text.indexOf(HEAD_END, from);
                 if (end >= 0) {
                     socket.getOutputStream().write(REFUSAL);
+                    LockSupport.parkNanos(PAUSE_NANOS);
                     from = end + HEAD_END.length() + length(text.substring(from, end));
                 }
             }
