--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
@@ -319,9 +319,8 @@
         timer.start(idleLimit(), this::checkIdle);
     }
 
-    // Runs only between requests. Closes the connection if it was idle for as long as the limits
-    // now in force allow, and if its
-    // caller takes nothing of a response any more.
+    // Runs only between requests. Closes the connection if it was idle for as long as the limits in
+    // force allow, or if its caller takes nothing of a response any more.
     private void checkIdle() {
         if (!unsent.isEmpty() && unsent.hasAdvanced()) {
             startIdleTimer();
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -30,8 +30,8 @@
 
 /**
  * State and services that all exchanges of one entry share. Confined to the event loop thread,
- * except {@link #limits()}, {@link #bufferBudget()} and the registries of {@link #poison()}, which
- * are thread-safe.
+ * except {@link #stop(StopSchedule)}, {@link #limits()}, {@link #bufferBudget()} and the registries
+ * of {@link #poison()}, which are thread-safe.
  */
 final class EntryContext {
     /** Bound of all request bodies that are held at the same time, in bytes. */
--- a/src/main/java/org/papayawalk/daemon/managed/weight/ManagedOrigin.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/ManagedOrigin.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.papayawalk.core.Fault;
@@ -24,10 +23,10 @@
 
 /**
  * Client of the origin of weights on the managed platform. The origin may send wrong bytes: a
- * manifest is accepted only if two reads return the same bytes, and chunks are verified against the
- * manifest after they were received. Each read has a connection of its own, as the origin may send
- * a response once more and that does not tell what it responds to. Only registered versions can be
- * read. Thread-safe; calls block.
+ * manifest is accepted only if two consecutive reads return the same bytes, and chunks are verified
+ * against the manifest after they were received. Each read has a connection of its own, as the
+ * origin may send a response once more and that does not tell what it responds to. Only registered
+ * versions can be read. Thread-safe; calls block.
  */
 public final class ManagedOrigin implements Origin, ManifestParser {
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
@@ -68,14 +67,21 @@
             return Either.left(unknownVersion("read-manifest", digest));
         }
         String target = EngineCodec.manifestTarget(version.model(), version.number());
-        CompletableFuture<Either<Fault, byte[]>> other = send("read-manifest", target);
-        Either<Fault, byte[]> one = send("read-manifest", target).join();
-        return one.flatMap(
-                first ->
-                        other.join()
-                                .filterOrElse(
-                                        second -> Arrays.equals(first, second),
-                                        second -> differentManifests(target)));
+        return get("read-manifest", target)
+                .flatMap(
+                        first ->
+                                get("read-manifest", target)
+                                        .filterOrElse(
+                                                second -> Arrays.equals(first, second),
+                                                second ->
+                                                        new Fault(
+                                                                FaultKind.CORRUPT,
+                                                                "read-manifest",
+                                                                "origin",
+                                                                "two consecutive reads of "
+                                                                        + target
+                                                                        + " returned different"
+                                                                        + " bytes")));
     }
 
     @Override
@@ -84,8 +90,7 @@
         if (version == null) {
             return Either.left(unknownVersion("read-chunk", digest));
         }
-        return send("read-chunk", EngineCodec.chunkTarget(version.model(), version.number(), index))
-                .join();
+        return get("read-chunk", EngineCodec.chunkTarget(version.model(), version.number(), index));
     }
 
     @Override
@@ -102,7 +107,7 @@
         }
     }
 
-    private CompletableFuture<Either<Fault, byte[]>> send(String step, String target) {
+    private Either<Fault, byte[]> get(String step, String target) {
         String address =
                 snapshot.get()
                         .desired()
@@ -110,20 +115,16 @@
                         .map(OriginSpec::address)
                         .orElse("");
         if (address.isEmpty()) {
-            return CompletableFuture.completedFuture(
-                    Either.left(
-                            new Fault(
-                                    FaultKind.REFUSED,
-                                    step,
-                                    "origin",
-                                    "no desired state with an origin address was received yet")));
+            return Either.left(
+                    new Fault(
+                            FaultKind.REFUSED,
+                            step,
+                            "origin",
+                            "no desired state with an origin address was received yet"));
         }
-        return http.sendOnOwnConnection(AsyncHttpRequest.get(address, target, CALL_TIMEOUT))
-                .thenApply(answer -> body(answer, step, address, target));
-    }
-
-    private static Either<Fault, byte[]> body(
-            Either<Fault, AsyncHttpResponse> answer, String step, String address, String target) {
+        Either<Fault, AsyncHttpResponse> answer =
+                http.sendOnOwnConnection(AsyncHttpRequest.get(address, target, CALL_TIMEOUT))
+                        .join();
         return answer.filterOrElse(
                         AsyncHttpResponse::isSuccess,
                         a ->
@@ -136,14 +137,6 @@
                 .map(AsyncHttpResponse::body);
     }
 
-    private static Fault differentManifests(String target) {
-        return new Fault(
-                FaultKind.CORRUPT,
-                "read-manifest",
-                "origin",
-                "two reads of " + target + " returned different bytes");
-    }
-
     private static Fault unknownVersion(String step, Digest digest) {
         return new Fault(
                 FaultKind.REFUSED,
