Show that a head cut at any byte is no response

Change: cutHeadIsNoResponse cuts a head at every byte, for three framings, both versions of HTTP and each way in which a connection ends.

--- a/src/test/java/org/papayawalk/daemon/managed/entry/UpstreamConnectionEndProperties.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/UpstreamConnectionEndProperties.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -68,6 +69,25 @@
         assert recorder.end.equals(whole ? Optional.of(framing) : Optional.empty());
     }
 
+    /** A head that stops at any byte, however its connection ends, is never a response. */
+    @Property(tries = 1)
+    void cutHeadIsNoResponse() {
+        for (BodyEnd framing : List.of(BodyEnd.LENGTH, BodyEnd.LAST_CHUNK, BodyEnd.CONNECTION)) {
+            for (int version = 0; version <= 1; version++) {
+                byte[] head = head(framing, version, 0);
+                for (int cut = 0; cut < head.length; cut++) {
+                    for (Ending ending : Ending.values()) {
+                        Recorder recorder = new Recorder();
+                        EmbeddedChannel channel = open(recorder);
+                        channel.writeInbound(Unpooled.copiedBuffer(head, 0, cut));
+                        end(channel, ending);
+                        assert recorder.failed && recorder.end.isEmpty() : framing + ", cut " + cut;
+                    }
+                }
+            }
+        }
+    }
+
     /** A local close never completes a body that has neither a length nor chunks. */
     @Property(tries = 1)
     void localCloseCompletesNothing() {
