Answer a request that comes right after its connection in a stop

Cause: from 2.8 s into a stop, every look for idle connections closed also those that had been accepted a moment before and whose request was on its way; its caller got no answer. At the end of the grace, connections without a request were left open and their requests ignored.

Change: a connection without a request is closed 500 ms after it was opened or its last response was complete, and the process waits for that; at the end of the grace a request that still arrives is refused as any other of a stop.

Measured: LateInGraceTest sends requests also 150 ms after their connection and in two halves.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
@@ -21,6 +21,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.papayawalk.core.admit.StopSchedule;
 import org.papayawalk.log.Event;
 
 /**
@@ -210,33 +211,32 @@
         return context.channel().isWritable();
     }
 
-    /** Closes the connection if no request is in progress and no response is being sent. */
-    void closeIfIdle() {
-        if (!isBusy()) {
-            closing = true;
-            context.close();
+    /**
+     * Closes the connection if no request is in progress or expected and no response is being sent.
+     *
+     * @param schedule decides how long a request is expected
+     * @param now present time
+     * @return whether the connection is closed
+     */
+    boolean closeIfIdle(StopSchedule schedule, Instant now) {
+        if (isBusy() || !schedule.closesIdle(idleSince, now)) {
+            return false;
         }
+        closing = true;
+        context.close();
+        return true;
     }
 
-    /** Answers the current request, if any, because the entry ends. */
+    /**
+     * Answers the current request, if any, because the entry ends. One that comes behind it is
+     * refused as any other of a stop.
+     */
     void endUnfinished() {
-        closing = true;
         if (exchange != null) {
             exchange.completion().endUnfinished("entry is stopping");
         }
     }
 
-    /**
-     * Returns whether a request is in progress.
-     *
-     * @return true if a request is being read, waits or is being answered, or if its caller has not
-     *     taken the whole response yet
-     */
-    boolean isBusy() {
-        boolean answering = exchange != null || !pipelined.isEmpty() || !unsent.isEmpty();
-        return answering || receiver.isReceiving();
-    }
-
     @Override
     public void requestReceived(CallerRequest request) {
         pipelined.addLast(request);
@@ -251,6 +251,13 @@
         context.channel().config().setAutoRead(reads);
     }
 
+    // True if a request is being read, waits or is being answered, or if its caller has not taken
+    // the whole response yet.
+    private boolean isBusy() {
+        boolean answering = exchange != null || !pipelined.isEmpty() || !unsent.isEmpty();
+        return answering || receiver.isReceiving();
+    }
+
     private void startNext() {
         if (exchange != null) {
             return;
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -121,10 +121,12 @@
         Instant stopAt = node.clock().instant();
         Instant endsAt = stopAt.plus(node.settings().limits().grace()).minus(KILL_MARGIN);
         Instant servesUntil = stopAt.plus(SERVE_AFTER_STOP);
-        entry.stop(new StopSchedule(servesUntil, endsAt));
+        StopSchedule schedule = new StopSchedule(servesUntil, endsAt);
+        entry.stop(schedule);
         node.deregister();
         while (node.clock().instant().isBefore(endsAt)) {
-            if (node.clock().instant().isAfter(servesUntil) && closeIdleConnections()) {
+            boolean serves = !node.clock().instant().isAfter(servesUntil);
+            if (!serves && closeIdleConnections(schedule)) {
                 break;
             }
             sleepPollInterval();
@@ -182,17 +184,17 @@
                 });
     }
 
-    // Closes idle connections of callers. Returns true if no request is in progress.
-    private boolean closeIdleConnections() {
+    // Closes idle connections of callers. Returns true if no request is in progress or expected.
+    private boolean closeIdleConnections(StopSchedule schedule) {
         try {
             return loop.submit(
                             () -> {
-                                boolean busy = false;
+                                Instant now = node.clock().instant();
+                                boolean allClosed = true;
                                 for (CallerHandler caller : entry.callers()) {
-                                    caller.closeIfIdle();
-                                    busy |= caller.isBusy();
+                                    allClosed &= caller.closeIfIdle(schedule, now);
                                 }
-                                return !busy;
+                                return allClosed;
                             })
                     .get();
         } catch (InterruptedException e) {
--- a/src/test/java/org/papayawalk/core/admit/StopScheduleTest.java
+++ b/src/test/java/org/papayawalk/core/admit/StopScheduleTest.java
@@ -39,4 +39,14 @@
         Instant late = STOP.plusMillis(2900);
         assertFalse(SCHEDULE.accepts(RequestKind.SAFE, late.plusMillis(10), late));
     }
+
+    /** No connection is closed while its process serves or its request may be on its way. */
+    @Test
+    public void newConnectionIsLeftOpenForItsRequest() {
+        Instant late = STOP.plusMillis(2900);
+        assertFalse(SCHEDULE.closesIdle(late, late.plusMillis(499)));
+        assertTrue(SCHEDULE.closesIdle(late, late.plusMillis(500)));
+        assertFalse(SCHEDULE.closesIdle(STOP, STOP.plusMillis(2800)));
+        assertTrue(SCHEDULE.closesIdle(STOP, STOP.plusMillis(2801)));
+    }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/LateInGraceTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/LateInGraceTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -17,9 +18,9 @@
 import org.testng.annotations.Test;
 
 /**
- * Requests at every 100 ms of a planned stop, at servers that never answer. Checks that every one
- * gets an answer, and that none that may run only once is passed on and cut at the end of the
- * grace.
+ * Requests at every 100 ms of a planned stop, sent at once, in two halves, or a while after their
+ * connection, at servers that never answer. Checks that every one gets an answer, and that none
+ * that may run only once is passed on and cut at the end of the grace.
  */
 public final class LateInGraceTest {
     private static final int GRACE_MILLIS = 8000;
@@ -29,6 +30,12 @@
     /** Routes and whether their requests may be repeated; the timeout of the first is 10 s. */
     private static final List<String> TARGETS = List.of("POST /order/", "GET /read/", "POST /pay/");
 
+    /** Shares of a request that are sent at once, before the rest follows. */
+    private static final List<Double> FIRST_SHARES = List.of(0.0, 0.5, 1.0);
+
+    /** Longer than the time between two looks for idle connections. */
+    private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
     private final ExecutorService threads = Executors.newCachedThreadPool();
 
     private ManagedEntryFixture fixture;
@@ -60,16 +67,15 @@
     @Test
     public void everyRequestIsAnswered() {
         List<CompletableFuture<TestCaller.Response>> answers = new ArrayList<>();
-        TestCaller early = fixture.caller().another();
-        answers.add(CompletableFuture.supplyAsync(() -> send(early, "POST /order/early"), threads));
+        answers.add(sendLater("POST /order/early", 1));
         ManagedEntryFixture.await(() -> seen() == 1);
         CompletableFuture<Void> stop = CompletableFuture.runAsync(fixture.role()::stop, threads);
         ManagedEntryFixture.await(() -> !fixture.ready());
         for (int at = 0; at < GRACE_MILLIS && !stop.isDone(); at += 100) {
             for (String target : TARGETS) {
-                TestCaller caller = fixture.caller().another();
-                String text = target + at;
-                answers.add(CompletableFuture.supplyAsync(() -> send(caller, text), threads));
+                for (double firstShare : FIRST_SHARES) {
+                    answers.add(sendLater(target + at, firstShare));
+                }
             }
             LockSupport.parkNanos(PAUSE_NANOS);
         }
@@ -83,9 +89,23 @@
         assertEquals(passedOn, 1, "orders with a timeout beyond the grace that were passed on");
     }
 
-    private static TestCaller.Response send(TestCaller caller, String text) {
+    private CompletableFuture<TestCaller.Response> sendLater(String text, double firstShare) {
+        TestCaller caller = fixture.caller().another();
+        return CompletableFuture.supplyAsync(() -> send(caller, text, firstShare), threads);
+    }
+
+    private static TestCaller.Response send(TestCaller caller, String text, double firstShare) {
         String[] parts = text.split(" ");
-        return caller.send(parts[0], parts[1], "key-1");
+        String request = caller.request(parts[0], parts[1], "key-1");
+        int cut = (int) (request.length() * firstShare);
+        try (Socket socket = caller.connect()) {
+            TestCaller.write(socket, request.substring(0, cut));
+            LockSupport.parkNanos(REST_NANOS);
+            TestCaller.write(socket, request.substring(cut));
+            return TestCaller.read(socket);
+        } catch (IOException e) {
+            throw new AssertionError("no response to " + text + ", sent " + firstShare, e);
+        }
     }
 
     private int seen() {
