Let sources prove to their followers that they lack nothing

Cause: each entry followed the table of servers at the store for itself, and each registration in a wave woke all of them; followers of the desired state checked at fixed times, and five checks of six brought nothing.

Change: a source of a region (one up to six entries, else two; none where that saves no calls) follows both tables; its answers say up to when its copy has every change, and a follower checks when that is half of configApplyMs old. A proof is never later than the store's answer allows, so a source that has lost the store gives none. Failed calls of a source count for the rows that it sends, and a new era that it tells of leads to the entry's own row. A check ahead of time after a delivery is dropped: the delivery brings a proof; its test is replaced by two on proofs.

--- a/src/main/java/org/papayawalk/core/upstream/FeedRole.java
+++ b/src/main/java/org/papayawalk/core/upstream/FeedRole.java
@@ -12,19 +12,23 @@
 import org.papayawalk.core.id.HostId;
 
 /**
- * Decides whether an entry follows the desired state at the store itself, and else which entry of
- * its region it follows. A few entries of each region, alike for all that know the same live
- * entries, are sources and follow the store. The others follow one source and only check at
- * intervals whether the store has something newer; they follow the store while no source has
- * answered lately. Nothing that a source does or omits delays these checks, so entries may disagree
- * on the sources.
+ * Decides whether an entry follows the tables of the store itself, and else which entry of its
+ * region it follows. A few entries of each region, alike for all that know the same live entries,
+ * are sources and follow the store. The others follow one source and only check whether the store
+ * has something newer, a fixed time after the last moment for which it is proven that they lack
+ * nothing; they follow the store while no source has answered lately. A source proves only what the
+ * store has told it, so whatever a source does or omits, a check is in time, and entries may
+ * disagree on the sources.
  *
  * <p>Not thread-safe: confined to the control thread.
  */
 public final class FeedRole {
-    /** Number of entries of a region that follow the store. */
+    /** Number of entries of a large region that follow the store. */
     public static final int SOURCES = 2;
 
+    /** Number of entries of a region up to which one source sends its tables to all others. */
+    public static final int ONE_SOURCE_REGION = 6;
+
     // Time after which a source is chosen anew, so that the choice follows the live entries.
     private static final Duration SOURCE_TERM = Duration.ofSeconds(10);
 
@@ -43,6 +47,9 @@
 
     private Instant chosenAt = Instant.MIN;
 
+    // Whether other entries follow this one.
+    private boolean hasFollowers;
+
     // Last answer of the current source, null before the first.
     private Instant answeredAt;
 
@@ -65,8 +72,10 @@
     public void update(Collection<String> others) {
         Set<String> region = new TreeSet<>(others);
         region.add(self);
-        boolean small = region.size() <= QueryRound.SMALL_REGION;
-        List<String> best = small ? List.of(self) : order(region, SOURCE_KEY).subList(0, SOURCES);
+        boolean alone = !schedule.sourceSavesCalls(region.size());
+        int count = region.size() <= ONE_SOURCE_REGION ? 1 : SOURCES;
+        List<String> best = alone ? List.of(self) : order(region, SOURCE_KEY).subList(0, count);
+        hasFollowers = !alone && best.contains(self);
         sources = best.contains(self) ? List.of() : order(best, self);
         if (sources.isEmpty()) {
             forget();
@@ -93,10 +102,26 @@
     /**
      * Returns how long a source may hold the next query while it has nothing newer.
      *
+     * @param completeUntil time until which the tables of this entry are complete
+     * @param now present time
      * @return zero until the source has answered
      */
-    public Duration sourceWait() {
-        return answeredAt == null ? Duration.ZERO : schedule.sourceWait();
+    public Duration sourceWait(Instant completeUntil, Instant now) {
+        return answeredAt == null ? Duration.ZERO : schedule.sourceWait(completeUntil, now);
+    }
+
+    /**
+     * Returns how long the store may hold the next call of an entry that follows it.
+     *
+     * @param failures failed calls in a row before this one
+     * @param completeUntil time until which the table is complete
+     * @param now present time
+     * @return shorter for a source, whose followers wait for its proofs
+     */
+    public Duration storeWait(int failures, Instant completeUntil, Instant now) {
+        return hasFollowers && failures == 0
+                ? schedule.proofWait(completeUntil, now)
+                : schedule.wait(failures);
     }
 
     /**
--- a/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
+++ b/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
@@ -1,6 +1,7 @@
 package org.papayawalk.core.upstream;
 
 import java.time.Duration;
+import java.time.Instant;
 
 /**
  * Times of the calls by which a daemon follows a table of the store. The store does not answer a
@@ -25,6 +26,12 @@
     // Time for late timers, a new connection and the answer to the call that ends a gap.
     private static final Duration RESERVE = Duration.ofMillis(600);
 
+    // Time for a proof to reach the followers of a source before they would check.
+    private static final Duration PROOF_RESERVE = Duration.ofMillis(300);
+
+    // Time after a source's next proof is due at which a follower expects it.
+    private static final Duration PROOF_DELAY = Duration.ofMillis(50);
+
     // Part of the longest delay of a change that may pass before it is read with later ones.
     private static final int COALESCE_DIVISOR = 10;
 
@@ -107,13 +114,35 @@
     }
 
     /**
-     * Returns the time between two calls after which such a daemon checks as soon as the other one
-     * has sent rows, because the store probably has no newer ones then and answers without rows.
+     * Returns the longest time between two proofs of a source that its table is complete. Followers
+     * that get them need not check.
      *
-     * @return time from sending one call
+     * @return time from the moment that one proves to the moment that the next one proves
      */
-    public Duration earliestCheck() {
-        return checkInterval.dividedBy(2);
+    public Duration proofInterval() {
+        return clamp(checkInterval.minus(PROOF_RESERVE), MIN_WAIT, longPollWait);
+    }
+
+    /**
+     * Returns how long the store may hold the next call of a source.
+     *
+     * @param completeUntil time until which its table is complete
+     * @param now present time
+     * @return time until its next proof is due
+     */
+    public Duration proofWait(Instant completeUntil, Instant now) {
+        Instant due = notBeforeYesterday(completeUntil, now).plus(proofInterval());
+        return clamp(Duration.between(now, due), Duration.ZERO, proofInterval());
+    }
+
+    /**
+     * Returns whether entries make fewer calls if one of them is a source in calm.
+     *
+     * @param entries entries that know each other
+     * @return false if so few follow the store with fewer calls
+     */
+    public boolean sourceSavesCalls(int entries) {
+        return proofInterval().multipliedBy(entries).compareTo(longPollWait) > 0;
     }
 
     /**
@@ -135,6 +164,19 @@
         return checkInterval.dividedBy(2);
     }
 
+    /**
+     * Returns how long a source may hold a query, so that its answer brings the next proof.
+     *
+     * @param completeUntil time until which the follower's table is complete
+     * @param now present time
+     * @return time, at most that of {@link #sourceWait()}
+     */
+    public Duration sourceWait(Instant completeUntil, Instant now) {
+        Instant due =
+                notBeforeYesterday(completeUntil, now).plus(proofInterval()).plus(PROOF_DELAY);
+        return clamp(Duration.between(now, due), MIN_WAIT, sourceWait());
+    }
+
     /**
      * Returns how long to wait for an answer of another daemon beyond the time for which it may
      * hold the query.
@@ -154,6 +196,12 @@
         return sourceWait().plus(sourceTimeout());
     }
 
+    // Returns a time that differences can be taken of: at most one day before the present.
+    private static Instant notBeforeYesterday(Instant time, Instant now) {
+        Instant bound = now.minus(Duration.ofDays(1));
+        return time.isBefore(bound) ? bound : time;
+    }
+
     private static Duration clamp(Duration value, Duration min, Duration max) {
         if (value.compareTo(min) < 0) {
             return min;
--- a/src/main/java/org/papayawalk/core/upstream/TableReplica.java
+++ b/src/main/java/org/papayawalk/core/upstream/TableReplica.java
@@ -1,5 +1,6 @@
 package org.papayawalk.core.upstream;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -27,6 +28,9 @@
     /** Newest table version that the replica covers. */
     private TableVersion version = TableVersion.UNREAD;
 
+    /** Time until which every change is in the replica. */
+    private Instant completeUntil = Instant.MIN;
+
     /** Version number in the present era since which all changes are retained. */
     private long historyStart;
 
@@ -99,6 +103,28 @@
         return version;
     }
 
+    /**
+     * Records that a version has every change made until a time. No effect unless the replica
+     * covers that version.
+     *
+     * @param covered version
+     * @param until time that the store's answer, or what a peer tells of one, proves
+     */
+    public void recordComplete(TableVersion covered, Instant until) {
+        if (version.compareTo(covered) >= 0 && until.isAfter(completeUntil)) {
+            completeUntil = until;
+        }
+    }
+
+    /**
+     * Returns the time until which every change is in the replica.
+     *
+     * @return time, {@link Instant#MIN} if none is proven
+     */
+    public Instant completeUntil() {
+        return completeUntil;
+    }
+
     // Replaces all rows by the first snapshot of a later era. A row with the same value as before
     // is not a change. Tombstones of the earlier era are dropped.
     private List<TableRecord> enterEra(TableUpdate snapshot) {
--- a/src/main/java/org/papayawalk/core/upstream/UpstreamTracker.java
+++ b/src/main/java/org/papayawalk/core/upstream/UpstreamTracker.java
@@ -72,10 +72,11 @@
     /**
      * Records that the store did not answer.
      *
-     * @param now present time
+     * @param at time of the failure, also one before the last one recorded
      */
-    public void storeUnavailable(Instant now) {
-        outageWindowEnd = now.plus(POST_OUTAGE_WINDOW);
+    public void storeUnavailable(Instant at) {
+        Instant end = at.plus(POST_OUTAGE_WINDOW);
+        outageWindowEnd = end.isAfter(outageWindowEnd) ? end : outageWindowEnd;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -21,7 +21,6 @@
 import org.papayawalk.core.upstream.PollSchedule;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.http.AsyncHttpClient;
-import org.papayawalk.platform.StoreCodec;
 import org.papayawalk.wire.EventLoops;
 import org.papayawalk.wire.MessageHandler;
 import org.papayawalk.wire.PeerClient;
@@ -101,8 +100,6 @@
         schedule = new PollSchedule(limits.maxStaleness(), limits.maxDelay());
         role = new FeedRole(settings.peerAddress(), schedule);
         for (String table : state.tableNames()) {
-            // Only the operator's rows are large; those of servers are read at the store.
-            boolean shared = table.equals(StoreCodec.OPERATOR_TABLE);
             watchers.put(
                     table,
                     new TableWatcher(
@@ -112,15 +109,15 @@
                             thread,
                             receiver(table),
                             schedule,
-                            () -> !shared || role.followsStore(clock.instant()),
+                            new RoleFeed(role, clock),
                             clock));
         }
     }
 
     /**
-     * Starts as an entry: watches the tables of the store, or gets the operator's table from a
-     * source in its region and checks at the store, see {@link FeedRole}; exchanges state with
-     * other entries and answers the state queries of agents. Returns once it listens.
+     * Starts as an entry: watches the tables of the store, or gets them from a source in its region
+     * and checks at the store, see {@link FeedRole}; exchanges state with other entries and answers
+     * the state queries of agents. Returns once it listens.
      *
      * @param evidence what this entry observes, exchanged with the other entries
      * @param weights handles all messages except state queries
@@ -151,6 +148,7 @@
                     registry.pollRows();
                 });
         thread.scheduleRepeatedly(ENTRY_COUNT_INTERVAL, this::refreshLiveEntries);
+        thread.scheduleRepeatedly(ENTRY_COUNT_INTERVAL, this::noteEras);
         thread.scheduleRepeatedly(CALL_LOG_INTERVAL, storeCalls::log);
     }
 
@@ -326,9 +324,7 @@
     }
 
     private SourceFollower follower(StateSyncClient client) {
-        String table = StoreCodec.OPERATOR_TABLE;
-        TableWatcher watcher = watchers.get(table);
-        return new SourceFollower(table, state, role, schedule, client, watcher, thread, clock);
+        return new SourceFollower(state, role, schedule, client, watchers, thread, clock);
     }
 
     private void listen(String address, MessageHandler handler) throws IOException {
@@ -356,6 +352,11 @@
         liveEntries = alive;
     }
 
+    // A source may tell of a restored store before a call of this entry does.
+    private void noteEras() {
+        state.tableNames().forEach(t -> registry.eraSeen(state.table(t).version().era()));
+    }
+
     private TableWatcher.Receiver receiver(String table) {
         return new StateTableReceiver(
                 table,
--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -39,9 +39,6 @@
  * which may be called from any thread.
  */
 public final class PlatformState {
-    // Time without a failure after which the store counts as healthy for a peer.
-    private static final Duration PEER_STORE_HEALTHY_AFTER = Duration.ofSeconds(3);
-
     private final Map<String, TableReplica> tables = new HashMap<>();
 
     private final UpstreamTracker upstreams = new UpstreamTracker();
@@ -58,8 +55,7 @@
 
     private final ControlThread thread;
 
-    // Initially the start, so that a new daemon does not yet report a healthy store.
-    private Instant lastStoreFailureAt;
+    private final StoreHealth storeHealth;
 
     private volatile PlatformSnapshot snapshot = PlatformSnapshot.EMPTY;
 
@@ -72,7 +68,7 @@
     public PlatformState(InstantSource clock, ControlThread thread) {
         this.clock = clock;
         this.thread = thread;
-        this.lastStoreFailureAt = clock.instant();
+        this.storeHealth = new StoreHealth(upstreams, clock);
         tables.put(StoreCodec.OPERATOR_TABLE, new TableReplica());
         tables.put(StoreCodec.SERVER_TABLE, new TableReplica());
     }
@@ -114,33 +110,13 @@
         return tables.get(table);
     }
 
-    /** Records that a call to the store failed. */
-    void recordStoreFailure() {
-        lastStoreFailureAt = clock.instant();
-        upstreams.storeUnavailable(lastStoreFailureAt);
-    }
-
     /**
-     * Returns the time since the last failed call to the store.
+     * Returns the record of the failures of the store.
      *
-     * @return milliseconds, at most one day
+     * @return record, confined to the control thread
      */
-    int millisSinceStoreFailure() {
-        Duration healthyFor = Duration.between(lastStoreFailureAt, clock.instant());
-        return (int) Math.min(healthyFor.toMillis(), Duration.ofDays(1).toMillis());
-    }
-
-    /**
-     * Records for how long the store has served a peer without a failure. From 3 s on, failed calls
-     * of this daemon count as local faults, and no registration is treated as lapsed because of
-     * them.
-     *
-     * @param millis time since the peer's last failed call to the store, in milliseconds
-     */
-    void recordPeerStoreHealth(int millis) {
-        if (millis >= PEER_STORE_HEALTHY_AFTER.toMillis()) {
-            upstreams.storeHealthyForPeers(clock.instant());
-        }
+    StoreHealth storeHealth() {
+        return storeHealth;
     }
 
     /**
@@ -285,8 +261,7 @@
     }
 
     // writtenBy: time by which the row was written, Instant.MIN if it existed when this daemon
-    // first
-    // read the table.
+    // first read the table.
     private void applyOperatorRow(TableRecord row, Instant writtenBy, String source) {
         if (row.removed()) {
             return;
--- a/src/main/java/org/papayawalk/daemon/managed/SourceFollower.java
+++ b/src/main/java/org/papayawalk/daemon/managed/SourceFollower.java
@@ -1,18 +1,19 @@
 package org.papayawalk.daemon.managed;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.Optional;
 import org.papayawalk.core.upstream.FeedRole;
 import org.papayawalk.core.upstream.PollSchedule;
-import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.daemon.ControlThread;
 import org.papayawalk.log.Event;
 
 /**
- * Follows one table at a source in the own region, if this entry is not a source itself, while the
- * watcher of the table checks at the store. Keeps one long poll open. Confined to the control
- * thread.
+ * Follows the tables at a source in the own region, if this entry is not a source itself, while the
+ * watchers of the tables check at the store. Keeps one long poll open, which brings newer rows, or
+ * the source's next proof that there are none. Confined to the control thread.
  */
 final class SourceFollower {
     // Pause after an answer, so that the next one covers several changes.
@@ -21,8 +22,6 @@
     // Time after which a source looks again whether it is one.
     private static final Duration SOURCE_INTERVAL = Duration.ofMillis(200);
 
-    private final String table;
-
     private final PlatformState state;
 
     private final FeedRole role;
@@ -31,7 +30,7 @@
 
     private final StateSyncClient client;
 
-    private final TableWatcher watcher;
+    private final Map<String, TableWatcher> watchers;
 
     private final ControlThread thread;
 
@@ -43,30 +42,27 @@
     /**
      * Creates a follower that sends nothing yet.
      *
-     * @param table name of the table
      * @param state state of this daemon
      * @param role chooses the source
      * @param schedule times of the queries
      * @param client sends the queries
-     * @param watcher watcher of the table at the store
+     * @param watchers watchers of the tables at the store, by table
      * @param thread control thread
      * @param clock monotonic clock
      */
     SourceFollower(
-            String table,
             PlatformState state,
             FeedRole role,
             PollSchedule schedule,
             StateSyncClient client,
-            TableWatcher watcher,
+            Map<String, TableWatcher> watchers,
             ControlThread thread,
             InstantSource clock) {
-        this.table = table;
         this.state = state;
         this.role = role;
         this.schedule = schedule;
         this.client = client;
-        this.watcher = watcher;
+        this.watchers = watchers;
         this.thread = thread;
         this.clock = clock;
     }
@@ -76,7 +72,7 @@
         role.update(client.regionEntries());
         Optional<String> source = role.source(clock.instant());
         logChange(source);
-        watcher.reconsider();
+        watchers.values().forEach(TableWatcher::reconsider);
         if (source.isEmpty()) {
             thread.schedule(SOURCE_INTERVAL, this::run);
             return;
@@ -85,31 +81,32 @@
     }
 
     private void query(String source) {
-        TableVersion before = state.table(table).version();
-        Duration wait = role.sourceWait();
+        Duration wait = role.sourceWait(completeUntil(), clock.instant());
         Duration timeout = wait.plus(schedule.sourceTimeout());
-        client.queryRows(source, table, wait, timeout, ok -> handleOutcome(source, before, ok));
+        client.queryRows(source, wait, timeout, ok -> handleOutcome(source, ok));
+    }
+
+    // Time until which all tables are complete.
+    private Instant completeUntil() {
+        return watchers.keySet().stream()
+                .map(t -> state.table(t).completeUntil())
+                .min(Instant::compareTo)
+                .orElseThrow();
     }
 
-    private void handleOutcome(String source, TableVersion before, boolean answered) {
+    private void handleOutcome(String source, boolean answered) {
         if (!answered) {
             role.failed(source);
             run();
             return;
         }
         role.answered(source, clock.instant());
-        if (state.table(table).version().compareTo(before) > 0) {
-            watcher.recordDelivery();
-        }
         thread.schedule(COALESCE_PAUSE, this::run);
     }
 
     private void logChange(Optional<String> source) {
         if (!source.equals(lastSource)) {
-            Event.named("state-source")
-                    .with("table", table)
-                    .with("source", source.orElse("store"))
-                    .info();
+            Event.named("state-source").with("source", source.orElse("store")).info();
             lastSource = source;
         }
     }
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncClient.java
@@ -182,19 +182,17 @@
     }
 
     /**
-     * Queries an entry for newer rows of one table.
+     * Queries an entry for newer rows of all tables.
      *
      * @param target address of the entry
-     * @param table name of the table
      * @param wait time for which it may hold the query while there are none
      * @param timeout time from now for the answer
      * @param done receives on the control thread whether there was an answer, after its rows were
      *     applied
      */
-    void queryRows(
-            String target, String table, Duration wait, Duration timeout, Consumer<Boolean> done) {
+    void queryRows(String target, Duration wait, Duration timeout, Consumer<Boolean> done) {
         ViewQuery.Builder query = ViewQuery.newBuilder().setWaitMillis((int) wait.toMillis());
-        StateSyncMessages.addMark(query, state, table);
+        StateSyncMessages.addMarks(query, state);
         sendQuery(target, query, timeout, done);
     }
 
@@ -270,33 +268,22 @@
             String target, ViewQuery.Builder query, Duration timeout, Consumer<Boolean> done) {
         Envelope.Builder message = Envelope.newBuilder().setViewQuery(query);
         Instant sentAt = clock.instant();
-        boolean answeredAtOnce = query.getWaitMillis() == 0;
         client.request(target, TrafficClass.LIVE, message, timeout)
-                .thenAccept(
-                        reply ->
-                                thread.execute(
-                                        () ->
-                                                applyReply(
-                                                        target,
-                                                        reply,
-                                                        answeredAtOnce ? sentAt : clock.instant(),
-                                                        done)));
+                .thenAccept(reply -> thread.execute(() -> applyReply(target, reply, sentAt, done)));
     }
 
     // Reports the outcome also if the reply cannot be applied, since the next query follows it.
     private void applyReply(
-            String target, Either<Fault, Envelope> reply, Instant toldAt, Consumer<Boolean> done) {
+            String target, Either<Fault, Envelope> reply, Instant sentAt, Consumer<Boolean> done) {
         boolean answered = false;
         try {
-            answered = handleReply(target, reply, toldAt);
+            answered = handleReply(target, reply, sentAt);
         } finally {
             done.accept(answered);
         }
     }
 
-    // toldAt: earliest time at which the reply may have been sent; the time of its receipt if the
-    // peer may have held it back.
-    private boolean handleReply(String target, Either<Fault, Envelope> result, Instant toldAt) {
+    private boolean handleReply(String target, Either<Fault, Envelope> result, Instant sentAt) {
         Instant now = clock.instant();
         if (result.isLeft() || !result.get().hasViewReply()) {
             entries.recordFailure(target, now);
@@ -313,11 +300,18 @@
                 e.ifPresent(x -> entries.recordMention(x.address(), x.domain(), now));
             }
         }
-        state.recordPeerStoreHealth(reply.getStoreWellMillis());
+        // Earliest time at which the reply may have been sent.
+        Instant toldAt = sentAt.plusMillis(Integer.toUnsignedLong(reply.getHeldMillis()));
+        state.storeHealth().recordPeerHealth(reply.getStoreWellMillis());
+        if (reply.hasStoreFailedMillisAgo() && reply.getChangesCount() > 0) {
+            long failedAgo = Integer.toUnsignedLong(reply.getStoreFailedMillisAgo());
+            state.storeHealth().recordPeerFailure(toldAt.minusMillis(failedAgo));
+        }
         StateSyncMessages.apply(reply.getLostRunsList(), evidence.suspects(), now);
         StateSyncMessages.apply(reply.getLimitsList(), evidence.limits(), now);
         PromptPartMessages.apply(reply.getPromptPartsList(), evidence.promptParts(), now);
         StateSyncMessages.apply(reply, state, target);
+        StateSyncMessages.applyProofs(reply.getProofsList(), state, toldAt);
         StateSyncMessages.apply(reply.getRequestedWeightsList(), state, toldAt);
         return true;
     }
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
@@ -28,6 +28,7 @@
 import org.papayawalk.wire.proto.RequestedWeights;
 import org.papayawalk.wire.proto.TableChanges;
 import org.papayawalk.wire.proto.TableMark;
+import org.papayawalk.wire.proto.TableProof;
 import org.papayawalk.wire.proto.TableRow;
 import org.papayawalk.wire.proto.UpstreamLimit;
 import org.papayawalk.wire.proto.ViewQuery;
@@ -128,6 +129,54 @@
         }
     }
 
+    /**
+     * Encodes up to when the tables that a query asks for are complete. Leaves out those of which
+     * nothing is proven.
+     *
+     * @param query query
+     * @param state state of this daemon
+     * @param now present time
+     * @return one message per table
+     */
+    static List<TableProof> proofs(ViewQuery query, PlatformState state, Instant now) {
+        List<TableProof> proofs = new ArrayList<>();
+        for (TableMark m : query.getMarksList()) {
+            TableReplica replica = state.table(m.getTable());
+            if (replica == null || replica.completeUntil().equals(Instant.MIN)) {
+                continue;
+            }
+            long age = Duration.between(replica.completeUntil(), now).toMillis();
+            proofs.add(
+                    TableProof.newBuilder()
+                            .setTable(m.getTable())
+                            .setEra(replica.version().era().number())
+                            .setVersion(replica.version().number())
+                            .setAgeMillis((int) Math.min(age, Integer.MAX_VALUE))
+                            .build());
+        }
+        return proofs;
+    }
+
+    /**
+     * Applies up to when the tables of a peer are complete, after its rows were applied.
+     *
+     * @param proofs messages
+     * @param state state of this daemon
+     * @param toldAt earliest time at which the peer may have sent them
+     */
+    static void applyProofs(List<TableProof> proofs, PlatformState state, Instant toldAt) {
+        for (TableProof p : proofs) {
+            TableReplica replica = state.table(p.getTable());
+            if (replica == null) {
+                continue;
+            }
+            long age = Integer.toUnsignedLong(p.getAgeMillis());
+            replica.recordComplete(
+                    new TableVersion(new StoreEra(p.getEra()), p.getVersion()),
+                    toldAt.minusMillis(age));
+        }
+    }
+
     /**
      * Encodes when the operator requested the versions of weights, so that a daemon that learns of
      * them late counts their deadlines from the same time. Versions whose time is unknown or long
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncServer.java
@@ -87,7 +87,7 @@
         StateSyncMessages.apply(query.getLostRunsList(), evidence.suspects(), now);
         StateSyncMessages.apply(query.getLimitsList(), evidence.limits(), now);
         PromptPartMessages.apply(query.getPromptPartsList(), evidence.promptParts(), now);
-        PendingQuery p = new PendingQuery(message.getCall(), query, from);
+        PendingQuery p = new PendingQuery(message.getCall(), query, from, now);
         boolean atOnce = query.getWaitMillis() == 0 || pending.size() >= MAX_PENDING;
         if (answer(p, atOnce)) {
             return;
@@ -118,7 +118,10 @@
         for (Map.Entry<String, DomainId> e : entries.recentlyInContact(now).entrySet()) {
             reply.addEntries(StateSyncMessages.entryAddress(e.getKey(), e.getValue()));
         }
-        reply.setStoreWellMillis(state.millisSinceStoreFailure());
+        reply.addAllProofs(StateSyncMessages.proofs(pendingQuery.query, state, now));
+        reply.setHeldMillis((int) Duration.between(pendingQuery.receivedAt, now).toMillis());
+        reply.setStoreWellMillis(state.storeHealth().wellMillis());
+        state.storeHealth().millisSinceFailure().ifPresent(reply::setStoreFailedMillisAgo);
         reply.addAllRequestedWeights(StateSyncMessages.requestedWeights(state.snapshot(), now));
         if (pendingQuery.query.hasEntry()) {
             reply.addAllLostRuns(StateSyncMessages.lostRuns(evidence.suspects(), now));
@@ -131,5 +134,6 @@
     }
 
     // Query that waits for newer rows. The call number is returned in the reply.
-    private record PendingQuery(long call, ViewQuery query, PeerServerConnection from) {}
+    private record PendingQuery(
+            long call, ViewQuery query, PeerServerConnection from, Instant receivedAt) {}
 }
--- a/src/main/java/org/papayawalk/daemon/managed/StateTableReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateTableReceiver.java
@@ -1,5 +1,6 @@
 package org.papayawalk.daemon.managed;
 
+import java.time.Instant;
 import java.util.function.Consumer;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.upstream.TableUpdate;
@@ -23,6 +24,16 @@
         return state.table(table).version();
     }
 
+    @Override
+    public Instant completeUntil() {
+        return state.table(table).completeUntil();
+    }
+
+    @Override
+    public void complete(TableVersion version, Instant until) {
+        state.table(table).recordComplete(version, until);
+    }
+
     @Override
     public void apply(TableUpdate update, long after) {
         state.applyUpdate(table, update, after, "store");
@@ -35,7 +46,7 @@
 
     @Override
     public void storeFailed() {
-        state.recordStoreFailure();
+        state.storeHealth().recordFailure();
     }
 
     @Override
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -5,17 +5,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.BooleanSupplier;
 import org.papayawalk.core.Fault;
 import org.papayawalk.core.FaultKind;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.upstream.CoalescePause;
 import org.papayawalk.core.upstream.PollSchedule;
-import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableUpdate;
 import org.papayawalk.core.upstream.TableVersion;
 import org.papayawalk.daemon.ControlThread;
@@ -31,7 +26,8 @@
  * Watches one table of the store: reads it in full, then polls for changes. Reads it in full again
  * if the store has dropped the history since the last known version, or if an answer states a later
  * era than that of the last known version. While another daemon delivers the rows, it only checks
- * at intervals whether the store has newer ones. Confined to the control thread.
+ * whether the store has newer ones, a fixed time after the last proof that it lacks none. Confined
+ * to the control thread.
  */
 final class TableWatcher {
     // Pause before a full read is repeated that was older than the history of the store.
@@ -51,6 +47,21 @@
          */
         TableVersion version();
 
+        /**
+         * Returns the time until which every change is known.
+         *
+         * @return {@link Instant#MIN} if none is proven
+         */
+        Instant completeUntil();
+
+        /**
+         * Records that a version has every change made until a time.
+         *
+         * @param version version that an answer covers
+         * @param until time that the answer proves
+         */
+        void complete(TableVersion version, Instant until);
+
         /**
          * Applies rows.
          *
@@ -96,8 +107,7 @@
 
     private final CoalescePause coalescePause;
 
-    // False while another daemon delivers the rows.
-    private final BooleanSupplier followsStore;
+    private final TableFeed feed;
 
     private final InstantSource clock;
 
@@ -114,11 +124,7 @@
     // Time of the last call for changes.
     private Instant calledAt = Instant.MIN;
 
-    // Whether the next check waits for its time.
-    private boolean awaitingCheck;
-
-    // Number of the present wait; a timer of an earlier one has no effect.
-    private int checkNumber;
+    private final CheckTimer checkTimer;
 
     // Number of the present start; calls of earlier starts are not continued.
     private int generation;
@@ -132,8 +138,7 @@
      * @param thread control thread
      * @param receiver receives what is read
      * @param schedule times of the calls
-     * @param followsStore false while another daemon delivers the rows, so that checks suffice;
-     *     asked on the control thread
+     * @param feed tells how to follow the store
      * @param clock monotonic clock
      */
     TableWatcher(
@@ -143,7 +148,7 @@
             ControlThread thread,
             Receiver receiver,
             PollSchedule schedule,
-            BooleanSupplier followsStore,
+            TableFeed feed,
             InstantSource clock) {
         this.http = http;
         this.storeAddress = storeAddress;
@@ -152,9 +157,10 @@
         this.receiver = receiver;
         this.schedule = schedule;
         this.coalescePause = new CoalescePause(schedule.longestCoalescePause());
-        this.followsStore = followsStore;
+        this.feed = feed;
         this.clock = clock;
         this.contact = new StoreContact(table, clock.instant());
+        this.checkTimer = new CheckTimer(thread, clock);
     }
 
     /** Starts watching the table; no effect while it runs. */
@@ -164,24 +170,13 @@
         }
         running = true;
         generation++;
-        awaitingCheck = false;
+        checkTimer.cancel();
         sendNextRequest(generation);
     }
 
     /** Follows the store from now on if no other daemon delivers the rows any more. */
     void reconsider() {
-        if (awaitingCheck && followsStore.getAsBoolean()) {
-            endWait(generation);
-        }
-    }
-
-    /**
-     * Checks ahead of time, when the store probably has nothing newer than what another daemon just
-     * delivered, and so answers without rows. No effect soon after the last check.
-     */
-    void recordDelivery() {
-        Instant due = calledAt.plus(schedule.earliestCheck());
-        if (awaitingCheck && !due.isAfter(clock.instant())) {
+        if (checkTimer.isRunning() && feed.followsStore()) {
             endWait(generation);
         }
     }
@@ -192,7 +187,7 @@
      * @param era era that any answer of the store states
      */
     void recordEra(StoreEra era) {
-        if (awaitingCheck && era.isAfter(receiver.version().era())) {
+        if (checkTimer.isRunning() && era.isAfter(receiver.version().era())) {
             endWait(generation);
         }
     }
@@ -216,29 +211,35 @@
             return;
         }
         if (receiver.version().isUnread() || needsFullRead) {
-            readPage("", new ArrayList<>(), Optional.empty(), callGeneration);
+            readPage("", new FullRead(), callGeneration);
             return;
         }
-        long after = receiver.version().number();
-        boolean direct = followsStore.getAsBoolean();
+        boolean direct = feed.followsStore();
         Kind kind = direct ? Kind.FOLLOW : Kind.CHECK;
-        Duration wait = direct ? schedule.wait(contact.failures()) : Duration.ZERO;
         calledAt = clock.instant();
-        String target = StoreCodec.changesTarget(table, after, wait);
+        Duration wait =
+                direct
+                        ? feed.storeWait(
+                                schedule, contact.failures(), receiver.completeUntil(), calledAt)
+                        : Duration.ZERO;
+        FeedCall call = new FeedCall(kind, receiver.version().number(), calledAt, wait);
+        String target = StoreCodec.changesTarget(table, call.after(), wait);
         http.send(AsyncHttpRequest.get(storeAddress, target, schedule.timeout(wait)))
-                .thenAccept(
-                        r -> thread.execute(() -> handleChanges(r, kind, after, callGeneration)));
+                .thenAccept(r -> thread.execute(() -> handleChanges(r, call, callGeneration)));
     }
 
     private void handleChanges(
-            Either<Fault, AsyncHttpResponse> result, Kind kind, long after, int callGeneration) {
+            Either<Fault, AsyncHttpResponse> result, FeedCall call, int callGeneration) {
         result.forEach(a -> receiver.eraSeen(era(a)));
         Outcome outcome = Outcome.of(result);
         if (outcome != Outcome.DONE) {
-            receiver.callEnded(kind, outcome);
+            receiver.callEnded(call.kind(), outcome);
         }
         if (result.isRight() && result.get().status() == STATUS_HISTORY_DROPPED) {
-            Event.named("store-history-dropped").with("table", table).with("after", after).info();
+            Event.named("store-history-dropped")
+                    .with("table", table)
+                    .with("after", call.after())
+                    .info();
             needsFullRead = true;
             consecutiveDrops++;
             thread.schedule(
@@ -256,19 +257,21 @@
         }
         try {
             TableUpdate update = StoreCodec.decode(result.get().body(), era(result.get()), false);
-            receiver.callEnded(kind, update.rows().isEmpty() ? Outcome.NOTHING : Outcome.DONE);
+            boolean empty = update.rows().isEmpty();
+            receiver.callEnded(call.kind(), empty ? Outcome.NOTHING : Outcome.DONE);
             contact.succeeded(clock.instant());
             consecutiveDrops = 0;
             // A task of its own, so that the polls go on whatever the receiver does.
             thread.execute(() -> continueAfter(update, callGeneration));
-            receiver.apply(update, after);
+            receiver.apply(update, call.after());
+            receiver.complete(update.version(), call.provenUntil(empty, clock.instant()));
         } catch (IOException e) {
             retryAfterMalformedAnswer(e, callGeneration);
         }
     }
 
     private void continueAfter(TableUpdate update, int callGeneration) {
-        if (followsStore.getAsBoolean()) {
+        if (feed.followsStore()) {
             Duration pause =
                     update.rows().isEmpty()
                             ? Duration.ZERO
@@ -276,22 +279,18 @@
             thread.schedule(pause, () -> sendNextRequest(callGeneration));
             return;
         }
-        awaitingCheck = true;
-        checkNumber++;
-        int number = checkNumber;
-        Instant due = calledAt.plus(schedule.checkInterval());
-        Duration left = Duration.between(clock.instant(), due);
-        thread.schedule(
-                left.isNegative() ? Duration.ZERO : left,
-                () -> {
-                    if (awaitingCheck && number == checkNumber) {
-                        endWait(callGeneration);
-                    }
-                });
+        checkTimer.start(
+                () -> lastProof().plus(schedule.checkInterval()),
+                () -> sendNextRequest(callGeneration));
+    }
+
+    private Instant lastProof() {
+        Instant proven = receiver.completeUntil();
+        return proven.isAfter(calledAt) ? proven : calledAt;
     }
 
     private void endWait(int callGeneration) {
-        awaitingCheck = false;
+        checkTimer.cancel();
         sendNextRequest(callGeneration);
     }
 
@@ -304,25 +303,14 @@
         thread.schedule(Duration.ofMillis(pause), () -> sendNextRequest(callGeneration));
     }
 
-    private void readPage(
-            String from,
-            List<TableRecord> rows,
-            Optional<TableVersion> firstPage,
-            int callGeneration) {
+    private void readPage(String from, FullRead read, int callGeneration) {
         String target = StoreCodec.readTarget(table, from);
         http.send(AsyncHttpRequest.get(storeAddress, target, schedule.timeout(Duration.ZERO)))
-                .thenAccept(
-                        r -> thread.execute(() -> handlePage(r, rows, firstPage, callGeneration)));
+                .thenAccept(r -> thread.execute(() -> handlePage(r, read, callGeneration)));
     }
 
-    // The version of the first page counts for the complete table: changes that are made between
-    // the pages arrive with the long poll that follows. Pages of different eras do not form a
-    // table.
     private void handlePage(
-            Either<Fault, AsyncHttpResponse> result,
-            List<TableRecord> rows,
-            Optional<TableVersion> firstPage,
-            int callGeneration) {
+            Either<Fault, AsyncHttpResponse> result, FullRead read, int callGeneration) {
         Outcome outcome = Outcome.of(result);
         receiver.callEnded(Kind.READ, outcome);
         result.forEach(a -> receiver.eraSeen(era(a)));
@@ -332,22 +320,20 @@
         }
         try {
             TableUpdate update = StoreCodec.decode(result.get().body(), era(result.get()), true);
-            TableVersion covered = firstPage.orElse(update.version());
-            if (!covered.era().equals(update.version().era())) {
+            if (!read.add(update)) {
                 readFullyInNewEra(callGeneration);
                 return;
             }
-            rows.addAll(update.rows());
             if (StoreCodec.hasMore(result.get().body()) && !update.rows().isEmpty()) {
                 // The next page starts at the smallest key after the last one of this page.
                 String last = update.rows().get(update.rows().size() - 1).key();
-                readPage(last + '\u0000', rows, Optional.of(covered), callGeneration);
+                readPage(last + '\u0000', read, callGeneration);
                 return;
             }
             contact.succeeded(clock.instant());
             needsFullRead = false;
             thread.execute(() -> sendNextRequest(callGeneration));
-            receiver.apply(new TableUpdate(rows, covered, true), 0);
+            receiver.apply(read.snapshot(), 0);
         } catch (IOException e) {
             retryAfterMalformedAnswer(e, callGeneration);
         }
--- a/src/test/java/org/papayawalk/core/upstream/UpstreamTrackerTest.java
+++ b/src/test/java/org/papayawalk/core/upstream/UpstreamTrackerTest.java
@@ -37,6 +37,17 @@
         assertTrue(tracker.usable().isEmpty());
     }
 
+    /** A failure that a peer tells of later does not end the window of a newer one. */
+    @Test
+    public void olderFailureDoesNotShortenTheOutage() {
+        UpstreamTracker tracker = new UpstreamTracker();
+        tracker.put(registration(1, false), T0);
+        tracker.storeUnavailable(T0);
+        tracker.storeUnavailable(T0.minusSeconds(2));
+        tracker.remove(new UpstreamId("u"), T0.plusMillis(500));
+        assertEquals(tracker.usable().size(), 1);
+    }
+
     /** Removals are final while the store fails only for this daemon, as no lease expires then. */
     @Test
     public void removalIsFinalWhileStoreIsHealthyForPeers() {
--- a/src/test/java/org/papayawalk/daemon/managed/RegionalSourcesTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/RegionalSourcesTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.papayawalk.core.desired.DesiredState;
+import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.upstream.FeedRole;
 import org.papayawalk.core.upstream.PollSchedule;
 import org.papayawalk.platform.ManagedSettingsCodec;
@@ -21,9 +22,9 @@
 import org.testng.annotations.Test;
 
 /**
- * Eight entries of one region, of which two should follow the operator's table at the store and the
- * others get its rows from these. Frozen entries do not do or answer anything, while their
- * connections stay open.
+ * Eight entries of one region, of which two should follow the tables at the store and the others
+ * get their rows from these. Frozen entries do not do or answer anything, while their connections
+ * stay open.
  */
 public final class RegionalSourcesTest {
     private static final int ENTRIES = 8;
@@ -37,6 +38,13 @@
     // Longest time from a change to each entry; the default of the settings.
     private static final int MAX_DELAY_MILLIS = 2000;
 
+    private static final int CALM_MILLIS = 4000;
+
+    private static final String SERVER =
+            """
+            {"service":"desk","address":"10.0.0.%d:80","zone":"luzon-a","slots":4,"state":"ready"}
+            """;
+
     private final List<ManagedNode> entries = new ArrayList<>();
 
     private final RunningNodes nodes = new RunningNodes();
@@ -54,6 +62,7 @@
     public void start() throws IOException {
         store = new FakeStore();
         change();
+        store.copy();
         int control = FreePort.find();
         for (int i = 0; i < ENTRIES; i++) {
             ManagedNode entry = nodes.add(node(i, i == 0 ? control : FreePort.find(), control));
@@ -90,11 +99,55 @@
     }
 
     /**
-     * Both sources freeze at the same moment. The others have a change in time.
+     * The same holds for rows of servers.
      *
      * @throws InterruptedException if interrupted
      */
     @Test(dependsOnMethods = "storeSendsChangesToTheSources")
+    public void storeSendsServersToTheSources() throws InterruptedException {
+        int before = store.polls().rows("servers");
+        for (int i = 1; i <= CHANGES; i++) {
+            int servers = i;
+            store.put("servers", "i-" + i, SERVER.formatted(i));
+            Await.within(
+                    MAX_DELAY_MILLIS, () -> entries.stream().allMatch(e -> servers(e) == servers));
+            Thread.sleep(CHANGE_INTERVAL_MILLIS);
+        }
+        int rows = store.polls().rows("servers") - before;
+        assertTrue(rows < CHANGES * ENTRIES / 2, rows + " rows for " + CHANGES + " changes");
+    }
+
+    /**
+     * While nothing changes, followers get proofs from the sources and hardly call the store.
+     *
+     * @throws InterruptedException if interrupted
+     */
+    @Test(dependsOnMethods = "storeSendsServersToTheSources")
+    public void followersDoNotPollInCalm() throws InterruptedException {
+        Thread.sleep(MAX_DELAY_MILLIS);
+        int before = store.polls().polls("servers") + store.polls().polls("op");
+        Thread.sleep(CALM_MILLIS);
+        int polls = store.polls().polls("servers") + store.polls().polls("op") - before;
+        long ofSources = 2 * FeedRole.SOURCES * (CALM_MILLIS / FakeStore.MAX_WAIT_MILLIS + 1);
+        long allowed = ofSources + 2 * (ENTRIES - FeedRole.SOURCES);
+        assertTrue(polls <= allowed, polls + " polls, " + ofSources + " of the sources");
+    }
+
+    /** Entries whose rows a restore has lost write them again, also if they follow a source. */
+    @Test(dependsOnMethods = "frozenSourcesHoldNothingBack")
+    public void followersWriteTheirRowsAfterARestore() {
+        store.restore();
+        change();
+        Await.within(TIMEOUT_MILLIS, () -> entries.stream().allMatch(this::isCurrent));
+        Await.within(TIMEOUT_MILLIS, () -> entries.stream().allMatch(this::isRegistered));
+    }
+
+    /**
+     * Both sources freeze at the same moment. The others have a change in time.
+     *
+     * @throws InterruptedException if interrupted
+     */
+    @Test(dependsOnMethods = "followersDoNotPollInCalm")
     public void frozenSourcesHoldNothingBack() throws InterruptedException {
         List<ManagedNode> sources = entries.stream().filter(this::isSource).toList();
         assertEquals(sources.size(), FeedRole.SOURCES);
@@ -133,6 +186,14 @@
         return entry.state().snapshot().desired().map(DesiredState::version).orElse(0L) == version;
     }
 
+    private boolean isRegistered(ManagedNode entry) {
+        return store.has("papayawalk-entries", entry.settings().host().value());
+    }
+
+    private static int servers(ManagedNode entry) {
+        return entry.state().snapshot().upstreams(new ServiceId("desk")).size();
+    }
+
     private boolean isSource(ManagedNode entry) {
         PollSchedule schedule = new PollSchedule(Duration.ofMillis(MAX_DELAY_MILLIS));
         FeedRole role = new FeedRole(entry.settings().peerAddress(), schedule);
