Meet an origin that returns within 75 ms

Cause: after a failed read a host left the origin alone for half a second, also when the origin had come back meanwhile.

Change: until the origin has sent a chunk again, each host sends one request every 75 ms (OriginBackoff), before four at once every 500 ms.

Measured: SlowOriginTest.originThatReturnsIsMetAtOnce, 20 plays: the absence adds no more to the time of a copy than it lasts, within 1.2 times the link's time for one.

--- a/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
+++ b/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
@@ -1,6 +1,5 @@
 package org.papayawalk.core.weight;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -41,9 +40,6 @@
      */
     private static final int MAX_BUSY_REPLIES = 2;
 
-    /** Backoff after a failed request to the origin. */
-    private static final Duration ORIGIN_BACKOFF = Duration.ofMillis(500);
-
     private final HostId self;
 
     private final RegionId region;
@@ -76,14 +72,13 @@
 
     private final FetchSchedule schedule;
 
+    private final OriginBackoff originBackoff = new OriginBackoff();
+
     private FallbackOrder fallbackOrder;
 
     /** Hosts that download the version, as of the last update. */
     private Collection<SwarmPeer> peers = List.of();
 
-    /** Time before which the origin is not used. */
-    private Instant originBackoffUntil = Instant.MIN;
-
     /**
      * Number of chunks that policy {@code TIME} may still request from the origin without being due
      * along their fallback order; negative until the first update with peers sets it.
@@ -160,7 +155,9 @@
                 break;
             }
             inFlight.add(request, now);
-            if (!request.source().isOrigin()) {
+            if (request.source().isOrigin()) {
+                originBackoff.sent(now);
+            } else {
                 availability.health(request.source().host()).recordSent();
             }
             requests.add(request);
@@ -179,8 +176,8 @@
             fallbackPositions.remove(index);
         }
         if (request.source().isOrigin()) {
+            originBackoff.ended(result == FetchResult.VERIFIED, now);
             if (result != FetchResult.VERIFIED) {
-                originBackoffUntil = now.plus(ORIGIN_BACKOFF);
                 fallbackPositions.remove(index);
             }
             return;
@@ -355,8 +352,7 @@
     }
 
     private boolean isOriginAvailable(Instant now) {
-        return inFlight.originCount() < settings.maxOriginRequests()
-                && !now.isBefore(originBackoffUntil);
+        return inFlight.originCount() < settings.maxOriginRequests() && originBackoff.allows(now);
     }
 
     // Counts the requested chunks that no peer offers.
--- a/src/test/java/org/papayawalk/core/weight/SlowOriginEmulation.java
+++ b/src/test/java/org/papayawalk/core/weight/SlowOriginEmulation.java
@@ -65,6 +65,10 @@
 
     private int idleMillis;
 
+    private int awayFrom = END_MILLIS;
+
+    private int awayUntil = END_MILLIS;
+
     private final class Relay {
         private final HostId host;
         private final RegionId region;
@@ -101,7 +105,7 @@
         }
     }
 
-    private record Call(Relay from, FetchRequest request, int endMillis) {}
+    private record Call(Relay from, FetchRequest request, int endMillis, boolean fails) {}
 
     /**
      * Creates an emulation.
@@ -124,6 +128,17 @@
         }
     }
 
+    /**
+     * Takes the origin away: it ends what is in flight and refuses requests.
+     *
+     * @param from start, since the version was requested
+     * @param until end
+     */
+    void takeOriginAway(Duration from, Duration until) {
+        awayFrom = (int) from.toMillis();
+        awayUntil = (int) until.toMillis();
+    }
+
     /**
      * Plays until the relays together hold every chunk.
      *
@@ -177,7 +192,7 @@
                         .map(r -> new SwarmPeer(r.host, r.region))
                         .toList());
         for (FetchRequest request : relay.planner.nextRequests(at(now))) {
-            calls.add(new Call(relay, request, endOf(request, now)));
+            calls.add(call(relay, request, now));
         }
         if (now % ANNOUNCE_MILLIS < TICK_MILLIS) {
             relays.stream()
@@ -186,10 +201,22 @@
         }
     }
 
-    private int endOf(FetchRequest request, int now) {
+    private Call call(Relay relay, FetchRequest request, int now) {
         if (!request.source().isOrigin()) {
-            return now + PEER_MILLIS;
+            return new Call(relay, request, now + PEER_MILLIS, false);
+        }
+        if (now >= awayFrom && now < awayUntil) {
+            return new Call(relay, request, now + STEP_MILLIS, true);
+        }
+        int end = endAtOrigin(now);
+        if (now < awayFrom && end > awayFrom) {
+            originFreeAt = awayUntil;
+            return new Call(relay, request, awayFrom, true);
         }
+        return new Call(relay, request, end, false);
+    }
+
+    private int endAtOrigin(int now) {
         int begins = now + OPEN_MILLIS;
         if (sentChunks > 0) {
             idleMillis += Math.max(0, begins - originFreeAt);
@@ -203,15 +230,18 @@
         List<Call> ended = calls.stream().filter(c -> c.endMillis <= now).toList();
         calls.removeAll(ended);
         for (Call c : ended) {
+            boolean ofOrigin = c.request.source().isOrigin();
             boolean has =
-                    c.request.source().isOrigin()
-                            || relays.stream()
+                    ofOrigin
+                            ? !c.fails
+                            : relays.stream()
                                     .filter(r -> r.host.equals(c.request.source().host()))
                                     .anyMatch(r -> r.held.get(c.request.index()));
             if (has) {
                 c.from.held.set(c.request.index());
             }
-            FetchResult result = has ? FetchResult.VERIFIED : FetchResult.BUSY;
+            FetchResult missing = ofOrigin ? FetchResult.FAILED : FetchResult.BUSY;
+            FetchResult result = has ? FetchResult.VERIFIED : missing;
             c.from.planner.recordResult(c.request, result, at(now));
         }
     }
--- a/src/test/java/org/papayawalk/core/weight/SlowOriginTest.java
+++ b/src/test/java/org/papayawalk/core/weight/SlowOriginTest.java
@@ -57,6 +57,24 @@
         assertTrue(emulation.copiesSent() <= MAX_COPIES, emulation.copiesSent() + " copies");
     }
 
+    /**
+     * An origin that comes back is met at once: its absence adds no more to the time of a copy than
+     * it lasts.
+     *
+     * @param seed seed of the emulation
+     * @param joinsLate whether a fetcher starts after the version was requested
+     */
+    @Test(dataProvider = "plays")
+    public void originThatReturnsIsMetAtOnce(int seed, boolean joinsLate) {
+        SlowOriginEmulation emulation = new SlowOriginEmulation(seed, joinsLate);
+        Duration from = Duration.ofMillis(1900);
+        Duration until = from.plusMillis(3000 + 37L * seed);
+        emulation.takeOriginAway(from, until);
+        Duration present = emulation.play().minus(until.minus(from));
+        double relative = present.toNanos() / (double) SlowOriginEmulation.COPY_TIME.toNanos();
+        assertTrue(relative <= MAX_RELATIVE_TIME, "one copy took " + relative);
+    }
+
     /** Chunks are fetched at once only while no host can have them for long. */
     @Test
     public void onlyRecentRequestsAreJustRequested() {
