Read sixteen staged chunks at once

Cause: a verification reads 48 chunks in twelve turns of four, each as long as the engine's slowest answer, while the version before runs out.

Change: three turns of sixteen, with less than 1 MB in flight.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/StagedChunkVerifier.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/StagedChunkVerifier.java
@@ -17,7 +17,7 @@
  */
 final class StagedChunkVerifier {
     // Reads in flight at the same time, so that a verification is short though a read takes long.
-    private static final int READS_AT_ONCE = 4;
+    private static final int READS_AT_ONCE = 16;
 
     // Per chunk.
     private static final int MAX_REPAIRS = 3;
--- a/src/test/java/org/papayawalk/daemon/managed/agent/SlowReadsTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/agent/SlowReadsTest.java
@@ -28,7 +28,7 @@
  * for an order, so that the version is never loaded.
  */
 public final class SlowReadsTest {
-    private static final int READS_AT_ONCE = 4;
+    private static final int READS_AT_ONCE = 16;
 
     private static final int CHUNKS = 2 * READS_AT_ONCE;
 
@@ -48,7 +48,7 @@
     }
 
     /**
-     * The engine answers reads only four at a time.
+     * The engine answers reads only sixteen at a time.
      *
      * @throws IOException if no port is free
      */
