Order a version when its last chunk is staged

Change: the swarm tells of a complete download, and the reconciler asks the engine at once, with at most one report under way.

--- a/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/agent/VersionReconciler.java
@@ -75,6 +75,15 @@
     // Order that the engine may still accept. Staging is stopped while there is one.
     private Optional<UnansweredOrder> unansweredOrder = Optional.empty();
 
+    // Number of the next poll; timers of earlier ones have no effect.
+    private int pollNumber;
+
+    // Whether the engine is being asked for its report.
+    private boolean reporting;
+
+    // Whether something new calls for a poll right after the present report.
+    private boolean pollAgain;
+
     // Whether a worker verifies the staged version or sends an order.
     private volatile boolean loadInProgress;
 
@@ -109,6 +118,7 @@
 
     /** Starts to poll the engine. */
     void start() {
+        swarm.swarm().onComplete(() -> thread.execute(this::downloadComplete));
         poll();
     }
 
@@ -121,25 +131,56 @@
         }
     }
 
+    private void downloadComplete() {
+        fetching.ifPresent(this::recordIfStaged);
+    }
+
     private void poll() {
         Optional<WeightVersion> version = target.version();
         if (version.isEmpty()) {
-            thread.schedule(POLL_INTERVAL, this::poll);
+            schedulePoll(POLL_INTERVAL);
             return;
         }
+        reporting = true;
         work.execute(
                 () -> {
                     Either<Fault, EngineReport> report = engine.report();
-                    thread.execute(() -> handleReport(version.get(), report));
+                    thread.execute(
+                            () -> {
+                                reporting = false;
+                                handleReport(version.get(), report);
+                            });
                 });
     }
 
+    private void schedulePoll(Duration pause) {
+        pollNumber++;
+        int number = pollNumber;
+        Duration left = pollAgain ? Duration.ZERO : pause;
+        pollAgain = false;
+        thread.schedule(
+                left,
+                () -> {
+                    if (number == pollNumber) {
+                        poll();
+                    }
+                });
+    }
+
+    // Does not wait for the next poll, of which at most one is in progress.
+    private void pollSoon() {
+        pollAgain = true;
+        if (!reporting) {
+            schedulePoll(Duration.ZERO);
+        }
+    }
+
     // The first argument is the target version when the report was requested.
     private void handleReport(WeightVersion targetVersion, Either<Fault, EngineReport> result) {
         Optional<Integer> served =
                 result.toJavaOptional().map(r -> r.models().get(targetVersion.model()));
         if (result.isLeft()) {
-            thread.schedule(POLL_INTERVAL, this::poll);
+            schedulePoll(POLL_INTERVAL);
             return;
         }
         // The download begins with what is staged, which can be read only once the engine answers.
@@ -155,12 +196,12 @@
         announcer.reported(targetVersion.model(), report, clock.instant());
         recordIncarnation(report);
         if (unansweredOrder.isPresent() && !settleOrder(report)) {
-            thread.schedule(POLL_INTERVAL, this::poll);
+            schedulePoll(POLL_INTERVAL);
             return;
         }
         if (served.isPresent() && served.get() >= targetVersion.number()) {
             recordServing(targetVersion);
-            thread.schedule(SETTLED_POLL_INTERVAL, this::poll);
+            schedulePoll(SETTLED_POLL_INTERVAL);
             return;
         }
         settled = false;
@@ -176,7 +217,7 @@
             StagedVersion version = staged.get();
             verifyAndLoad(version, i -> cachedChunk(version.version(), i), report, true);
         }
-        thread.schedule(POLL_INTERVAL, this::poll);
+        schedulePoll(POLL_INTERVAL);
     }
 
     // Returns whether a newer version waits for the one being fetched, because much of that is
@@ -238,7 +279,10 @@
         }
         Instant now = clock.instant();
         Consumer<VerifiedManifest> take =
-                m -> staged = Optional.of(new StagedVersion(version, m.manifest(), now));
+                m -> {
+                    staged = Optional.of(new StagedVersion(version, m.manifest(), now));
+                    pollSoon();
+                };
         swarm.swarm()
                 .manifest(version.digest(), found -> thread.execute(() -> found.ifPresent(take)));
     }
--- a/src/main/java/org/papayawalk/daemon/swarm/ChunkFetcher.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/ChunkFetcher.java
@@ -31,20 +31,18 @@
     /**
      * Creates a fetcher.
      *
-     * @param transport sends chunk requests to peers
-     * @param origin origin of the weights
+     * @param dependencies peers and origin
      * @param downlink pacer of the chunks received
      * @param clock clock
      * @param work executor for blocking calls
      */
     ChunkFetcher(
-            ChunkTransport transport,
-            Origin origin,
+            SwarmDependencies dependencies,
             LinkPacer downlink,
             InstantSource clock,
             Executor work) {
-        this.transport = transport;
-        this.origin = origin;
+        this.transport = dependencies.transport();
+        this.origin = dependencies.origin();
         this.downlink = downlink;
         this.clock = clock;
         this.work = work;
--- a/src/main/java/org/papayawalk/daemon/swarm/ManifestFetcher.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/ManifestFetcher.java
@@ -42,21 +42,14 @@
      * Creates a fetcher.
      *
      * @param self this host
-     * @param transport sends manifest requests to peers
-     * @param origin origin of the weights
-     * @param parser parses and verifies manifests
+     * @param dependencies peers, origin and parser of manifests
      * @param work executor for blocking calls
      */
-    ManifestFetcher(
-            HostId self,
-            ChunkTransport transport,
-            Origin origin,
-            ManifestParser parser,
-            Executor work) {
-        this.parser = parser;
+    ManifestFetcher(HostId self, SwarmDependencies dependencies, Executor work) {
+        this.parser = dependencies.manifestParser();
         this.self = self;
-        this.transport = transport;
-        this.origin = origin;
+        this.transport = dependencies.transport();
+        this.origin = dependencies.origin();
         this.work = work;
     }
 
--- a/src/main/java/org/papayawalk/daemon/swarm/Swarm.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/Swarm.java
@@ -84,6 +84,9 @@
     /** Sources of the present download, null until it starts. */
     private DownloadTally tally;
 
+    /** Called when a download is complete and published. */
+    private volatile Runnable completionListener = () -> {};
+
     /**
      * Starts the weights thread. No version is wanted at first.
      *
@@ -105,22 +108,14 @@
         this.dependencies = dependencies;
         this.cachedVersion = new CachedVersion(new ChunkCache(settings.chunkMemoryBytes()));
         this.downlink = new LinkPacer(settings.downlinkBytesPerSecond());
-        this.fetcher =
-                new ChunkFetcher(
-                        dependencies.transport(), dependencies.origin(), downlink, clock, work);
+        this.fetcher = new ChunkFetcher(dependencies, downlink, clock, work);
         this.announcer = new AvailabilityAnnouncer(dependencies.transport());
         this.thread = new ControlThread("weights-" + self.host());
         this.pendingQueries = new PendingChunkQueries(thread);
         this.recovery = new StagedChunkRecovery(dependencies.stagingArea(), work, thread);
         this.manifestFetcher =
                 new RetryingManifestFetcher(
-                        new ManifestFetcher(
-                                self.host(),
-                                dependencies.transport(),
-                                dependencies.origin(),
-                                dependencies.manifestParser(),
-                                work),
-                        thread);
+                        new ManifestFetcher(self.host(), dependencies, work), thread);
         this.stagingWriter =
                 new StagingWriter(
                         dependencies.stagingArea(),
@@ -167,6 +162,15 @@
                 });
     }
 
+    /**
+     * Sets what is told of each complete download, after its progress is published.
+     *
+     * @param listener run on the weights thread; must not block
+     */
+    public void onComplete(Runnable listener) {
+        completionListener = listener;
+    }
+
     /**
      * Returns the progress of the wanted version.
      *
@@ -363,10 +367,11 @@
                 () -> current == download,
                 () -> {
                     done.run();
+                    publish("");
                     if (download.isComplete()) {
                         tally.complete(clock.instant());
+                        completionListener.run();
                     }
-                    publish("");
                     tick();
                 });
     }
