Know a manifest some tens of milliseconds earlier

Change: both reads run at once; the first four retries come after 25 ms, and don't count among the attempts before a host may ask the origin itself.

Measured: tests of the swarm, the agents and the origin, 120, pass; the time itself was not played alone.

--- a/src/main/java/org/papayawalk/daemon/managed/weight/ManagedOrigin.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/ManagedOrigin.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.papayawalk.core.Fault;
@@ -23,10 +24,10 @@
 
 /**
  * Client of the origin of weights on the managed platform. The origin may send wrong bytes: a
- * manifest is accepted only if two consecutive reads return the same bytes, and chunks are verified
- * against the manifest after they were received. Each read has a connection of its own, as the
- * origin may send a response once more and that does not tell what it responds to. Only registered
- * versions can be read. Thread-safe; calls block.
+ * manifest is accepted only if two reads return the same bytes, and chunks are verified against the
+ * manifest after they were received. Each read has a connection of its own, as the origin may send
+ * a response once more and that does not tell what it responds to. Only registered versions can be
+ * read. Thread-safe; calls block.
  */
 public final class ManagedOrigin implements Origin, ManifestParser {
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
@@ -67,21 +68,21 @@
             return Either.left(unknownVersion("read-manifest", digest));
         }
         String target = EngineCodec.manifestTarget(version.model(), version.number());
-        return get("read-manifest", target)
+        CompletableFuture<Either<Fault, byte[]>> first = start("read-manifest", target);
+        Either<Fault, byte[]> second = start("read-manifest", target).join();
+        return first.join()
                 .flatMap(
-                        first ->
-                                get("read-manifest", target)
-                                        .filterOrElse(
-                                                second -> Arrays.equals(first, second),
-                                                second ->
-                                                        new Fault(
-                                                                FaultKind.CORRUPT,
-                                                                "read-manifest",
-                                                                "origin",
-                                                                "two consecutive reads of "
-                                                                        + target
-                                                                        + " returned different"
-                                                                        + " bytes")));
+                        f ->
+                                second.filterOrElse(
+                                        s -> Arrays.equals(f, s),
+                                        s ->
+                                                new Fault(
+                                                        FaultKind.CORRUPT,
+                                                        "read-manifest",
+                                                        "origin",
+                                                        "two reads of "
+                                                                + target
+                                                                + " returned different bytes")));
     }
 
     @Override
@@ -90,7 +91,8 @@
         if (version == null) {
             return Either.left(unknownVersion("read-chunk", digest));
         }
-        return get("read-chunk", EngineCodec.chunkTarget(version.model(), version.number(), index));
+        String target = EngineCodec.chunkTarget(version.model(), version.number(), index);
+        return start("read-chunk", target).join();
     }
 
     @Override
@@ -107,7 +109,7 @@
         }
     }
 
-    private Either<Fault, byte[]> get(String step, String target) {
+    private CompletableFuture<Either<Fault, byte[]>> start(String step, String target) {
         String address =
                 snapshot.get()
                         .desired()
@@ -115,16 +117,16 @@
                         .map(OriginSpec::address)
                         .orElse("");
         if (address.isEmpty()) {
-            return Either.left(
-                    new Fault(
-                            FaultKind.REFUSED,
-                            step,
-                            "origin",
-                            "no desired state with an origin address was received yet"));
+            String reason = "no desired state with an origin address was received yet";
+            return CompletableFuture.completedFuture(
+                    Either.left(new Fault(FaultKind.REFUSED, step, "origin", reason)));
         }
-        Either<Fault, AsyncHttpResponse> answer =
-                http.sendOnOwnConnection(AsyncHttpRequest.get(address, target, CALL_TIMEOUT))
-                        .join();
+        return http.sendOnOwnConnection(AsyncHttpRequest.get(address, target, CALL_TIMEOUT))
+                .thenApply(answer -> body(step, address, target, answer));
+    }
+
+    private static Either<Fault, byte[]> body(
+            String step, String address, String target, Either<Fault, AsyncHttpResponse> answer) {
         return answer.filterOrElse(
                         AsyncHttpResponse::isSuccess,
                         a ->
--- a/src/main/java/org/papayawalk/daemon/swarm/ManifestFetcher.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/ManifestFetcher.java
@@ -28,6 +28,9 @@
     /** Number of attempts for each preceding host before this host may ask the origin. */
     private static final int ATTEMPTS_PER_PRECEDING_HOST = 5;
 
+    /** Number of early attempts that do not count among these. */
+    private static final int EARLY_ATTEMPTS = 3;
+
     private final HostId self;
 
     private final ChunkTransport transport;
@@ -69,10 +72,9 @@
         int preceding = own < 0 ? order.size() : own;
         int from = preceding == 0 ? 0 : attempt % preceding;
         int to = Math.min(preceding, from + MAX_PEERS_PER_ATTEMPT);
-        return fetchFrom(
-                digest,
-                order.subList(from, to),
-                preceding * ATTEMPTS_PER_PRECEDING_HOST <= attempt);
+        int attemptsBefore = preceding * ATTEMPTS_PER_PRECEDING_HOST + EARLY_ATTEMPTS;
+        boolean originAllowed = preceding == 0 || attemptsBefore <= attempt;
+        return fetchFrom(digest, order.subList(from, to), originAllowed);
     }
 
     // Returns the relays, or the other hosts, in rendezvous order.
--- a/src/main/java/org/papayawalk/daemon/swarm/RetryingManifestFetcher.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/RetryingManifestFetcher.java
@@ -18,6 +18,11 @@
     /** Delay between a failed attempt and the next one. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(100);
 
+    /** Delay of the first retries, as the first host usually has the manifest soon. */
+    private static final Duration FIRST_RETRY_DELAY = Duration.ofMillis(25);
+
+    private static final int FIRST_RETRIES = 4;
+
     private final ManifestFetcher fetcher;
 
     private final ControlThread thread;
@@ -81,7 +86,7 @@
                                             }
                                             onFailure.accept(result.getLeft().toString());
                                             thread.schedule(
-                                                    RETRY_DELAY,
+                                                    retryDelay(number),
                                                     () ->
                                                             retry(
                                                                     number, digest, peers,
@@ -89,6 +94,10 @@
                                         }));
     }
 
+    private static Duration retryDelay(int number) {
+        return number < FIRST_RETRIES ? FIRST_RETRY_DELAY : RETRY_DELAY;
+    }
+
     private void retry(
             int number,
             Digest digest,
