Leave a chunk to the host that is receiving it

Cause: a host that joins while a copy leaves a slow origin is assigned chunks that others have in flight there; 2 to 6 of 48 left the origin twice, each 44 ms or more of its link.

Change: announcements also tell which chunks a host is receiving from the origin, and others leave these to it for a second (PeerFetches).

--- a/src/main/java/org/papayawalk/core/weight/ChunkPlanner.java
+++ b/src/main/java/org/papayawalk/core/weight/ChunkPlanner.java
@@ -34,6 +34,26 @@
      */
     void updateAvailability(HostId peer, BitSet chunks);
 
+    /**
+     * Replaces the set of chunks that a peer is receiving from the origin.
+     *
+     * @param peer host that reported them
+     * @param chunks indexes of the chunks
+     * @param now present time
+     */
+    default void updateFetches(HostId peer, BitSet chunks, Instant now) {
+        // Most planners do not share an origin with their peers.
+    }
+
+    /**
+     * Returns the chunks that this host is receiving from the origin.
+     *
+     * @return indexes of the chunks
+     */
+    default BitSet fetches() {
+        return new BitSet();
+    }
+
     /**
      * Chooses the requests to send now. Each one counts as in flight until {@link #recordResult}.
      *
--- a/src/main/java/org/papayawalk/core/weight/InFlightRequests.java
+++ b/src/main/java/org/papayawalk/core/weight/InFlightRequests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -106,6 +107,22 @@
         return requests.keySet();
     }
 
+    /**
+     * Returns the chunks that are requested from the origin.
+     *
+     * @return indexes
+     */
+    BitSet originIndexes() {
+        BitSet indexes = new BitSet();
+        requests.forEach(
+                (index, list) -> {
+                    if (list.stream().anyMatch(r -> r.source().isOrigin())) {
+                        indexes.set(index);
+                    }
+                });
+        return indexes;
+    }
+
     /**
      * Returns the number of requests in flight.
      *
--- a/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
+++ b/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
@@ -70,6 +70,8 @@
     /** Busy replies of hosts without any chunk since the last other reply, by chunk index. */
     private final Map<Integer, Integer> busyReplies = new HashMap<>();
 
+    private final PeerFetches peerFetches = new PeerFetches();
+
     private final FetchSchedule schedule;
 
     private final OriginBackoff originBackoff = new OriginBackoff();
@@ -123,7 +125,9 @@
         fallbackOrder =
                 new FallbackOrder(self, region, settings.originRegion(), digest.value(), peers);
         schedule.updateRanks(fallbackOrder);
-        availability.retainPeers(peers.stream().map(SwarmPeer::host).toList());
+        List<HostId> present = peers.stream().map(SwarmPeer::host).toList();
+        availability.retainPeers(present);
+        peerFetches.retainPeers(present);
         if (extraOriginChunks < 0 && !peers.isEmpty()) {
             boolean time = settings.policy() == DistributionPolicy.TIME;
             extraOriginChunks = time ? chunkCount / (peers.size() + 1) : 0;
@@ -146,6 +150,16 @@
         }
     }
 
+    @Override
+    public void updateFetches(HostId peer, BitSet chunks, Instant now) {
+        peerFetches.update(peer, chunks, now);
+    }
+
+    @Override
+    public BitSet fetches() {
+        return inFlight.originIndexes();
+    }
+
     @Override
     public List<FetchRequest> nextRequests(Instant now) {
         List<FetchRequest> requests = new ArrayList<>();
@@ -282,7 +296,9 @@
         return new FetchRequest(best, new ChunkSource(availability.leastLoaded(best, now, random)));
     }
 
-    // Chooses a chunk that no peer offers and that is due along its fallback order, or null; among
+    // Chooses a chunk that no peer offers or is receiving, and that is due along its fallback
+    // order,
+    // or null; among
     // the chunks assigned to this host, or among the others. Prefers sources that hold the chunk
     // for sure: the origin, or a remote host that reported it.
     private FetchRequest chooseFallback(Instant now, boolean assigned) {
@@ -292,7 +308,7 @@
             int i = (start + k) % chunkCount;
             boolean idle = !held.get(i) && !inFlight.isRequested(i);
             boolean due = assigned == schedule.isAssigned(i) && schedule.isDue(i, now);
-            if (!due || !idle || availability.isOffered(i, now)) {
+            if (!due || !idle || availability.isOffered(i, now) || peerFetches.includes(i, now)) {
                 continue;
             }
             FetchRequest request = nextFallback(i, now);
--- a/src/main/java/org/papayawalk/daemon/managed/weight/ManagedSwarm.java
+++ b/src/main/java/org/papayawalk/daemon/managed/weight/ManagedSwarm.java
@@ -196,7 +196,8 @@
                     swarm.updateAvailability(
                             new HostId(a.getHost()),
                             a.getDigestPrefix(),
-                            BitSet.valueOf(a.getBitmap().toByteArray()));
+                            BitSet.valueOf(a.getBitmap().toByteArray()),
+                            BitSet.valueOf(a.getFetching().toByteArray()));
                 } else if (message.hasChunkRequest() || message.hasManifestRequest()) {
                     server.handle(message, from);
                 }
--- a/src/main/java/org/papayawalk/daemon/standalone/agent/AgentRole.java
+++ b/src/main/java/org/papayawalk/daemon/standalone/agent/AgentRole.java
@@ -170,7 +170,10 @@
                 var announcement = message.getChunkAvailability();
                 BitSet held = BitSet.valueOf(announcement.getBitmap().toByteArray());
                 swarm.updateAvailability(
-                        new HostId(announcement.getHost()), announcement.getDigestPrefix(), held);
+                        new HostId(announcement.getHost()),
+                        announcement.getDigestPrefix(),
+                        held,
+                        BitSet.valueOf(announcement.getFetching().toByteArray()));
             }
             default ->
                     Event.named("message-ignored")
--- a/src/main/java/org/papayawalk/daemon/swarm/AvailabilityAnnouncer.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/AvailabilityAnnouncer.java
@@ -40,6 +40,8 @@
 
     private BitSet lastAnnounced = new BitSet();
 
+    private BitSet lastFetches = new BitSet();
+
     private Instant lastAnnouncedAt = Instant.MIN;
 
     /**
@@ -62,26 +64,44 @@
         return contacts.put(peer, now) == null;
     }
 
+    /**
+     * Records an announcement of a peer, and answers that of a new contact.
+     *
+     * @param peer peer that announced its chunks
+     * @param digest digest of the manifest
+     * @param held indexes of the chunks held
+     * @param fetches indexes of the chunks that are being received from the origin
+     * @param now present time
+     */
+    void answer(HostId peer, Digest digest, BitSet held, BitSet fetches, Instant now) {
+        if (recordContact(peer, now)) {
+            transport.announceChunks(peer, digest, held, fetches);
+        }
+    }
+
     /**
      * Sends announcements to neighbors and contacts if the interval since the last ones has passed.
      *
      * @param digest digest of the manifest
      * @param held indexes of the chunks held
+     * @param fetches indexes of the chunks that are being received from the origin
      * @param neighbors neighbors in the swarm
      * @param now present time
      */
-    void announceIfDue(Digest digest, BitSet held, Collection<HostId> neighbors, Instant now) {
+    void announceIfDue(
+            Digest digest, BitSet held, BitSet fetches, Collection<HostId> neighbors, Instant now) {
         contacts.values().removeIf(t -> t.plus(CONTACT_TTL).isBefore(now));
         Set<HostId> targets = new LinkedHashSet<>(neighbors);
         targets.addAll(contacts.keySet());
-        Duration pause =
-                held.equals(lastAnnounced) ? REFRESH_INTERVAL : interval(held, targets.size());
+        boolean unchanged = held.equals(lastAnnounced) && fetches.equals(lastFetches);
+        Duration pause = unchanged ? REFRESH_INTERVAL : interval(held, targets.size());
         if (lastAnnouncedAt.plus(pause).isAfter(now)) {
             return;
         }
         lastAnnounced = held;
+        lastFetches = fetches;
         lastAnnouncedAt = now;
-        targets.forEach(t -> transport.announceChunks(t, digest, held));
+        targets.forEach(t -> transport.announceChunks(t, digest, held, fetches));
     }
 
     // Returns the interval that keeps announcements within their bandwidth limit.
--- a/src/main/java/org/papayawalk/daemon/swarm/ChunkTransport.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/ChunkTransport.java
@@ -37,6 +37,7 @@
      * @param peer peer to send the announcement to
      * @param digest digest of the manifest
      * @param held indexes of the chunks held by this host
+     * @param fetches indexes of the chunks that it is receiving from the origin
      */
-    void announceChunks(HostId peer, Digest digest, BitSet held);
+    void announceChunks(HostId peer, Digest digest, BitSet held, BitSet fetches);
 }
--- a/src/main/java/org/papayawalk/daemon/swarm/Swarm.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/Swarm.java
@@ -196,19 +196,19 @@
      * @param peer peer that sent the announcement
      * @param digestPrefix first digits of the digest of the manifest
      * @param peerHeld indexes of the chunks that the peer holds
+     * @param peerFetches indexes of the chunks that it is receiving from the origin
      */
-    public void updateAvailability(HostId peer, String digestPrefix, BitSet peerHeld) {
+    public void updateAvailability(
+            HostId peer, String digestPrefix, BitSet peerHeld, BitSet peerFetches) {
         thread.execute(
                 () -> {
                     if (!wantedDigest.shortText().equals(digestPrefix) || download == null) {
                         return;
                     }
                     download.updateAvailability(peer, peerHeld);
-                    if (announcer.recordContact(peer, clock.instant())) {
-                        dependencies
-                                .transport()
-                                .announceChunks(peer, wantedDigest, cachedVersion.cachedChunks());
-                    }
+                    download.updateFetches(peer, peerFetches, clock.instant());
+                    BitSet held = cachedVersion.cachedChunks();
+                    announcer.answer(peer, wantedDigest, held, download.fetches(), clock.instant());
                 });
     }
 
@@ -279,8 +279,8 @@
                                 thread.schedule(delay, () -> onFetched(r, response, current)));
             }
         }
-        announcer.announceIfDue(
-                wantedDigest, cachedVersion.cachedChunks(), download.neighbors(), now);
+        BitSet held = cachedVersion.cachedChunks();
+        announcer.announceIfDue(wantedDigest, held, download.fetches(), download.neighbors(), now);
     }
 
     private void fetchManifest() {
--- a/src/main/java/org/papayawalk/daemon/swarm/WireChunkTransport.java
+++ b/src/main/java/org/papayawalk/daemon/swarm/WireChunkTransport.java
@@ -104,12 +104,13 @@
     }
 
     @Override
-    public void announceChunks(HostId peer, Digest digest, BitSet held) {
+    public void announceChunks(HostId peer, Digest digest, BitSet held, BitSet fetches) {
         ChunkAvailability availability =
                 ChunkAvailability.newBuilder()
                         .setHost(self.value())
                         .setDigestPrefix(digest.shortText())
                         .setBitmap(ByteString.copyFrom(held.toByteArray()))
+                        .setFetching(ByteString.copyFrom(fetches.toByteArray()))
                         .build();
         Envelope message = Envelope.newBuilder().setChunkAvailability(availability).build();
         addresses.apply(peer).ifPresent(a -> client.sendOneWay(a, TrafficClass.LIVE, message));
--- a/src/main/java/org/papayawalk/lab/burst/BurstTransport.java
+++ b/src/main/java/org/papayawalk/lab/burst/BurstTransport.java
@@ -103,9 +103,9 @@
     }
 
     @Override
-    public void announceChunks(HostId peer, Digest digest, BitSet held) {
+    public void announceChunks(HostId peer, Digest digest, BitSet held, BitSet fetches) {
         if (!isStalled(peer)) {
-            delegate.announceChunks(peer, digest, held);
+            delegate.announceChunks(peer, digest, held, fetches);
         }
     }
 
--- a/src/test/java/org/papayawalk/core/weight/SlowOriginEmulation.java
+++ b/src/test/java/org/papayawalk/core/weight/SlowOriginEmulation.java
@@ -197,10 +197,15 @@
         if (now % ANNOUNCE_MILLIS < TICK_MILLIS) {
             relays.stream()
                     .filter(r -> r.planner != null && r != relay)
-                    .forEach(r -> r.planner.updateAvailability(relay.host, relay.held));
+                    .forEach(r -> announce(relay, r, now));
         }
     }
 
+    private static void announce(Relay from, Relay to, int now) {
+        to.planner.updateAvailability(from.host, from.held);
+        to.planner.updateFetches(from.host, from.planner.fetches(), at(now));
+    }
+
     private Call call(Relay relay, FetchRequest request, int now) {
         if (!request.source().isOrigin()) {
             return new Call(relay, request, now + PEER_MILLIS, false);
--- a/src/test/java/org/papayawalk/core/weight/SlowOriginTest.java
+++ b/src/test/java/org/papayawalk/core/weight/SlowOriginTest.java
@@ -57,6 +57,19 @@
         assertTrue(emulation.copiesSent() <= MAX_COPIES, emulation.copiesSent() + " copies");
     }
 
+    /**
+     * A fetcher that joins leaves what others are receiving to these.
+     *
+     * @param seed seed of the emulation
+     * @param joinsLate whether a fetcher starts after the version was requested
+     */
+    @Test(dataProvider = "plays")
+    public void noChunkLeavesTheOriginTwice(int seed, boolean joinsLate) {
+        SlowOriginEmulation emulation = new SlowOriginEmulation(seed, joinsLate);
+        emulation.play();
+        assertEquals(emulation.copiesSent(), 1.0);
+    }
+
     /**
      * An origin that comes back is met at once: its absence adds no more to the time of a copy than
      * it lasts.
--- a/src/test/java/org/papayawalk/daemon/swarm/SwarmSuccessiveVersionsTest.java
+++ b/src/test/java/org/papayawalk/daemon/swarm/SwarmSuccessiveVersionsTest.java
@@ -102,7 +102,7 @@
         }
 
         @Override
-        public void announceChunks(HostId peer, Digest digest, BitSet held) {
+        public void announceChunks(HostId peer, Digest digest, BitSet held, BitSet fetches) {
             // Nobody listens.
         }
     }
