Say which regions are small in the rounds only

The number of entries up to which rounds reach any region no longer decides on sources; a comment of SwarmPlanner is set in lines again. No change of behaviour.

--- a/src/main/java/org/papayawalk/core/upstream/QueryRound.java
+++ b/src/main/java/org/papayawalk/core/upstream/QueryRound.java
@@ -12,8 +12,8 @@
  * between regions a second time. Stateless; thread-safe.
  */
 public final class QueryRound {
-    /** Number of entries of a region up to which each follows the store and queries any entry. */
-    public static final int SMALL_REGION = 3;
+    /** Number of entries of a region up to which each queries entries of any region. */
+    private static final int SMALL_REGION = 3;
 
     // Entries queried in a round.
     private static final int FANOUT = 2;
--- a/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
+++ b/src/main/java/org/papayawalk/core/weight/SwarmPlanner.java
@@ -296,11 +296,9 @@
         return new FetchRequest(best, new ChunkSource(availability.leastLoaded(best, now, random)));
     }
 
-    // Chooses a chunk that no peer offers or is receiving, and that is due along its fallback
-    // order,
-    // or null; among
-    // the chunks assigned to this host, or among the others. Prefers sources that hold the chunk
-    // for sure: the origin, or a remote host that reported it.
+    // Chooses a chunk that no peer offers or receives, and that is due along its fallback order, or
+    // null; among the chunks assigned to this host, or among the others. Prefers sources that hold
+    // the chunk for sure: the origin, or a remote host that reported it.
     private FetchRequest chooseFallback(Instant now, boolean assigned) {
         int start = settings.relay() ? 0 : random.nextInt(chunkCount);
         FetchRequest unconfirmed = null;
