Ask entries of other regions for rows only without the store

Change: in such regions too, rows are asked for in the own region, and elsewhere only while the store doesn't answer.

--- a/src/main/java/org/papayawalk/core/upstream/QueryRound.java
+++ b/src/main/java/org/papayawalk/core/upstream/QueryRound.java
@@ -9,7 +9,7 @@
  * Chooses the entries that an entry queries in one round of exchange. In a region of several
  * entries most queries stay there. One that goes to another region asks for table rows only while
  * the entry is not in contact with the store, which has them all; so rows do not cross links
- * between regions a second time. Stateless; thread-safe.
+ * between regions a second time, also not to small regions. Stateless; thread-safe.
  */
 public final class QueryRound {
     /** Number of entries of a region up to which each queries entries of any region. */
@@ -50,7 +50,9 @@
         if (own.size() < SMALL_REGION) {
             List<String> any = new ArrayList<>(own);
             any.addAll(others);
-            return pick(any, FANOUT, true, random);
+            return pick(any, FANOUT, true, random).stream()
+                    .map(q -> new Query(q.target(), !inContact || own.contains(q.target())))
+                    .toList();
         }
         boolean visit = round % ROUNDS_PER_VISIT == 0 && !others.isEmpty();
         List<Query> queries = new ArrayList<>(pick(own, visit ? FANOUT - 1 : FANOUT, true, random));
--- a/src/test/java/org/papayawalk/core/upstream/StateFeedEmulationTest.java
+++ b/src/test/java/org/papayawalk/core/upstream/StateFeedEmulationTest.java
@@ -55,6 +55,19 @@
         assertTrue(after.storeCalls() <= before.storeCalls(), figures);
     }
 
+    /** A frequently changed document crosses the link to each small region about once. */
+    @Test
+    public void oneCopyCrossesToEachSmallRegion() {
+        StateFeedEmulator e =
+                new StateFeedEmulator(FeedDesign.SOURCES, SMALL_REGIONS, CONTACT, BOUNDS.get(1), 1);
+        e.change(START, END, OFTEN);
+        e.run(END + 2 * BOUNDS.get(1));
+        double copies = (double) e.linkBytes() / e.changes() / EmulatedStore.ANSWER_BYTES;
+        int regionsAway = SMALL_REGIONS.size() - 1;
+        assertTrue(copies <= 1.25 * regionsAway, copies + " copies, " + figures(e));
+        assertEquals(e.late(), List.of());
+    }
+
     /** No trouble of other entries delays a change at an entry in touch beyond the bound. */
     @Test
     public void changesAreInTimeInAnyTrouble() {
