Read load reports with more figures than three

Cause: servers that share their hosts state a fourth figure in their load report, how long work takes there now. The entry kept a report only with exactly three, and lost it whole, so placement knew its own requests alone.

Change: further figures are ignored, and the fourth is the pace of the host: work at an upstream counts that many times in its score. A figure that is odd, under 1 or over 10,000 counts as not stated. Without a fourth figure the score is the same as before.

HeaderCodecTest (16 texts of the header) passes.

--- a/src/main/java/org/papayawalk/core/place/LeastLoaded.java
+++ b/src/main/java/org/papayawalk/core/place/LeastLoaded.java
@@ -18,7 +18,8 @@
  * <p>The score of an upstream is its in-flight requests plus a cost for prompts in prefill, a
  * penalty for distance, a penalty for failures and a random tie-break, divided by its slots. The
  * speed of an engine hardly depends on the number of responses that it generates, but each prefill
- * delays the first token of the next request.
+ * delays the first token of the next request. Where work takes longer than usual, the requests
+ * count that many times, and the prompt of the next one adds what it takes longer.
  *
  * <p>The sample avoids herding: entries with the same stale load reports would otherwise all choose
  * the same upstream at the same time. The queue is short because a request that waits at an
@@ -86,9 +87,13 @@
 
     // Returns the load for each slot; the lowest score is chosen.
     private double score(PlacementCandidate candidate, Instant now) {
-        double load =
+        double pace = candidate.load().pace(now);
+        double work =
                 candidate.load().expectedInFlight(now)
-                        + candidate.load().pendingPrefill() * policy.prefillCostSlots()
+                        + candidate.load().pendingPrefill() * policy.prefillCostSlots();
+        double load =
+                work * pace
+                        + (pace - 1) * policy.prefillCostSlots()
                         + distancePenaltySlots.applyAsDouble(candidate)
                         + candidate.load().failureRate() * policy.failurePenaltySlots()
                         + random.nextDouble() * policy.maxJitterSlots();
--- a/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
+++ b/src/main/java/org/papayawalk/core/place/UpstreamLoad.java
@@ -46,6 +46,11 @@
     /** When the last load report was received. */
     private Instant reportedAt = Instant.MIN;
 
+    private final ReportedPace pace = new ReportedPace();
+
+    /** Whether a load report has stated another pace than the usual one. */
+    private boolean paced;
+
     private int consecutiveFailures;
     private int consecutiveRefusals;
 
@@ -112,6 +117,27 @@
         otherInFlight = Math.max(0, load.total() - ownInFlight);
         unreported = 0;
         reportedAt = now;
+        pace.reported(load.pacePercent(), now);
+        paced |= load.pacePercent() != ReportedLoad.USUAL_PACE_PERCENT;
+    }
+
+    /**
+     * Returns how long work is expected to take at the upstream.
+     *
+     * @param now present time
+     * @return multiple of the usual time, 1 unless the upstream states another pace
+     */
+    public double pace(Instant now) {
+        return pace.at(now);
+    }
+
+    /**
+     * Returns whether the upstream shares its host with others.
+     *
+     * @return true once a load report has stated another pace than the usual one
+     */
+    public boolean isPaced() {
+        return paced;
     }
 
     /** Records the start of a response that carries no load report. */
--- a/src/main/java/org/papayawalk/platform/HeaderCodec.java
+++ b/src/main/java/org/papayawalk/platform/HeaderCodec.java
@@ -68,7 +68,10 @@
     /** Present if the server did not execute the request. */
     private static final String NOT_EXECUTED = "X-Not-Executed";
 
-    /** Load of the server: running requests, waiting requests, slots, separated by commas. */
+    /**
+     * Load of the server: running requests, waiting requests, slots and, from some servers, how
+     * long work takes there in percent of the usual time, separated by commas.
+     */
     private static final String LOAD = "X-Server-Load";
 
     /** Requests per second, a decimal number, that the server takes from all machines together. */
@@ -112,6 +115,16 @@
     /** Blanks that do not belong to the value of a header. */
     private static final Pattern SURROUNDING_BLANKS = Pattern.compile("^[ \\t]+|[ \\t]+$");
 
+    /** Three whole numbers, whatever follows behind a comma. */
+    private static final Pattern LOAD_FORMAT =
+            Pattern.compile(" *[0-9]{1,9} *, *[0-9]{1,9} *, *[0-9]{1,9} *(,.*)?");
+
+    /** Figures that every load report has. */
+    private static final int LOAD_FIGURES = 3;
+
+    /** Slower paces, in percent of the usual time, do not count. */
+    private static final int MAX_PACE = 10_000;
+
     private static final Pattern PROMPT_PART = Pattern.compile("([0-9A-Fa-f]{1,64}):[0-9]{1,9}");
 
     private HeaderCodec() {}
@@ -152,15 +165,12 @@
      * @return metadata stated by the upstream
      */
     public static ResponseMetadata responseMetadata(HttpHeaders headers) {
-        int[] load = parseNumbers(headers.get(LOAD));
         int[] version = parseNumbers(headers.get(WEIGHT_VERSION));
         return new ResponseMetadata(
                 singleValue(headers.getAll(REQUEST_ID)),
                 headers.contains(NOT_EXECUTED),
                 headers.contains(SERVER_STAMP),
-                load.length == 3
-                        ? Optional.of(new ReportedLoad(load[0], load[1], load[2]))
-                        : Optional.empty(),
+                load(headers.get(LOAD)),
                 decimal(headers.get(LIMIT)),
                 headers.contains(LEAVING, YES, false),
                 retryAfter(headers.get(RETRY_AFTER)),
@@ -258,6 +268,28 @@
                 : Optional.empty();
     }
 
+    // Decodes a load report; the header may be null. A report with further figures is one of a
+    // server that says more than is known here.
+    private static Optional<ReportedLoad> load(String text) {
+        if (text == null || !LOAD_FORMAT.matcher(text).matches()) {
+            return Optional.empty();
+        }
+        String[] figures = text.split(",");
+        int[] load = new int[LOAD_FIGURES];
+        for (int i = 0; i < LOAD_FIGURES; i++) {
+            load[i] = Integer.parseInt(figures[i].strip());
+        }
+        OptionalDouble pace =
+                figures.length > LOAD_FIGURES
+                        ? decimal(figures[LOAD_FIGURES])
+                        : OptionalDouble.empty();
+        int percent =
+                pace.isPresent() && pace.getAsDouble() >= 1 && pace.getAsDouble() <= MAX_PACE
+                        ? (int) Math.round(pace.getAsDouble())
+                        : ReportedLoad.USUAL_PACE_PERCENT;
+        return Optional.of(new ReportedLoad(load[0], load[1], load[2], percent));
+    }
+
     private static OptionalLong millis(String text) {
         int[] numbers = parseNumbers(text);
         return numbers.length == 1 ? OptionalLong.of(numbers[0]) : OptionalLong.empty();
--- a/src/test/java/org/papayawalk/platform/HeaderCodecTest.java
+++ b/src/test/java/org/papayawalk/platform/HeaderCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.papayawalk.core.call.ReportedLoad;
 import org.papayawalk.core.id.PromptPartId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -56,6 +57,54 @@
         assertEquals(limit.orElse(-1), perSecond);
     }
 
+    /**
+     * Returns texts of the header with the loads that they state.
+     *
+     * @return rows of text, requests running and waiting, and pace; -1 if the text states none
+     */
+    @DataProvider
+    public Object[][] loads() {
+        return new Object[][] {
+            {"3,0,8", 3, 0, 100},
+            {" 3 , 1 , 8 ", 3, 1, 100},
+            {"3,0,8,250", 3, 0, 250},
+            {"3,0,8, 99.6 ", 3, 0, 100},
+            {"3,0,8,250,7,x", 3, 0, 250},
+            {"3,0,8,", 3, 0, 100},
+            {"3,0,8,0", 3, 0, 100},
+            {"3,0,8,-5", 3, 0, 100},
+            {"3,0,8,99999999999", 3, 0, 100},
+            {"3,0,8,NaN", 3, 0, 100},
+            {"3,0,8;250", -1, -1, -1},
+            {"3,0", -1, -1, -1},
+            {"3,,8,100", -1, -1, -1},
+            {"-3,0,8", -1, -1, -1},
+            {"3,0,9999999999", -1, -1, -1},
+            {"", -1, -1, -1},
+        };
+    }
+
+    /**
+     * Decodes a load report; what is odd behind the first three figures counts as not stated.
+     *
+     * @param text text of the header
+     * @param running requests running, -1 if the text is no load report
+     * @param waiting requests waiting
+     * @param pace pace in percent
+     */
+    @Test(dataProvider = "loads")
+    public void loadIsDecoded(String text, int running, int waiting, int pace) {
+        Optional<ReportedLoad> load =
+                HeaderCodec.responseMetadata(
+                                new DefaultHttpHeaders(false).set("X-Server-Load", text))
+                        .load();
+        assertEquals(
+                load,
+                running < 0
+                        ? Optional.empty()
+                        : Optional.of(new ReportedLoad(running, waiting, 8, pace)));
+    }
+
     /**
      * Returns texts of the header with the delays that they state.
      *
