--- a/src/main/java/org/papayawalk/core/desired/AuthorizedRequest.java
+++ b/src/main/java/org/papayawalk/core/desired/AuthorizedRequest.java
@@ -24,4 +24,13 @@
                 .map(OptionalInt::getAsInt)
                 .orElse(route.priority());
     }
+
+    /**
+     * Returns where the request may be served.
+     *
+     * @return regions that both the route and the team allow
+     */
+    public Homes homes() {
+        return caller.map(c -> c.homes().and(route.homes())).orElse(route.homes());
+    }
 }
--- a/src/main/java/org/papayawalk/core/desired/DesiredState.java
+++ b/src/main/java/org/papayawalk/core/desired/DesiredState.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.papayawalk.core.id.ServiceId;
 
 /**
@@ -40,6 +41,18 @@
         return Optional.ofNullable(services.get(service)).flatMap(ServiceSpec::engine);
     }
 
+    /**
+     * Returns how many requests an upstream of a service takes while it is cold.
+     *
+     * @param service name of the service
+     * @return requests per second from all machines together, empty if it takes as many as any
+     *     other
+     */
+    public OptionalDouble coldPerSecond(ServiceId service) {
+        ServiceSpec spec = services.get(service);
+        return spec == null ? OptionalDouble.empty() : spec.coldPerSecond();
+    }
+
     /**
      * Returns the server that weights are downloaded from.
      *
--- a/src/main/java/org/papayawalk/core/desired/RequestAuthorizer.java
+++ b/src/main/java/org/papayawalk/core/desired/RequestAuthorizer.java
@@ -34,4 +34,22 @@
         return Either.right(
                 new AuthorizedRequest(route.get(), caller, route.get().chooseService(random)));
     }
+
+    /**
+     * Returns where a request may be served.
+     *
+     * @param desired desired state in force
+     * @param host value of the Host header, may be null
+     * @param target request target: path and query
+     * @param key API key of the request, empty if it carries none
+     * @return regions that both its route and its team allow, as far as the desired state has these
+     */
+    public static Homes homes(
+            DesiredState desired, String host, String target, Optional<String> key) {
+        Homes ofRoute =
+                desired.routes().find(host, target).map(RouteRule::homes).orElse(Homes.ANYWHERE);
+        return key.map(desired.callersByKey()::get)
+                .map(c -> c.homes().and(ofRoute))
+                .orElse(ofRoute);
+    }
 }
--- a/src/main/java/org/papayawalk/core/desired/RouteRule.java
+++ b/src/main/java/org/papayawalk/core/desired/RouteRule.java
@@ -18,6 +18,7 @@
  * @param maxAttempts maximum number of upstreams that one request is sent to, at least 1
  * @param allowsAnonymous whether requests need no API key
  * @param resumable whether another upstream may resume an interrupted stream
+ * @param homes regions in which the requests may be served
  */
 public record RouteRule(
         String name,
@@ -30,7 +31,8 @@
         List<TrafficShare> shares,
         int maxAttempts,
         boolean allowsAnonymous,
-        boolean resumable) {
+        boolean resumable,
+        Homes homes) {
 
     /**
      * Copies the shares.
@@ -45,6 +47,48 @@
         }
     }
 
+    /**
+     * Creates a rule whose requests may be served in every region.
+     *
+     * @param name see the component
+     * @param host see the component
+     * @param prefix see the component
+     * @param kind see the component
+     * @param timeout see the component
+     * @param targetLatency see the component
+     * @param priority see the component
+     * @param shares see the component
+     * @param maxAttempts see the component
+     * @param allowsAnonymous see the component
+     * @param resumable see the component
+     */
+    public RouteRule(
+            String name,
+            String host,
+            String prefix,
+            RequestKind kind,
+            Duration timeout,
+            Duration targetLatency,
+            int priority,
+            List<TrafficShare> shares,
+            int maxAttempts,
+            boolean allowsAnonymous,
+            boolean resumable) {
+        this(
+                name,
+                host,
+                prefix,
+                kind,
+                timeout,
+                targetLatency,
+                priority,
+                shares,
+                maxAttempts,
+                allowsAnonymous,
+                resumable,
+                Homes.ANYWHERE);
+    }
+
     /**
      * Returns whether a request may run more than once.
      *
--- a/src/main/java/org/papayawalk/core/limit/LimitShare.java
+++ b/src/main/java/org/papayawalk/core/limit/LimitShare.java
@@ -41,6 +41,20 @@
         return new LimitShare(sharers, rank, Duration.ofNanos((long) nanos), ahead / sharers);
     }
 
+    /**
+     * Computes the share of an entry in a limit that holds for each second, so that nothing may be
+     * ahead of the pace. In any second the sharers send as many requests as the limit and one each.
+     *
+     * @param perSecond limit in requests per second, above 0
+     * @param rank rank of the entry for the upstream, 0 for the first
+     * @param sharers number of entries that share the limit, at least 1
+     * @return share
+     */
+    public static LimitShare strict(double perSecond, int rank, int sharers) {
+        double nanos = Math.min(sharers / perSecond * NANOS_PER_SECOND, Long.MAX_VALUE / 2);
+        return new LimitShare(sharers, rank, Duration.ofNanos((long) nanos), 1);
+    }
+
     /**
      * Returns whether the entry sends requests to the upstream.
      *
--- a/src/main/java/org/papayawalk/core/place/SharedEngines.java
+++ b/src/main/java/org/papayawalk/core/place/SharedEngines.java
@@ -3,13 +3,10 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
-import org.papayawalk.core.RendezvousHash;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.UpstreamId;
 
@@ -29,15 +26,7 @@
 
     private final int entriesPerEngine;
 
-    private final HostId self;
-
-    private final Supplier<Set<HostId>> otherEntries;
-
-    /** Other entries for which the ranks were computed. */
-    private Set<HostId> rankedAmong = Set.of();
-
-    /** Number of entries that precede this one for an engine. */
-    private final Map<UpstreamId, Integer> ranks = new HashMap<>();
+    private final RendezvousRanks ranks;
 
     /**
      * Creates a rule.
@@ -54,22 +43,18 @@
             Supplier<Set<HostId>> otherEntries) {
         this.rule = rule;
         this.entriesPerEngine = entriesPerEngine;
-        this.self = self;
-        this.otherEntries = otherEntries;
+        this.ranks = new RendezvousRanks(self, otherEntries);
     }
 
     @Override
     public Optional<PlacementCandidate> choose(
             Collection<PlacementCandidate> candidates, Set<UpstreamId> tried, Instant now) {
-        Set<HostId> others = otherEntries.get();
-        if (others.size() < entriesPerEngine) {
+        int entries = ranks.entries();
+        if (entries <= entriesPerEngine) {
             return rule.choose(candidates, tried, now);
         }
-        updateRanks(others, candidates);
         List<PlacementCandidate> own =
-                own(candidates, others.size() + 1).stream()
-                        .filter(c -> c.load().isSelectable(now))
-                        .toList();
+                own(candidates, entries).stream().filter(c -> c.load().isSelectable(now)).toList();
         boolean usable = own.stream().anyMatch(c -> !tried.contains(c.upstream().id()));
         return rule.choose(usable ? own : candidates, tried, now);
     }
@@ -88,20 +73,6 @@
     }
 
     private int rank(PlacementCandidate engine) {
-        return ranks.get(engine.upstream().id());
-    }
-
-    private void updateRanks(Set<HostId> others, Collection<PlacementCandidate> engines) {
-        if (!others.equals(rankedAmong)) {
-            rankedAmong = Set.copyOf(others);
-            ranks.clear();
-        }
-        if (ranks.size() > 2 * engines.size()) {
-            ranks.clear();
-        }
-        for (PlacementCandidate c : engines) {
-            UpstreamId id = c.upstream().id();
-            ranks.computeIfAbsent(id, i -> RendezvousHash.rank(self, others, i.value()));
-        }
+        return ranks.rank(engine.upstream().id());
     }
 }
--- a/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
+++ b/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
@@ -11,6 +11,7 @@
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.RegionId;
 import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.limit.ColdBound;
 
 /**
  * Settings of one process on a host of the managed platform. Immutable.
@@ -117,6 +118,7 @@
      * @param retryRatio retries allowed for each request, over all daemons
      * @param retrySlack retries allowed in addition, over all daemons in one window
      * @param retryWindow length of the sliding window of the retry budget
+     * @param coldBound bound of the requests to cold upstreams
      */
     public record OperatorLimits(
             Duration maxStaleness,
@@ -125,5 +127,6 @@
             Duration versionDeadline,
             double retryRatio,
             double retrySlack,
-            Duration retryWindow) {}
+            Duration retryWindow,
+            ColdBound coldBound) {}
 }
--- a/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
+++ b/src/main/java/org/papayawalk/daemon/managed/ManagedNode.java
@@ -9,12 +9,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.stream.Collectors;
 import org.papayawalk.core.Addresses;
 import org.papayawalk.core.MonotonicClock;
 import org.papayawalk.core.id.DomainId;
-import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.upstream.EngineNotice;
 import org.papayawalk.core.upstream.FeedRole;
@@ -79,11 +76,7 @@
     // Control addresses of some entries, by the settings read last.
     private volatile List<String> seeds;
 
-    // Failure domain by address, without this daemon. Immutable; replaced on the control thread.
-    private volatile Map<String, DomainId> liveEntries = Map.of();
-
-    // Hosts of the live entries. Immutable; replaced on the control thread.
-    private volatile Set<HostId> otherEntries = Set.of();
+    private final LiveEntries liveEntries;
 
     /**
      * Creates a node that does not listen or send anything yet.
@@ -94,6 +87,7 @@
         this.settings = settings;
         this.seeds = settings.seeds();
         directory = new EntryDirectory(settings.peerAddress());
+        liveEntries = new LiveEntries(directory, settings.domain());
         registry = new EntryRegistry(settings, http, storeCalls, directory, thread, clock);
         lastEntryReplyAt = clock.instant();
         ManagedSettings.OperatorLimits limits = settings.limits();
@@ -246,31 +240,30 @@
     }
 
     /**
-     * Returns the hosts of the other live entries, see {@link #liveEntries()}.
+     * Returns the other entries that this daemon knows of.
      *
-     * @return hosts by their IP addresses, refreshed every 500 ms
+     * @return entries, refreshed every 500 ms
      */
-    public Set<HostId> otherEntries() {
-        return otherEntries;
+    public LiveEntries entries() {
+        return liveEntries;
     }
 
     /**
-     * Returns the number of live entries, this daemon included. Meaningful on an entry only.
+     * Returns the addresses of the other entries that this daemon knows of.
      *
-     * @return at least 1
+     * @return failure domain by address, refreshed every 500 ms
      */
-    public int entryCount() {
-        return liveEntries.size() + 1;
+    public Map<String, DomainId> liveEntries() {
+        return liveEntries.byAddress();
     }
 
     /**
-     * Returns the other entries that this daemon was in contact with, or that a peer or the store
-     * listed, within the last 5 s.
+     * Returns the number of live entries, this daemon included. Meaningful on an entry only.
      *
-     * @return failure domain by address, refreshed every 500 ms
+     * @return at least 1
      */
-    public Map<String, DomainId> liveEntries() {
-        return liveEntries;
+    public int entryCount() {
+        return liveEntries.byAddress().size() + 1;
     }
 
     /**
@@ -282,7 +275,7 @@
      */
     public void notifyEntries(EngineNotice notice) {
         Envelope message = StateSyncMessages.engineNotice(notice);
-        liveEntries.entrySet().stream()
+        liveEntries.byAddress().entrySet().stream()
                 .sorted(Comparator.comparing(e -> !e.getValue().equals(settings.domain())))
                 .limit(MAX_NOTIFIED_ENTRIES)
                 .forEach(e -> peers.sendOneWay(e.getKey(), TrafficClass.LIVE, message));
@@ -342,14 +335,7 @@
     }
 
     private void refreshLiveEntries() {
-        Map<String, DomainId> alive = Map.copyOf(directory.alive(clock.instant()));
-        if (!alive.keySet().equals(liveEntries.keySet())) {
-            otherEntries =
-                    alive.keySet().stream()
-                            .map(a -> new HostId(a.substring(0, a.lastIndexOf(':'))))
-                            .collect(Collectors.toUnmodifiableSet());
-        }
-        liveEntries = alive;
+        liveEntries.refresh(clock.instant());
     }
 
     // A source may tell of a restored store before a call of this entry does.
--- a/src/main/java/org/papayawalk/daemon/managed/PlatformSnapshot.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformSnapshot.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.papayawalk.core.desired.DesiredState;
+import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.id.UpstreamId;
 import org.papayawalk.core.place.RequestedVersion;
@@ -18,15 +19,33 @@
  *     servers has been read
  * @param loading upstreams of these that load weights and take no new requests at present
  * @param versions versions of each model's weights that the operator requested, the newest last
+ * @param evacuated failure domains whose upstreams get no requests, as the operator asked
  */
 public record PlatformSnapshot(
         Optional<DesiredState> desired,
         Optional<Map<ServiceId, List<UpstreamRegistration>>> upstreams,
         Set<UpstreamId> loading,
-        Map<String, List<RequestedVersion>> versions) {
+        Map<String, List<RequestedVersion>> versions,
+        Set<DomainId> evacuated) {
     /** Snapshot before any table has been read. */
     public static final PlatformSnapshot EMPTY =
-            new PlatformSnapshot(Optional.empty(), Optional.empty(), Set.of(), Map.of());
+            new PlatformSnapshot(Optional.empty(), Optional.empty(), Set.of(), Map.of(), Set.of());
+
+    /**
+     * Creates a snapshot in which no failure domain is evacuated.
+     *
+     * @param desired see the component
+     * @param upstreams see the component
+     * @param loading see the component
+     * @param versions see the component
+     */
+    public PlatformSnapshot(
+            Optional<DesiredState> desired,
+            Optional<Map<ServiceId, List<UpstreamRegistration>>> upstreams,
+            Set<UpstreamId> loading,
+            Map<String, List<RequestedVersion>> versions) {
+        this(desired, upstreams, loading, versions, Set.of());
+    }
 
     /**
      * Returns the upstreams of a service.
--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -47,6 +47,8 @@
 
     private final RequestedVersions versions = new RequestedVersions();
 
+    private final Evacuations evacuations = new Evacuations();
+
     private final List<Consumer<PlatformSnapshot>> listeners = new ArrayList<>();
 
     private final StoreClock storeClock = new StoreClock();
@@ -224,7 +226,7 @@
             return;
         }
         Optional<UpstreamRegistration> registration =
-                UpstreamRegistrationCodec.decode(id, row.value(), Instant.now());
+                UpstreamRegistrationCodec.decode(id, row.value(), Instant.now(), clock.instant());
         if (registration.isEmpty()) {
             removeUpstream(id);
             Event.named("upstream-unreadable").with("upstream", id).warn();
@@ -237,10 +239,18 @@
                 .with("service", registration.get().service())
                 .with("draining", registration.get().draining())
                 .with("models", registration.get().models())
+                .with("cold_ms", coldMillis(registration.get()))
                 .with("row", row.version())
                 .info();
     }
 
+    private long coldMillis(UpstreamRegistration registration) {
+        Instant now = clock.instant();
+        return registration.isCold(now)
+                ? Duration.between(now, registration.coldUntil()).toMillis()
+                : 0;
+    }
+
     private void removeUpstream(UpstreamId id) {
         upstreams.remove(id, clock.instant());
         upstreams
@@ -263,6 +273,10 @@
     // writtenBy: time by which the row was written, Instant.MIN if it existed when this daemon
     // first read the table.
     private void applyOperatorRow(TableRecord row, Instant writtenBy, String source) {
+        if (StoreCodec.isEvacuationKey(row.key())) {
+            evacuations.apply(row, source);
+            return;
+        }
         if (row.removed()) {
             return;
         }
@@ -297,7 +311,8 @@
                         Optional.of(desired),
                         snapshot.upstreams(),
                         snapshot.loading(),
-                        snapshot.versions());
+                        snapshot.versions(),
+                        snapshot.evacuated());
         Event.named("desired-state-in-force")
                 .with("version", desired.version())
                 .with("before", known == Long.MIN_VALUE ? "none" : known)
@@ -362,7 +377,8 @@
                         snapshot.desired(),
                         serversRead ? Optional.of(byService) : Optional.empty(),
                         Set.copyOf(loading),
-                        versions.byModel());
+                        versions.byModel(),
+                        evacuations.domains());
         listeners.forEach(l -> l.accept(snapshot));
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
@@ -4,9 +4,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.papayawalk.core.desired.Homes;
 import org.papayawalk.core.place.LoadSheddingRule;
 import org.papayawalk.core.place.WaitQueue;
 
@@ -38,11 +41,8 @@
 
     private final WaitQueue<Exchange> queue = new WaitQueue<>();
 
-    /** Since when no upstream can serve requests; null if one can. */
-    private Instant unavailableSince;
-
-    /** Whether an upstream has been able to serve requests since the start of this entry. */
-    private boolean seenAvailable;
+    /** Availability for requests with the same homes. */
+    private final Map<Homes, Availability> availabilities = new HashMap<>();
 
     private boolean immediateScanScheduled;
 
@@ -73,13 +73,13 @@
         }
         WaitQueue.Rank rank = rank(exchange, now);
         Instant waitEnd = waitEnd(exchange, Optional.empty());
-        recordAvailability(
-                exchange.availableAt(now).filter(t -> !isHopeless(t, waitEnd, now)).isPresent(),
-                now);
+        Optional<Instant> availableAt = exchange.choice().availableAt(now);
+        availability(exchange)
+                .record(availableAt.filter(t -> !isHopeless(t, waitEnd, now)).isPresent(), now);
         Instant until =
                 exchange.stream().started()
                         ? now.plus(RESUME_TIMEOUT)
-                        : waitEnd(exchange, outage(now));
+                        : waitEnd(exchange, outage(exchange, now));
         if (!queue.offer(exchange, rank, until, now)) {
             refuse(exchange, now);
             return;
@@ -119,7 +119,8 @@
      * @return delay from now
      */
     Duration retryAfter(Exchange exchange, Instant now) {
-        Optional<Instant> availableAt = exchange.availableAt(now).filter(t -> t.isAfter(now));
+        Optional<Instant> availableAt =
+                exchange.choice().availableAt(now).filter(t -> t.isAfter(now));
         if (availableAt.isPresent()) {
             Duration left = Duration.between(now, availableAt.get());
             return LOAD_SHEDDING_RULE.retryAfter(left, random.nextDouble());
@@ -127,7 +128,7 @@
         return LOAD_SHEDDING_RULE.retryAfter(
                 exchange.authorized().route().targetLatency(),
                 Duration.between(now, exchange.timing().deadline()),
-                outage(now),
+                outage(exchange, now),
                 random.nextDouble());
     }
 
@@ -164,19 +165,19 @@
     private boolean trySend(Exchange exchange, Instant now) {
         boolean sent = exchange.trySend(now);
         if (sent) {
-            recordAvailability(true, now);
+            availability(exchange).record(true, now);
         }
         return sent;
     }
 
     private boolean refuseHopeless(Exchange exchange, Instant now) {
         Instant waitEnd = waitEnd(exchange, Optional.empty());
-        Optional<Instant> availableAt = exchange.availableAt(now);
+        Optional<Instant> availableAt = exchange.choice().availableAt(now);
         boolean hopeless =
                 !exchange.stream().started()
                         && availableAt.filter(t -> isHopeless(t, waitEnd, now)).isPresent();
         if (hopeless) {
-            recordAvailability(false, now);
+            availability(exchange).record(false, now);
             refuse(exchange, now);
         }
         return hopeless;
@@ -184,22 +185,24 @@
 
     private void refuse(Exchange exchange, Instant now) {
         exchange.endUnanswered(
-                unavailableSince == null ? NO_CAPACITY_REASON : UNAVAILABLE_REASON,
+                outage(exchange, now).isEmpty() ? NO_CAPACITY_REASON : unavailableReason(exchange),
                 retryAfter(exchange, now));
     }
 
-    private void recordAvailability(boolean available, Instant now) {
-        if (available) {
-            seenAvailable = true;
-            unavailableSince = null;
-        } else if (unavailableSince == null) {
-            unavailableSince = now;
-        }
+    private static String unavailableReason(Exchange exchange) {
+        return exchange.choice()
+                .homes()
+                .regions()
+                .map(r -> UNAVAILABLE_REASON + " in its homes " + r)
+                .orElse(UNAVAILABLE_REASON);
+    }
+
+    private Availability availability(Exchange exchange) {
+        return availabilities.computeIfAbsent(exchange.choice().homes(), h -> new Availability());
     }
 
-    private Optional<LoadSheddingRule.Outage> outage(Instant now) {
-        return Optional.ofNullable(unavailableSince)
-                .map(t -> new LoadSheddingRule.Outage(Duration.between(t, now), !seenAvailable));
+    private Optional<LoadSheddingRule.Outage> outage(Exchange exchange, Instant now) {
+        return availability(exchange).outage(now);
     }
 
     private void scheduleNextScan() {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -9,23 +9,23 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.RunningTime;
 import org.papayawalk.core.admit.StopSchedule;
 import org.papayawalk.core.desired.CallerLimits;
 import org.papayawalk.core.desired.DesiredState;
-import org.papayawalk.core.desired.EngineSpec;
 import org.papayawalk.core.desired.RequestKind;
+import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.id.RegionId;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.limit.BodyAdmission;
 import org.papayawalk.core.limit.UpstreamLimits;
 import org.papayawalk.core.place.MinimumVersionRule;
-import org.papayawalk.core.place.PlacementRule;
 import org.papayawalk.core.place.WindowedRetryBudget;
 import org.papayawalk.core.place.WithheldUpstreams;
 import org.papayawalk.core.settings.ManagedSettings;
+import org.papayawalk.daemon.managed.LiveEntries;
 import org.papayawalk.http.BufferBudget;
 
 /**
@@ -53,8 +53,7 @@
 
     private final UpstreamTable upstreams;
 
-    /** Hosts of the other running entries, by their IP addresses. */
-    private final Supplier<Set<HostId>> otherEntries;
+    private final LiveEntries otherEntries;
 
     private final ManagedEntryMetrics metrics;
 
@@ -88,14 +87,14 @@
      * @param settings settings of the process
      * @param loop event loop thread
      * @param clock monotonic clock
-     * @param otherEntries hosts of the other running entries, by their IP addresses
+     * @param otherEntries other running entries
      * @param metrics counters and histograms
      */
     EntryContext(
             ManagedSettings settings,
             EventLoop loop,
             InstantSource clock,
-            Supplier<Set<HostId>> otherEntries,
+            LiveEntries otherEntries,
             ManagedEntryMetrics metrics) {
         this.settings = settings;
         this.loop = loop;
@@ -103,17 +102,19 @@
         this.runningTime = new RunningTime(clock.instant());
         this.otherEntries = otherEntries;
         this.metrics = metrics;
-        this.poison = new PoisonGuard(loop, clock, new HostId(settings.ip()), otherEntries);
-        this.limits = new UpstreamLimits(new HostId(settings.ip()), otherEntries);
+        this.poison = new PoisonGuard(loop, clock, new HostId(settings.ip()), otherEntries::all);
+        this.limits = new UpstreamLimits(new HostId(settings.ip()), otherEntries::all);
         WithheldUpstreams withheld = new WithheldUpstreams();
         this.statements = new UpstreamStatements(limits, withheld);
-        this.placementRules = new PlacementRules(settings, otherEntries, limits, random);
         this.upstreams =
                 new UpstreamTable(
                         loop,
                         clock,
                         new MinimumVersionRule(settings.limits().versionDeadline()),
                         withheld);
+        this.placementRules =
+                new PlacementRules(
+                        settings, otherEntries, upstreams, limits, random, clock, metrics);
         long tickMillis = RunningTime.TICK_INTERVAL.toMillis();
         // The pause between ticks, not their rate, is fixed: the loop reads between any two.
         loop.scheduleWithFixedDelay(
@@ -235,13 +236,23 @@
         return random;
     }
 
+    /**
+     * Returns the region of a failure domain.
+     *
+     * @param domain failure domain
+     * @return region
+     */
+    RegionId region(DomainId domain) {
+        return settings.region(domain);
+    }
+
     /**
      * Returns the number of running entries, this one included.
      *
      * @return at least 1
      */
     int entryCount() {
-        return otherEntries.get().size() + 1;
+        return otherEntries.all().size() + 1;
     }
 
     /**
@@ -270,35 +281,12 @@
     }
 
     /**
-     * Returns the placement rule of a service.
-     *
-     * @param service service
-     * @param late whether the request was late already when it was received
-     * @return rule for engines if the service runs engines, otherwise the rule for plain services
-     */
-    PlacementRule placementRule(ServiceId service, boolean late) {
-        boolean hasEngines =
-                upstreams.snapshot().desired().flatMap(d -> d.engine(service)).isPresent();
-        return hasEngines ? placementRules.engines(late) : placementRules.plain();
-    }
-
-    /**
-     * Returns the length of a prompt relative to the mean prompt of its service.
+     * Returns the rules by which upstreams are selected.
      *
-     * @param service service of the request
-     * @param tokens length of the prompt in tokens
-     * @return multiple of the mean prompt length, 0 if the service runs no engines or states no
-     *     mean
+     * @return rules for use on the event loop thread only
      */
-    double relativePromptLength(ServiceId service, int tokens) {
-        int meanTokens =
-                upstreams
-                        .snapshot()
-                        .desired()
-                        .flatMap(d -> d.engine(service))
-                        .map(EngineSpec::meanPromptTokens)
-                        .orElse(0);
-        return meanTokens == 0 ? 0 : (double) tokens / meanTokens;
+    PlacementRules placement() {
+        return placementRules;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -115,7 +115,7 @@
         timing =
                 new RequestTiming(
                         request.receivedAt(), deadline, route.timeout(), route.targetLatency());
-        choice = new UpstreamChoice(entry, authorized, metadata, timing, attempts);
+        choice = new UpstreamChoice(entry, request, authorized, metadata, timing, attempts);
         entry.retryBudget(authorized.service()).requestReceived(now);
         completion.requestAuthorized(authorized, deadline, now);
         entry.queue(authorized.service()).dispatch(this, now);
@@ -159,17 +159,6 @@
         return timing;
     }
 
-    /**
-     * Returns from when on an upstream can serve the request, regardless of its load.
-     *
-     * @param now present time
-     * @return present time or later; empty if no upstream of the service that takes requests again
-     *     holds an allowed version of the requested model or is loading weights
-     */
-    Optional<Instant> availableAt(Instant now) {
-        return entry.upstreams().availableAt(authorized.service(), metadata.model(), now);
-    }
-
     /**
      * Returns whether the request has ended.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
@@ -31,6 +31,9 @@
     /** Attempts withdrawn because the version of the weights expired, by service. */
     private final Counter withdrawn;
 
+    /** Attempts by service and by whether they left the failure domain of the entry. */
+    private final Counter placed;
+
     /** Bodies of upstreams that ended, by service and by what told their end. */
     private final Counter responsesEnded;
 
@@ -87,6 +90,13 @@
                         "papayawalk_attempts_withdrawn_total",
                         "Attempts withdrawn because the version of the weights expired",
                         "service");
+        placed =
+                counter(
+                        registry,
+                        "papayawalk_attempts_placed_total",
+                        "Attempts by the failure domain of the upstream: own or other",
+                        "service",
+                        "domain");
         responsesEnded =
                 counter(
                         registry,
@@ -162,6 +172,16 @@
         withdrawn.labelValues(service.value()).inc();
     }
 
+    /**
+     * Counts an attempt.
+     *
+     * @param service service of the upstream
+     * @param near whether the upstream lies in the failure domain of the entry
+     */
+    void placed(ServiceId service, boolean near) {
+        placed.labelValues(service.value(), near ? "own" : "other").inc();
+    }
+
     /**
      * Counts a body of an upstream that has ended.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -69,7 +69,7 @@
                         node.settings(),
                         loop,
                         node.clock(),
-                        node::otherEntries,
+                        node.entries(),
                         new ManagedEntryMetrics(registry));
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
@@ -1,18 +1,29 @@
 package org.papayawalk.daemon.managed.entry;
 
-import java.util.Set;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.IntSupplier;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.papayawalk.core.desired.DesiredState;
+import org.papayawalk.core.desired.EngineSpec;
 import org.papayawalk.core.id.HostId;
+import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.limit.ColdUpstreams;
 import org.papayawalk.core.limit.UpstreamLimits;
+import org.papayawalk.core.place.ColdPlacement;
+import org.papayawalk.core.place.DomainPreference;
 import org.papayawalk.core.place.LeastLoaded;
 import org.papayawalk.core.place.LimitedUpstreams;
+import org.papayawalk.core.place.LocalEngines;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.PlacementPolicy;
 import org.papayawalk.core.place.PlacementRule;
 import org.papayawalk.core.place.SharedEngines;
 import org.papayawalk.core.settings.ManagedSettings;
+import org.papayawalk.core.upstream.UpstreamRegistration;
+import org.papayawalk.daemon.managed.LiveEntries;
 
 /** Rules by which an entry selects upstreams. Confined to the event loop thread. */
 final class PlacementRules {
@@ -30,6 +41,16 @@
 
     private final ManagedSettings settings;
 
+    private final UpstreamTable upstreams;
+
+    private final UpstreamLimits limits;
+
+    private final ColdUpstreams cold;
+
+    private final InstantSource clock;
+
+    private final ManagedEntryMetrics metrics;
+
     private final PlacementRule engines;
 
     private final PlacementRule lateEngines;
@@ -40,57 +61,119 @@
      * Creates the rules.
      *
      * @param settings settings of the process
-     * @param otherEntries hosts of the other running entries, by their IP addresses
+     * @param entries other running entries
+     * @param upstreams upstreams with the desired state in force
      * @param limits limits that upstreams have stated
      * @param random random generator
+     * @param clock monotonic clock
+     * @param metrics counters
      */
     PlacementRules(
             ManagedSettings settings,
-            Supplier<Set<HostId>> otherEntries,
+            LiveEntries entries,
+            UpstreamTable upstreams,
             UpstreamLimits limits,
-            RandomGenerator random) {
+            RandomGenerator random,
+            InstantSource clock,
+            ManagedEntryMetrics metrics) {
+        this.metrics = metrics;
         this.settings = settings;
-        IntSupplier entryCount = () -> otherEntries.get().size() + 1;
+        this.clock = clock;
+        this.upstreams = upstreams;
+        this.limits = limits;
+        HostId self = new HostId(settings.ip());
+        cold =
+                new ColdUpstreams(
+                        self, entries::all, settings.limits().coldBound(), clock.instant());
+        IntSupplier entryCount = () -> entries.all().size() + 1;
         PlacementRule leastLoaded =
                 new LeastLoaded(
                         PlacementPolicy.PLAIN, entryCount, this::distancePenaltySlots, random);
-        engines = engineRule(PlacementPolicy.ENGINES, otherEntries, limits, random);
-        lateEngines = engineRule(PlacementPolicy.ENGINES_LATE, otherEntries, limits, random);
-        plain = new LimitedUpstreams(leastLoaded, limits);
+        engines = engineRule(PlacementPolicy.ENGINES, entries, random);
+        lateEngines = engineRule(PlacementPolicy.ENGINES_LATE, entries, random);
+        plain = bounded(leastLoaded);
     }
 
     /**
-     * Returns the rule for engines.
+     * Returns the rule for the upstreams of a service.
      *
+     * @param service service
      * @param late whether the request was late already when it was received
-     * @return rule with a short queue and a bound on unreported requests, among a share of the
-     *     engines if there are many entries; for a late request with slots that are left free
+     * @return for engines, a rule with a short queue and a bound on unreported requests, among a
+     *     share of the engines if there are many entries, and with slots that a late request leaves
+     *     free; for plain services, a rule with a longer queue
      */
-    PlacementRule engines(boolean late) {
+    PlacementRule rule(ServiceId service, boolean late) {
+        boolean hasEngines = desired().flatMap(d -> d.engine(service)).isPresent();
+        if (!hasEngines) {
+            return plain;
+        }
         return late ? lateEngines : engines;
     }
 
     /**
-     * Returns the rule for plain services.
+     * Returns the length of a prompt relative to the mean prompt of its service.
      *
-     * @return rule with a longer queue
+     * @param service service of the request
+     * @param tokens length of the prompt in tokens
+     * @return multiple of the mean prompt length, 0 if the service runs no engines or states no
+     *     mean
      */
-    PlacementRule plain() {
-        return plain;
+    double relativePromptLength(ServiceId service, int tokens) {
+        int meanTokens =
+                desired()
+                        .flatMap(d -> d.engine(service))
+                        .map(EngineSpec::meanPromptTokens)
+                        .orElse(0);
+        return meanTokens == 0 ? 0 : (double) tokens / meanTokens;
+    }
+
+    /**
+     * Records that this entry sends a request.
+     *
+     * @param upstream upstream that receives it
+     * @param now present time
+     */
+    void sent(UpstreamRegistration upstream, Instant now) {
+        metrics.placed(upstream.service(), upstream.domain().equals(settings.domain()));
+        limits.sent(upstream.process(), now);
+        OptionalDouble coldPerSecond = coldPerSecond(upstream.service());
+        if (upstream.isCold(now) && coldPerSecond.isPresent()) {
+            cold.sent(upstream.process(), coldPerSecond.getAsDouble(), now);
+        }
+    }
+
+    private Optional<DesiredState> desired() {
+        return upstreams.snapshot().desired();
+    }
+
+    private OptionalDouble coldPerSecond(ServiceId service) {
+        return desired().map(d -> d.coldPerSecond(service)).orElse(OptionalDouble.empty());
+    }
+
+    private PlacementRule bounded(PlacementRule rule) {
+        return new LimitedUpstreams(new ColdPlacement(rule, cold, this::coldPerSecond), limits);
     }
 
     private PlacementRule engineRule(
-            PlacementPolicy policy,
-            Supplier<Set<HostId>> otherEntries,
-            UpstreamLimits limits,
-            RandomGenerator random) {
-        IntSupplier sharing = () -> Math.min(otherEntries.get().size() + 1, ENTRIES_PER_ENGINE);
+            PlacementPolicy policy, LiveEntries entries, RandomGenerator random) {
+        IntSupplier sharing = () -> Math.min(entries.all().size() + 1, ENTRIES_PER_ENGINE);
+        HostId self = new HostId(settings.ip());
         PlacementRule leastLoaded =
                 new LeastLoaded(policy, sharing, this::distancePenaltySlots, random);
         PlacementRule shared =
-                new SharedEngines(
-                        leastLoaded, ENTRIES_PER_ENGINE, new HostId(settings.ip()), otherEntries);
-        return new LimitedUpstreams(shared, limits);
+                new SharedEngines(leastLoaded, ENTRIES_PER_ENGINE, self, entries::all);
+        PlacementRule alike = new LeastLoaded(policy, sharing, c -> 0, random);
+        PlacementRule local =
+                new LocalEngines(
+                        alike,
+                        shared,
+                        DomainPreference.DEFAULT,
+                        self,
+                        settings.domain(),
+                        entries::near,
+                        c -> upstreams.delays().estimate(c.upstream(), clock.instant()));
+        return bounded(local);
     }
 
     private double distancePenaltySlots(PlacementCandidate candidate) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamAttempt.java
@@ -83,10 +83,12 @@
 
     /** Opens a connection and sends the request. */
     void start() {
-        pendingPrefill = entry.relativePromptLength(service(), exchange.metadata().promptTokens());
+        pendingPrefill =
+                entry.placement()
+                        .relativePromptLength(service(), exchange.metadata().promptTokens());
         candidate.load().sent(pendingPrefill);
         startedAt = entry.clock().instant();
-        entry.limits().sent(candidate.upstream().process(), startedAt);
+        entry.placement().sent(candidate.upstream(), startedAt);
         UpstreamTable.Upstream upstream =
                 entry.upstreams().find(candidate.upstream().id()).orElse(null);
         if (upstream == null) {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamChoice.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamChoice.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.Predicate;
 import org.papayawalk.core.call.AttemptParameters;
 import org.papayawalk.core.call.RequestMetadata;
 import org.papayawalk.core.desired.AuthorizedRequest;
 import org.papayawalk.core.desired.Caller;
+import org.papayawalk.core.desired.Homes;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.RequestTiming;
@@ -33,10 +35,13 @@
 
     private final AttemptHistory attempts;
 
+    private final HomeCheck homes;
+
     /**
      * Creates the choice for a request.
      *
      * @param entry shared state of the entry
+     * @param request request of the caller
      * @param authorized request as authorized under the desired state
      * @param metadata what the caller states of the request
      * @param timing times of the request
@@ -44,6 +49,7 @@
      */
     UpstreamChoice(
             EntryContext entry,
+            CallerRequest request,
             AuthorizedRequest authorized,
             RequestMetadata metadata,
             RequestTiming timing,
@@ -53,6 +59,28 @@
         this.metadata = metadata;
         this.timing = timing;
         this.attempts = attempts;
+        this.homes = new HomeCheck(entry, request, authorized.homes(), metadata.apiKey());
+    }
+
+    /**
+     * Returns from when on an upstream can serve the request, regardless of its load.
+     *
+     * @param now present time
+     * @return present time or later; empty if no upstream of the service that takes requests again
+     *     may serve the request, and holds an allowed version of the requested model or is loading
+     *     weights
+     */
+    Optional<Instant> availableAt(Instant now) {
+        return entry.upstreams().availableAt(service(), metadata.model(), homes.allowed(), now);
+    }
+
+    /**
+     * Returns where the request may be served.
+     *
+     * @return homes by all desired states that were in force since the request was received
+     */
+    Homes homes() {
+        return homes.homes();
     }
 
     /**
@@ -76,6 +104,9 @@
         if (!entry.upstreams().takesRequests(upstream, metadata.model(), now)) {
             return Optional.of("takes the request no longer");
         }
+        if (!homes.allowed().test(upstream)) {
+            return Optional.of("lies outside the homes of the request");
+        }
         return attempts.endedCount() > 0 && arrivesLate(upstream, now)
                 ? Optional.of("would arrive too late")
                 : Optional.empty();
@@ -129,10 +160,15 @@
     private Optional<PlacementCandidate> choose(boolean repeat, Instant now) {
         List<PlacementCandidate> candidates =
                 entry.upstreams().candidates(service(), metadata.model(), now);
+        if (homes.binds()) {
+            Predicate<UpstreamRegistration> allowed = homes.allowed();
+            candidates.removeIf(c -> !allowed.test(c.upstream()));
+        }
         if (repeat) {
             candidates.removeIf(c -> arrivesLate(c.upstream(), now));
         }
-        return entry.placementRule(service(), timing.cameLate())
+        return entry.placement()
+                .rule(service(), timing.cameLate())
                 .choose(candidates, attempts.upstreams(), now);
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamTable.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.id.UpstreamId;
 import org.papayawalk.core.place.MinimumVersionRule;
@@ -140,14 +141,20 @@
      *
      * @param service service of the request
      * @param model model of the request, empty if it needs none
+     * @param allowed whether an upstream may serve the request at all
      * @param now present time
      * @return present time, or a later one if all upstreams that can serve it take no new requests
      *     until then; empty if no upstream holds an allowed version and none is loading, except
      *     those that leave
      */
-    Optional<Instant> availableAt(ServiceId service, Optional<String> model, Instant now) {
+    Optional<Instant> availableAt(
+            ServiceId service,
+            Optional<String> model,
+            Predicate<UpstreamRegistration> allowed,
+            Instant now) {
         return byService.getOrDefault(service, List.of()).stream()
                 .map(Upstream::registration)
+                .filter(allowed)
                 .filter(r -> snapshot.loading().contains(r.id()) || mayAnswer(r, model, now))
                 .map(r -> withheld.until(r.process()))
                 .filter(t -> t.isBefore(Instant.MAX))
@@ -231,12 +238,14 @@
      * @param model model of the request, empty if it needs none
      * @param now present time
      * @return false if it has left the table or been replaced since, if it takes no new requests,
-     *     or if it does not hold an allowed version of the model
+     *     if its failure domain is evacuated, or if it does not hold an allowed version of the
+     *     model
      */
     boolean takesRequests(UpstreamRegistration registration, Optional<String> model, Instant now) {
         Upstream u = upstreams.get(registration.id());
         boolean listed = u != null && u.registration().sameProcess(registration);
         return listed
+                && !isEvacuated(u.registration())
                 && !withheld.isWithheld(registration.process(), now)
                 && mayAnswer(u.registration(), model, now);
     }
@@ -270,9 +279,17 @@
             next = new Upstream(registration, new UpstreamLoad(), pool);
         }
         upstreams.put(registration.id(), next);
+        if (isEvacuated(registration)) {
+            // Its requests in flight go on, so it keeps its load and connections.
+            return;
+        }
         byService.computeIfAbsent(registration.service(), s -> new ArrayList<>()).add(next);
     }
 
+    private boolean isEvacuated(UpstreamRegistration registration) {
+        return snapshot.evacuated().contains(registration.domain());
+    }
+
     private boolean holdsAllowedVersion(
             UpstreamRegistration registration, String model, Instant now) {
         Integer held = registration.models().get(model);
--- a/src/main/java/org/papayawalk/platform/DesiredStateCodec.java
+++ b/src/main/java/org/papayawalk/platform/DesiredStateCodec.java
@@ -5,15 +5,19 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.papayawalk.core.desired.Caller;
 import org.papayawalk.core.desired.CallerLimits;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.desired.EngineSpec;
+import org.papayawalk.core.desired.Homes;
 import org.papayawalk.core.desired.OriginSpec;
 import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.desired.RouteRule;
@@ -21,6 +25,7 @@
 import org.papayawalk.core.desired.ServiceSpec;
 import org.papayawalk.core.desired.TrafficShare;
 import org.papayawalk.core.id.DomainId;
+import org.papayawalk.core.id.RegionId;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.id.TeamId;
 
@@ -92,7 +97,8 @@
                 shares,
                 Math.max(1, limit(node, "maxAttempts", 1)),
                 node.path("allowAnonymous").asBoolean(),
-                node.path("resumeStreams").asBoolean());
+                node.path("resumeStreams").asBoolean(),
+                homes(node));
     }
 
     // Requests of an unknown kind are treated as non-idempotent, so they are not retried.
@@ -121,7 +127,36 @@
                 new ServiceId(node.path("name").asText()),
                 limit(node, "maxConnections", Integer.MAX_VALUE),
                 engine,
-                origin);
+                origin,
+                coldPerSecond(node));
+    }
+
+    // On the wire, a service without cold upstreams states 0 for both figures.
+    private static OptionalDouble coldPerSecond(JsonNode node) {
+        double perSecond = node.path("coldPerS").asDouble();
+        boolean limited = perSecond > 0 || node.path("coldS").asDouble() > 0;
+        return limited ? OptionalDouble.of(Math.max(0, perSecond)) : OptionalDouble.empty();
+    }
+
+    // A list that names anything binds, even if none of its names is one of a region.
+    private static Homes homes(JsonNode node) {
+        JsonNode list = node.path("allowedRegions");
+        if (!list.isArray() || list.isEmpty()) {
+            return Homes.ANYWHERE;
+        }
+        Set<RegionId> regions = new HashSet<>();
+        for (JsonNode r : list) {
+            region(r).ifPresent(regions::add);
+        }
+        return Homes.of(regions);
+    }
+
+    private static Optional<RegionId> region(JsonNode node) {
+        try {
+            return Optional.of(new RegionId(node.asText()));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
     }
 
     // On the wire, "chunks" is the number of chunks of a version, "step_ms" and "per_seq_ms" are
@@ -166,7 +201,8 @@
         Caller caller =
                 new Caller(
                         new TeamId(node.path("name").asText()),
-                        priority.isInt() ? OptionalInt.of(priority.asInt()) : OptionalInt.empty());
+                        priority.isInt() ? OptionalInt.of(priority.asInt()) : OptionalInt.empty(),
+                        homes(node));
         Map<String, Caller> callers = new HashMap<>();
         node.path("apiKeys").forEach(k -> callers.put(k.asText(), caller));
         return callers;
--- a/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
+++ b/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
@@ -14,6 +14,7 @@
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.RegionId;
 import org.papayawalk.core.id.ServiceId;
+import org.papayawalk.core.limit.ColdBound;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.settings.ManagedSettings.OperatorLimits;
 
@@ -120,8 +121,10 @@
                 Duration.ofMillis(node.path("version_ms").asLong(DEFAULT_VERSION_MILLIS)),
                 node.path("retryBudgetRatio").asDouble(DEFAULT_RETRY_RATIO),
                 node.path("budgetSlack").asDouble(DEFAULT_RETRY_SLACK),
-                Duration.ofSeconds(
-                        node.path("budgetWindowS").asLong(DEFAULT_RETRY_WINDOW_SECONDS)));
+                Duration.ofSeconds(node.path("budgetWindowS").asLong(DEFAULT_RETRY_WINDOW_SECONDS)),
+                new ColdBound(
+                        Math.max(1, node.path("coldOverage").asDouble(1)),
+                        Math.max(0, node.path("coldSlack").asDouble())));
     }
 
     private static JsonNode required(JsonNode node, String field) {
--- a/src/main/java/org/papayawalk/platform/StoreCodec.java
+++ b/src/main/java/org/papayawalk/platform/StoreCodec.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.regex.Pattern;
+import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.StoreEra;
 import org.papayawalk.core.upstream.TableRecord;
 import org.papayawalk.core.upstream.TableUpdate;
@@ -38,6 +39,9 @@
     /** Prefix of the keys that set the version of a model's weights; the model follows. */
     private static final String VERSION_KEY_PREFIX = "version/";
 
+    /** Prefix of the keys that evacuate a failure domain; its name follows. */
+    private static final String EVACUATION_KEY_PREFIX = "evacuate/";
+
     /** Digits that fit a long. */
     private static final Pattern ERA_FORMAT = Pattern.compile("[0-9]{1,18}");
 
@@ -186,6 +190,30 @@
         return key.substring(VERSION_KEY_PREFIX.length());
     }
 
+    /**
+     * Returns whether the row of a key asks that a failure domain gets no requests.
+     *
+     * @param key key of a row in the operator's table
+     * @return true if {@link #domainOfEvacuationKey} applies
+     */
+    public static boolean isEvacuationKey(String key) {
+        return key.startsWith(EVACUATION_KEY_PREFIX);
+    }
+
+    /**
+     * Extracts the failure domain from the key of a row that evacuates it.
+     *
+     * @param key key for which {@link #isEvacuationKey} returns true
+     * @return failure domain, empty if the key holds no valid name
+     */
+    public static Optional<DomainId> domainOfEvacuationKey(String key) {
+        try {
+            return Optional.of(new DomainId(key.substring(EVACUATION_KEY_PREFIX.length())));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     /**
      * Decodes the version from a row that sets the version of a model's weights.
      *
--- a/src/main/java/org/papayawalk/platform/UpstreamRegistrationCodec.java
+++ b/src/main/java/org/papayawalk/platform/UpstreamRegistrationCodec.java
@@ -28,6 +28,9 @@
     /** Time by which the clocks of two hosts never differ. */
     private static final Duration MAX_CLOCK_DIFFERENCE = Duration.ofDays(1);
 
+    /** Far above the time for which a process is cold. */
+    private static final Duration MAX_COLD_TIME = Duration.ofHours(1);
+
     /** Ids are sent in headers. */
     private static final Pattern ID_FORMAT = Pattern.compile("[!-~]{1,200}");
 
@@ -51,13 +54,16 @@
      *
      * @param id id of the upstream, from the key of the row
      * @param data content of the row, JSON text
-     * @param now present time of day; a process that starts a day later or more is not valid
+     * @param timeOfDay present time of day; a process that starts a day later or more is not valid
+     * @param now present time by the clock of this daemon, from which the rest of the time counts
+     *     in which the upstream is cold
      * @return the registration, empty if the row is not a valid registration
      */
-    public static Optional<UpstreamRegistration> decode(UpstreamId id, byte[] data, Instant now) {
+    public static Optional<UpstreamRegistration> decode(
+            UpstreamId id, byte[] data, Instant timeOfDay, Instant now) {
         try {
             JsonNode root = JsonTree.parseObject(data);
-            long lastStart = now.plus(MAX_CLOCK_DIFFERENCE).toEpochMilli();
+            long lastStart = timeOfDay.plus(MAX_CLOCK_DIFFERENCE).toEpochMilli();
             String state = root.path("state").asText();
             boolean validState = "ready".equals(state) || "draining".equals(state);
             boolean validFields =
@@ -80,12 +86,20 @@
                             new DomainId(root.path("zone").asText()),
                             (int) slots.getAsLong(),
                             "draining".equals(state),
-                            versionsByModel(root)));
+                            versionsByModel(root),
+                            coldUntil(root, now)));
         } catch (IOException | IllegalArgumentException e) {
             return Optional.empty();
         }
     }
 
+    // A row without a usable figure is one of an upstream that is not cold.
+    private static Instant coldUntil(JsonNode root, Instant now) {
+        OptionalLong millis =
+                JsonTree.wholeNumber(root.path("coldRemainingMs"), 1, MAX_COLD_TIME.toMillis());
+        return millis.isPresent() ? now.plusMillis(millis.getAsLong()) : Instant.MIN;
+    }
+
     private static boolean isAbsentOrInRange(JsonNode node, long max) {
         return node.isMissingNode() || JsonTree.wholeNumber(node, 0, max).isPresent();
     }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/ManagedEntryFixture.java
@@ -238,6 +238,19 @@
                 .anyMatch(u -> u.id().value().equals(id) && !u.draining());
     }
 
+    /**
+     * Returns whether the first entry knows an upstream in a failure domain.
+     *
+     * @param id id of the upstream
+     * @param domain name of the failure domain
+     * @return false if it is unknown, or known in another domain only
+     */
+    boolean knowsUsable(String id, String domain) {
+        return firstNode.state().snapshot().upstreams().orElseThrow().values().stream()
+                .flatMap(List::stream)
+                .anyMatch(u -> u.id().value().equals(id) && u.domain().value().equals(domain));
+    }
+
     /**
      * Formats a desired state.
      *
--- a/src/test/java/org/papayawalk/daemon/managed/entry/UpstreamTableTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/UpstreamTableTest.java
@@ -86,7 +86,7 @@
     }
 
     private Optional<Instant> availableAt() {
-        return table.availableAt(SERVICE, Optional.empty(), NOW);
+        return table.availableAt(SERVICE, Optional.empty(), r -> true, NOW);
     }
 
     private void update(UpstreamRegistration... registrations) {
--- a/src/test/java/org/papayawalk/platform/UpstreamRegistrationCodecTest.java
+++ b/src/test/java/org/papayawalk/platform/UpstreamRegistrationCodecTest.java
@@ -61,7 +61,7 @@
     @Test(dataProvider = "oddValues")
     public void oddRowNamesNoServer(String name, byte[] value) {
         assertValid();
-        assertEquals(UpstreamRegistrationCodec.decode(ID, value, NOW), Optional.empty(), name);
+        assertEquals(UpstreamRegistrationCodec.decode(ID, value, NOW, NOW), Optional.empty(), name);
         assertValid();
     }
 
@@ -85,12 +85,13 @@
 
     private static Optional<UpstreamRegistration> decodeBorn(long born) {
         String text = VALID.replace("1764940000000", Long.toString(born));
-        return UpstreamRegistrationCodec.decode(ID, text.getBytes(StandardCharsets.UTF_8), NOW);
+        return UpstreamRegistrationCodec.decode(
+                ID, text.getBytes(StandardCharsets.UTF_8), NOW, NOW);
     }
 
     private static void assertValid() {
         byte[] value = VALID.getBytes(StandardCharsets.UTF_8);
-        Optional<UpstreamRegistration> read = UpstreamRegistrationCodec.decode(ID, value, NOW);
+        Optional<UpstreamRegistration> read = UpstreamRegistrationCodec.decode(ID, value, NOW, NOW);
         assertTrue(read.isPresent());
         assertEquals(read.get().address(), ADDRESS);
         assertEquals(read.get().incarnation(), 1764940000000L);
