Bound what callers cost before their requests are whole

Cause: very many header lines of a legal size cost ten times their bytes and were counted nowhere; all requests in one read were decoded, however many waited; the buffer of a chunked body was counted by what it holds, not by its capacity; connections were accepted up to the last descriptor; and chunks of a byte held the event loop for as long as they came.

Change: header lines beyond the first 32 of a head count in one bound, also those of trailers and of heads that are not whole. Bytes are decoded in slices, only while the connection may take requests; what decodes to very many parts waits for turns with a pause between. Buffers count by capacity. Callers get three quarters of the descriptors; beyond that, and for memory of bodies, the connection that is longest without progress is given up, never one whose request is at work. All bounds shrink with the heap.

--- a/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
+++ b/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
@@ -31,6 +31,7 @@
  * @param upstreamAddress address of the upstream beside this process, empty if there is none
  * @param upstreamService service of that upstream, empty if there is none
  * @param linkBytesPerSecond bandwidth of the host's link in each direction, in bytes per second
+ * @param maxDescriptors descriptors that the process may open
  * @param limits limits set by the operators
  */
 public record ManagedSettings(
@@ -48,7 +49,12 @@
         Optional<String> upstreamAddress,
         Optional<ServiceId> upstreamService,
         double linkBytesPerSecond,
+        int maxDescriptors,
         OperatorLimits limits) {
+    /** Descriptors that are no connections of callers: files, and a quarter of the rest. */
+    private static final int FILE_DESCRIPTORS = 200;
+
+    private static final double CALLER_SHARE = 0.75;
 
     /** Copies the collections. */
     public ManagedSettings {
@@ -97,6 +103,16 @@
         return region(domain);
     }
 
+    /**
+     * Returns how many connections of callers may be open, so that others can be opened to
+     * upstreams, daemons and the store.
+     *
+     * @return at least 1
+     */
+    public int maxCallerConnections() {
+        return (int) Math.max(1, (maxDescriptors - FILE_DESCRIPTORS) * CALLER_SHARE);
+    }
+
     private static Object value(RecordComponent component, ManagedSettings of) {
         try {
             return component.getAccessor().invoke(of);
--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerDecoder.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerDecoder.java
@@ -26,6 +26,8 @@
 
     private final IntSupplier maxHeaderBytes;
 
+    private final ConnectionHeads heads;
+
     /** Value that this decoder was created with. */
     private final int headerBytes;
 
@@ -37,13 +39,18 @@
      *
      * @param maxHeaderBytes returns the maximum size of the header section, and of the request
      *     line, in bytes, that is in force
+     * @param heads creates the headers of the requests
      */
-    CallerDecoder(IntSupplier maxHeaderBytes) {
-        this(maxHeaderBytes, maxHeaderBytes.getAsInt());
+    CallerDecoder(IntSupplier maxHeaderBytes, ConnectionHeads heads) {
+        this(maxHeaderBytes, heads, maxHeaderBytes.getAsInt());
     }
 
-    private CallerDecoder(IntSupplier maxHeaderBytes, int headerBytes) {
-        super(config(headerBytes));
+    private CallerDecoder(IntSupplier maxHeaderBytes, ConnectionHeads heads, int headerBytes) {
+        super(
+                config(headerBytes)
+                        .setHeadersFactory(heads.headers())
+                        .setTrailersFactory(heads.trailers()));
+        this.heads = heads;
         this.maxHeaderBytes = maxHeaderBytes;
         this.headerBytes = headerBytes;
     }
@@ -66,7 +73,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (betweenRequests && maxHeaderBytes.getAsInt() != headerBytes) {
-            context.pipeline().replace(this, null, new CallerDecoder(maxHeaderBytes));
+            context.pipeline().replace(this, null, new CallerDecoder(maxHeaderBytes, heads));
             context.fireChannelRead(message);
             return;
         }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerHandler.java
@@ -19,8 +19,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import org.papayawalk.core.admit.StopSchedule;
 import org.papayawalk.log.Event;
 
@@ -29,19 +27,14 @@
  * are answered one at a time and in order. When a caller closes its connection, its request is
  * cancelled at once. Confined to the event loop thread.
  */
-final class CallerHandler extends ChannelDuplexHandler implements RequestReceiver.Listener {
+final class CallerHandler extends ChannelDuplexHandler
+        implements RequestReceiver.Listener, ReadTurns.Reader {
     /** Value of SO_LINGER with which any close resets the connection. */
     private static final int RESET_ON_CLOSE = 0;
 
     /** Value of SO_LINGER with which a close first sends what was written. */
     private static final int DRAIN_ON_CLOSE = -1;
 
-    /** Complete requests that may wait behind the current one before reading is paused. */
-    private static final int MAX_PIPELINED = 16;
-
-    /** Added to the callers' idle timeout before an idle connection is closed. */
-    private static final Duration IDLE_TIMEOUT_MARGIN = Duration.ofSeconds(1);
-
     /**
      * Time for which the rest of a rejected request is read, so that its caller gets the answer.
      */
@@ -49,8 +42,15 @@
 
     private final EntryContext entry;
 
+    private final ConnectionHeads heads;
+
+    private final ReadTurns turns;
+
+    /** When the last byte was received, initially when the connection was opened. */
+    private Instant lastByteAt;
+
     /** Complete requests that wait for the current exchange to end. */
-    private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
+    private final PipelinedRequests pipelined;
 
     private ChannelHandlerContext context;
 
@@ -73,16 +73,28 @@
     /** Idle timeout, header timeout or body timeout, whichever applies. */
     private ConnectionTimer timer;
 
-    /** When the connection became idle. */
-    private Instant idleSince;
+    private IdleCheck idle;
 
     /**
      * Creates the handler of a connection.
      *
      * @param entry shared state of the entry
+     * @param heads headers of the requests on the connection
      */
-    CallerHandler(EntryContext entry) {
+    CallerHandler(EntryContext entry, ConnectionHeads heads) {
         this.entry = entry;
+        this.heads = heads;
+        this.turns = new ReadTurns(entry.turns(), this);
+        this.pipelined = new PipelinedRequests(entry.callers());
+    }
+
+    /**
+     * Returns the handler of the bytes before they are decoded.
+     *
+     * @return first handler of the connection
+     */
+    ReadTurns turns() {
+        return turns;
     }
 
     @Override
@@ -91,12 +103,15 @@
         unsent = new UnsentResponse(newContext.channel(), entry.bufferBudget());
         timer = new ConnectionTimer(newContext.executor());
         receiver = new RequestReceiver(entry, newContext, timer, this);
-        entry.addCaller(this);
-        startIdleTimer();
+        lastByteAt = entry.clock().instant();
+        idle = new IdleCheck(entry, timer, unsent, this::close);
+        idle.start();
+        entry.callers().opened(this, lastByteAt);
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
+        turns.partDecoded();
         try {
             if (!closing) {
                 receiver.receive((HttpObject) message);
@@ -117,16 +132,16 @@
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
-        entry.removeCaller(this);
+        entry.callers().closed(this);
         timer.cancel();
         receiver.discard();
-        pipelined.forEach(CallerRequest::release);
-        pipelined.clear();
+        pipelined.discard();
         Exchange current = exchange;
         exchange = null;
         if (current != null) {
             current.completion().callerDisconnected();
         }
+        heads.release();
     }
 
     @Override
@@ -219,7 +234,7 @@
      * @return whether the connection is closed
      */
     boolean closeIfIdle(StopSchedule schedule, Instant now) {
-        if (isBusy() || !schedule.closesIdle(idleSince, now)) {
+        if (isBusy() || !schedule.closesIdle(idle.idleSince(), now)) {
             return false;
         }
         closing = true;
@@ -237,25 +252,73 @@
         }
     }
 
+    /**
+     * Returns whether the connection has no request, or part of one.
+     *
+     * @return false while a request is at work, or an answer is on its way
+     */
+    boolean isIdleOrReceiving() {
+        return exchange == null && pipelined.isEmpty() && (unsent.isEmpty() || closing);
+    }
+
+    /**
+     * Returns whether a request is being received and nothing of it came lately.
+     *
+     * @param since time since when nothing came
+     * @return true if the request can be given up for another one
+     */
+    boolean isReceivingSince(Instant since) {
+        return isIdleOrReceiving() && receiver.isReceiving() && !lastByteAt.isAfter(since);
+    }
+
+    /** Gives the connection up: refuses what is being received, and closes it. */
+    void shed() {
+        if (receiver.isReceiving() && !closing) {
+            receiver.shed();
+        } else {
+            close();
+        }
+    }
+
+    private void close() {
+        closing = true;
+        context.close();
+    }
+
+    @Override
+    public void bytesReceived() {
+        lastByteAt = entry.clock().instant();
+        entry.callers().progressed(this);
+    }
+
+    @Override
+    public boolean mayDecode() {
+        return closing || (!receiver.waitsForMemory() && pipelined.hasRoom());
+    }
+
     @Override
     public void requestReceived(CallerRequest request) {
-        pipelined.addLast(request);
+        pipelined.add(request);
         updateReading();
         startNext();
     }
 
-    // Reads unless too many requests wait, or the body of one waits for room in memory.
+    // Reads unless too many requests wait, the body of one waits for room in memory, or bytes wait
+    // to be decoded.
     @Override
     public void updateReading() {
-        boolean reads = !receiver.waitsForMemory() && pipelined.size() <= MAX_PIPELINED;
-        context.channel().config().setAutoRead(reads);
+        boolean decodes = mayDecode();
+        context.channel().config().setAutoRead(decodes && !turns.isHolding());
+        if (decodes) {
+            turns.resume();
+        }
     }
 
     // True if a request is being read, waits or is being answered, or if its caller has not taken
     // the whole response yet.
     private boolean isBusy() {
         boolean answering = exchange != null || !pipelined.isEmpty() || !unsent.isEmpty();
-        return answering || receiver.isReceiving();
+        return answering || receiver.isReceiving() || turns.isHolding();
     }
 
     private void startNext() {
@@ -264,7 +327,7 @@
         }
         if (pipelined.isEmpty()) {
             if (!receiver.isReceiving()) {
-                startIdleTimer();
+                idle.start();
             }
             return;
         }
@@ -320,29 +383,4 @@
         }
         timer.start(LINGER, context::close);
     }
-
-    private void startIdleTimer() {
-        idleSince = entry.clock().instant();
-        timer.start(idleLimit(), this::checkIdle);
-    }
-
-    // Runs only between requests. Closes the connection if it was idle for as long as the limits in
-    // force allow, or if its caller takes nothing of a response any more.
-    private void checkIdle() {
-        if (!unsent.isEmpty() && unsent.hasAdvanced()) {
-            startIdleTimer();
-            return;
-        }
-        Duration left = idleLimit().minus(Duration.between(idleSince, entry.clock().instant()));
-        if (left.toMillis() > 0) {
-            timer.start(left, this::checkIdle);
-            return;
-        }
-        closing = true;
-        context.close();
-    }
-
-    private Duration idleLimit() {
-        return entry.callerLimits().idleTimeout().plus(IDLE_TIMEOUT_MARGIN);
-    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/CallerRequest.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CallerRequest.java
@@ -13,9 +13,12 @@
  * @param receivedAt when the last byte of the request was received
  */
 record CallerRequest(HttpRequest head, ByteBuf body, Runnable onRelease, Instant receivedAt) {
-    /** Frees the body. Called once. */
+    /** Frees the body and the room of the header lines. Called once. */
     void release() {
         body.release();
+        if (head.headers() instanceof CountedHeaders counted) {
+            counted.release();
+        }
         onRelease.run();
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -4,9 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -20,6 +18,7 @@
 import org.papayawalk.core.id.RegionId;
 import org.papayawalk.core.id.ServiceId;
 import org.papayawalk.core.limit.BodyAdmission;
+import org.papayawalk.core.limit.HeaderLines;
 import org.papayawalk.core.limit.UpstreamLimits;
 import org.papayawalk.core.place.MinimumVersionRule;
 import org.papayawalk.core.place.WindowedRetryBudget;
@@ -34,15 +33,6 @@
  * of {@link #poison()}, which are thread-safe.
  */
 final class EntryContext {
-    /** Bound of all request bodies that are held at the same time, in bytes. */
-    static final long MAX_BODY_BYTES = 20 * 1024 * 1024;
-
-    /** Bound of all responses that are buffered at the same time, in bytes. */
-    private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
-
-    /** Bound of these and of the complete responses that callers have not read, in bytes. */
-    private static final long MAX_RESPONSE_BYTES = 40 * 1024 * 1024;
-
     private final ManagedSettings settings;
 
     private final EventLoop loop;
@@ -69,12 +59,11 @@
 
     private final Map<ServiceId, DispatchQueue> queues = new HashMap<>();
 
-    private final BufferBudget bufferBudget =
-            new BufferBudget(MAX_BUFFERED_BYTES, MAX_RESPONSE_BYTES);
+    private final EntryMemory memory = new EntryMemory(Runtime.getRuntime().maxMemory());
 
-    private final BodyAdmission bodies = new BodyAdmission(MAX_BODY_BYTES);
+    private final CallerConnections callers;
 
-    private final Set<CallerHandler> callers = new HashSet<>();
+    private final TurnQueue turns;
 
     private final PlacementRules placementRules;
 
@@ -102,6 +91,8 @@
         this.runningTime = new RunningTime(clock.instant());
         this.otherEntries = otherEntries;
         this.metrics = metrics;
+        this.callers = new CallerConnections(settings.maxCallerConnections());
+        this.turns = new TurnQueue(loop);
         this.poison = new PoisonGuard(loop, clock, new HostId(settings.ip()), otherEntries::all);
         this.limits = new UpstreamLimits(new HostId(settings.ip()), otherEntries::all);
         WithheldUpstreams withheld = new WithheldUpstreams();
@@ -157,7 +148,7 @@
      * @return thread-safe budget
      */
     BufferBudget bufferBudget() {
-        return bufferBudget;
+        return memory.responses();
     }
 
     /**
@@ -166,7 +157,7 @@
      * @return admission for use on the event loop thread only
      */
     BodyAdmission bodies() {
-        return bodies;
+        return memory.bodies();
     }
 
     /**
@@ -300,30 +291,30 @@
     }
 
     /**
-     * Adds an open connection of a caller.
+     * Returns the bound of the header lines that are held.
      *
-     * @param caller connection
+     * @return bound for use on the event loop thread only
      */
-    void addCaller(CallerHandler caller) {
-        callers.add(caller);
+    HeaderLines headerLines() {
+        return memory.headerLines();
     }
 
     /**
-     * Removes a closed connection of a caller.
+     * Returns the open connections of callers.
      *
-     * @param caller connection
+     * @return connections for use on the event loop thread only
      */
-    void removeCaller(CallerHandler caller) {
-        callers.remove(caller);
+    CallerConnections callers() {
+        return callers;
     }
 
     /**
-     * Returns the open connections of callers.
+     * Returns the turns of the connections whose bytes cost much time.
      *
-     * @return copy of the set
+     * @return queue for use on the event loop thread only
      */
-    Set<CallerHandler> callers() {
-        return Set.copyOf(callers);
+    TurnQueue turns() {
+        return turns;
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryMetrics.java
@@ -11,6 +11,15 @@
 final class ManagedEntryMetrics {
     private static final double MILLIS_PER_SECOND = 1000;
 
+    // Upper bounds of the buckets of the histograms.
+    private static final double[] FIRST_PART_SECONDS = {
+        0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4
+    };
+
+    private static final double[] SEND_DELAY_SECONDS = {0.01, 0.05, 0.2, 0.6, 1.2};
+
+    private static final double[] BEGIN_DELAY_SECONDS = {0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2};
+
     private final Counter received;
 
     /** Labeled by service and status. */
@@ -51,7 +60,7 @@
                 counter(
                         registry,
                         "papayawalk_requests_ended_total",
-                        "Requests over, by service and status",
+                        "Requests over",
                         "service",
                         "status");
         retries =
@@ -61,29 +70,23 @@
                         "Sendings of a request beyond its first",
                         "service");
         firstPartLatency =
-                Histogram.builder()
-                        .name("papayawalk_first_part_seconds")
-                        .help("Time from reading a request to the first part of its answer")
-                        .classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
-                        .classicOnly()
-                        .labelNames("service")
-                        .register(registry);
+                histogram(
+                        registry,
+                        "papayawalk_first_part_seconds",
+                        "Time from reading a request to the first part of its answer",
+                        FIRST_PART_SECONDS);
         sendDelay =
-                Histogram.builder()
-                        .name("papayawalk_attempt_send_delay_seconds")
-                        .help("Time from the choice of an upstream until the request is sent")
-                        .classicUpperBounds(0.01, 0.05, 0.2, 0.6, 1.2)
-                        .classicOnly()
-                        .labelNames("service")
-                        .register(registry);
+                histogram(
+                        registry,
+                        "papayawalk_attempt_send_delay_seconds",
+                        "Time from the choice of an upstream until the request is sent",
+                        SEND_DELAY_SECONDS);
         beginDelay =
-                Histogram.builder()
-                        .name("papayawalk_attempt_begin_delay_seconds")
-                        .help("Time from sending a request to the head of its response")
-                        .classicUpperBounds(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
-                        .classicOnly()
-                        .labelNames("service")
-                        .register(registry);
+                histogram(
+                        registry,
+                        "papayawalk_attempt_begin_delay_seconds",
+                        "Time from sending a request to the head of its response",
+                        BEGIN_DELAY_SECONDS);
         withdrawn =
                 counter(
                         registry,
@@ -94,23 +97,23 @@
                 counter(
                         registry,
                         "papayawalk_attempts_placed_total",
-                        "Attempts by the failure domain of the upstream: own or other",
+                        "Attempts by domain, own or other",
                         "service",
                         "domain");
         responsesEnded =
-                counter(
+                bodyCounter(
                         registry,
                         "papayawalk_upstream_responses_ended_total",
-                        "Bodies of upstreams that ended, by what told their end",
-                        "service",
-                        "end");
+                        "Bodies of upstreams that ended, by what told their end");
         endedInsideEvent =
-                counter(
+                bodyCounter(
                         registry,
                         "papayawalk_streams_ended_inside_event_total",
-                        "Streams of upstreams that ended inside an event",
-                        "service",
-                        "end");
+                        "Streams of upstreams that ended inside an event");
+    }
+
+    private static Counter bodyCounter(PrometheusRegistry registry, String name, String help) {
+        return counter(registry, name, help, "service", "end");
     }
 
     private static Counter counter(
@@ -118,6 +121,17 @@
         return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
 
+    private static Histogram histogram(
+            PrometheusRegistry registry, String name, String help, double... bounds) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .classicUpperBounds(bounds)
+                .classicOnly()
+                .labelNames("service")
+                .register(registry);
+    }
+
     /** Counts a request that was received completely. */
     void received() {
         received.inc();
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -131,7 +131,7 @@
             }
             sleepPollInterval();
         }
-        loop.submit(() -> entry.callers().forEach(CallerHandler::endUnfinished))
+        loop.submit(() -> entry.callers().all().forEach(CallerHandler::endUnfinished))
                 .awaitUninterruptibly(DRAIN_POLL_INTERVAL.toMillis());
         Event.named("stopped").info();
     }
@@ -165,10 +165,13 @@
 
     private void initCallerChannel(Channel channel) {
         IntSupplier headerBytes = () -> entry.callerLimits().maxHeaderBytes();
+        ConnectionHeads heads = new ConnectionHeads(entry.headerLines());
+        CallerHandler handler = new CallerHandler(entry, heads);
         channel.pipeline()
-                .addLast(new CallerDecoder(headerBytes))
+                .addLast(handler.turns())
+                .addLast(new CallerDecoder(headerBytes, heads))
                 .addLast(new HttpResponseEncoder())
-                .addLast(new CallerHandler(entry));
+                .addLast(handler);
     }
 
     // Called on the control thread; the snapshot is applied on the event loop thread.
@@ -191,7 +194,7 @@
                             () -> {
                                 Instant now = node.clock().instant();
                                 boolean allClosed = true;
-                                for (CallerHandler caller : entry.callers()) {
+                                for (CallerHandler caller : entry.callers().all()) {
                                     allClosed &= caller.closeIfIdle(schedule, now);
                                 }
                                 return allClosed;
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PartialRequest.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PartialRequest.java
@@ -14,6 +14,9 @@
  * the memory of all bodies from the head on. Confined to the event loop thread.
  */
 final class PartialRequest {
+    /** Growth of the buffer of a body whose length is not stated. */
+    private static final double GROWTH = 1.5;
+
     private final HttpRequest head;
 
     private final CallerLimits limits;
@@ -95,19 +98,26 @@
      */
     boolean append(ByteBuf part) {
         int length = body.readableBytes() + part.readableBytes();
-        if (memory.decision() == Decision.ADMITTED && !bodies.grow(memory, length)) {
-            return false;
-        }
-        if (body == Unpooled.EMPTY_BUFFER && part.isReadable()) {
-            boolean admitted = memory.decision() == Decision.ADMITTED;
-            body =
-                    Unpooled.buffer(
-                            (int) (admitted ? Math.max(length, statedLength(head)) : length));
+        boolean admitted = memory.decision() == Decision.ADMITTED;
+        if (length > body.capacity()) {
+            int capacity = admitted ? capacity(length) : length;
+            if (admitted && !bodies.grow(memory, capacity)) {
+                return false;
+            }
+            body = body == Unpooled.EMPTY_BUFFER ? Unpooled.buffer(capacity) : body;
+            body.capacity(capacity);
         }
         body.writeBytes(part);
         return true;
     }
 
+    // The memory of a body is what its buffer holds, not only what was written to it.
+    private int capacity(int length) {
+        long stated = statedLength(head);
+        long grown = stated > 0 ? stated : (long) (body.capacity() * GROWTH);
+        return (int) Math.max(length, Math.min(grown, limits.maxBodyBytes()));
+    }
+
     /**
      * Returns the request, whose body is complete.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
@@ -139,6 +139,11 @@
         return partial != null && partial.admission() == Decision.WAITING;
     }
 
+    /** Refuses the request that is being received, as its memory is needed for others. */
+    void shed() {
+        rejectWithoutMemory();
+    }
+
     /** Frees the request that is being received, if any. */
     void discard() {
         if (partial != null) {
@@ -153,6 +158,9 @@
         CallerLimits limits = entry.callerLimits();
         long length = PartialRequest.statedLength(request);
         partial = new PartialRequest(request, limits, entry.bodies(), this::bodyAdmitted);
+        while (partial.admission() == Decision.REFUSED && shedsStalled(length, limits)) {
+            partial = new PartialRequest(request, limits, entry.bodies(), this::bodyAdmitted);
+        }
         if (length > limits.maxBodyBytes() || !entry.bodies().fits(length)) {
             rejectTooLong();
         } else if (partial.admission() == Decision.ADMITTED) {
@@ -165,6 +173,12 @@
         }
     }
 
+    private boolean shedsStalled(long length, CallerLimits limits) {
+        return length <= limits.maxBodyBytes()
+                && entry.bodies().fits(length)
+                && entry.callers().shedStalledBody(entry.clock().instant());
+    }
+
     private void bodyAdmitted() {
         receiveBody();
         listener.updateReading();
@@ -184,7 +198,11 @@
             rejectTooLong();
             return;
         }
-        if (!partial.append(content.content())) {
+        boolean appended = partial.append(content.content());
+        while (!appended && entry.callers().shedStalledBody(entry.clock().instant())) {
+            appended = partial.append(content.content());
+        }
+        if (!appended) {
             rejectWithoutMemory();
             return;
         }
@@ -197,6 +215,13 @@
     }
 
     private void rejectMalformed(Throwable cause) {
+        if (cause instanceof CountedHeaders.NoMemoryException) {
+            reject(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    cause.getMessage(),
+                    NO_MEMORY_RETRY_AFTER);
+            return;
+        }
         boolean tooLong =
                 cause instanceof TooLongHttpHeaderException
                         || cause instanceof TooLongHttpLineException;
--- a/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
+++ b/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
@@ -46,6 +46,8 @@
 
     private static final double DEFAULT_LINK_MEGABITS_PER_SECOND = 1000;
 
+    private static final int DEFAULT_DESCRIPTORS = 4096;
+
     private static final double BITS_PER_MEGABIT = 1e6;
 
     private ManagedSettingsCodec() {}
@@ -110,6 +112,7 @@
                 root.path("limits").path("linkMbps").asDouble(DEFAULT_LINK_MEGABITS_PER_SECOND)
                         * BITS_PER_MEGABIT
                         / Byte.SIZE,
+                root.path("limits").path("maxFds").asInt(DEFAULT_DESCRIPTORS),
                 operatorLimits(root.path("bounds")));
     }
 
--- a/src/test/java/org/papayawalk/daemon/managed/entry/CallerDecoderFuzzTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/CallerDecoderFuzzTest.java
@@ -24,6 +24,7 @@
 import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
+import org.papayawalk.core.limit.HeaderLines;
 import org.testng.annotations.Test;
 
 /**
@@ -96,7 +97,11 @@
 
     // Returns the requests that the decoder completes before the first error.
     private static List<Read> read(List<byte[]> parts) {
-        EmbeddedChannel channel = new EmbeddedChannel(new CallerDecoder(() -> MAX_HEAD_BYTES));
+        EmbeddedChannel channel =
+                new EmbeddedChannel(
+                        new CallerDecoder(
+                                () -> MAX_HEAD_BYTES,
+                                new ConnectionHeads(new HeaderLines(Integer.MAX_VALUE))));
         parts.forEach(p -> channel.writeInbound(Unpooled.wrappedBuffer(p)));
         List<Read> requests = new ArrayList<>();
         HttpRequest head = null;
--- a/src/test/java/org/papayawalk/daemon/managed/entry/LongBodiesTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/LongBodiesTest.java
@@ -65,7 +65,7 @@
             peak = Math.max(peak, fixture.role().heldBodyBytes());
         }
         statuses.forEach(s -> assertEquals(s.join().intValue(), 200));
-        assertTrue(peak >= LONG_BYTES && peak <= EntryContext.MAX_BODY_BYTES, "held " + peak);
+        assertTrue(peak >= LONG_BYTES && peak <= EntryMemory.MAX_BODY_BYTES, "held " + peak);
         assertEquals(fixture.role().heldBodyBytes(), 0);
     }
 
