Take no answer whose status HTTP does not have

Cause: an upstream's answer with the status 000, or any number, reached its caller with that status and body; 0200 passed as 200. The client of the daemons took such answers too, and that of the stand-alone program those over 599; a 0 there left it as an unchecked exception.

Any other head is malformed, like one that is cut: the connection is closed, a request that may be repeated goes elsewhere, another one gets a true 502.

--- a/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/BlockingHttpClient.java
@@ -197,7 +197,7 @@
                         .setMaxHeaderCount(MAX_HEADERS)
                         .build();
         HttpMessageParserFactory<ClassicHttpResponse> parsers =
-                new DefaultHttpResponseParserFactory(config);
+                new DefaultHttpResponseParserFactory(config, new StrictStatusParser(), null);
         return socket -> {
             CheckedClientConnection connection =
                     new CheckedClientConnection(
--- a/src/main/java/org/papayawalk/adapter/standalone/BoundedHeadParser.java
+++ b/src/main/java/org/papayawalk/adapter/standalone/BoundedHeadParser.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.io.HttpMessageParser;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.papayawalk.core.call.StatusCode;
 
 /**
  * Parser of response heads that ends a head which comes in trickles, a head that its connection
@@ -19,8 +20,6 @@
     /** Informational heads allowed before a response. */
     private static final int MAX_INFORMATIONAL_HEADS = 16;
 
-    private static final int FIRST_FINAL_STATUS = 200;
-
     private final HttpMessageParser<ClassicHttpResponse> parser;
 
     private final Duration timeout;
@@ -46,7 +45,7 @@
         if (head != null && NestedStatusLine.isIn(head)) {
             throw new ProtocolException("another response begins inside the head of a response");
         }
-        boolean informational = head != null && head.getCode() < FIRST_FINAL_STATUS;
+        boolean informational = head != null && head.getCode() < StatusCode.FIRST_FINAL;
         informationalHeads = informational ? informationalHeads + 1 : 0;
         if (informationalHeads > MAX_INFORMATIONAL_HEADS) {
             throw new MessageConstraintException(
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamResponseDecoder.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamResponseDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
+import org.papayawalk.core.call.StatusCode;
 import org.papayawalk.http.ResponseOverhead;
 
 /**
@@ -86,6 +87,12 @@
         received.run();
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        StatusCode.require(initialLine[1]);
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return isHead() || super.isContentAlwaysEmpty(message);
