Leave slots free for higher ranks that lack room

Cause: a rank orders an entry's own queue, which is mostly empty where there are many entries. A burst of the least urgent kind takes the slots that the most urgent one needs a moment later at another entry.

Change: each request that finds no upstream with room raises the pressure of its rank for about a second; lower ranks then leave up to a quarter of the slots free. On only with the contract of sites whose callers compete for too little room.

--- a/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
+++ b/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
@@ -32,6 +32,7 @@
  * @param upstreamService service of that upstream, empty if there is none
  * @param linkBytesPerSecond bandwidth of the host's link in each direction, in bytes per second
  * @param maxDescriptors descriptors that the process may open
+ * @param ranksCompete whether requests of different ranks compete for too little room at times
  * @param limits limits set by the operators
  */
 public record ManagedSettings(
@@ -50,6 +51,7 @@
         Optional<ServiceId> upstreamService,
         double linkBytesPerSecond,
         int maxDescriptors,
+        boolean ranksCompete,
         OperatorLimits limits) {
     /** Descriptors that are no connections of callers: files, and a quarter of the rest. */
     private static final int FILE_DESCRIPTORS = 200;
--- a/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/DispatchQueue.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.papayawalk.core.desired.Homes;
 import org.papayawalk.core.place.LoadSheddingRule;
@@ -39,6 +40,9 @@
 
     private final RandomGenerator random;
 
+    /** Receives the rank of each request that finds no upstream with room, and the time. */
+    private final BiConsumer<Integer, Instant> onNoRoom;
+
     private final WaitQueue<Exchange> queue = new WaitQueue<>();
 
     /** Availability for requests with the same homes. */
@@ -54,8 +58,14 @@
      * @param loop event loop thread
      * @param clock monotonic clock
      * @param random random generator for the jitter of retry times
+     * @param onNoRoom receives the rank of each request that finds no upstream with room
      */
-    DispatchQueue(EventLoop loop, InstantSource clock, RandomGenerator random) {
+    DispatchQueue(
+            EventLoop loop,
+            InstantSource clock,
+            RandomGenerator random,
+            BiConsumer<Integer, Instant> onNoRoom) {
+        this.onNoRoom = onNoRoom;
         this.loop = loop;
         this.clock = clock;
         this.random = random;
@@ -80,6 +90,9 @@
                 exchange.stream().started()
                         ? now.plus(RESUME_TIMEOUT)
                         : waitEnd(exchange, outage(exchange, now));
+        if (availableAt.isPresent()) {
+            onNoRoom.accept(exchange.authorized().priority(), now);
+        }
         if (!queue.offer(exchange, rank, until, now)) {
             refuse(exchange, now);
             return;
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -268,7 +268,8 @@
      * @return queue, created on first use
      */
     DispatchQueue queue(ServiceId service) {
-        return queues.computeIfAbsent(service, s -> new DispatchQueue(loop, clock, random));
+        return queues.computeIfAbsent(
+                service, s -> new DispatchQueue(loop, clock, random, placementRules::foundNoRoom));
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
@@ -2,6 +2,8 @@
 
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.IntSupplier;
@@ -20,6 +22,7 @@
 import org.papayawalk.core.place.PlacementCandidate;
 import org.papayawalk.core.place.PlacementPolicy;
 import org.papayawalk.core.place.PlacementRule;
+import org.papayawalk.core.place.RankPressure;
 import org.papayawalk.core.place.SharedEngines;
 import org.papayawalk.core.settings.ManagedSettings;
 import org.papayawalk.core.upstream.UpstreamRegistration;
@@ -39,6 +42,14 @@
      */
     private static final int ENTRIES_PER_ENGINE = 8;
 
+    /** Share of the slots by which the rules for engines differ. */
+    private static final double RESERVE_STEP = 0.08;
+
+    private static final int RESERVE_STEPS = 3;
+
+    /** Steps that leave more slots free than a late request does. */
+    private static final int LATE_STEPS = 2;
+
     private final ManagedSettings settings;
 
     private final UpstreamTable upstreams;
@@ -51,7 +62,10 @@
 
     private final ManagedEntryMetrics metrics;
 
-    private final PlacementRule engines;
+    private final RankPressure pressure = new RankPressure();
+
+    /** Rules for engines by the number of {@link #RESERVE_STEP} shares that are left free. */
+    private final List<PlacementRule> engines = new ArrayList<>();
 
     private final PlacementRule lateEngines;
 
@@ -89,7 +103,11 @@
         PlacementRule leastLoaded =
                 new LeastLoaded(
                         PlacementPolicy.PLAIN, entryCount, this::distancePenaltySlots, random);
-        engines = engineRule(PlacementPolicy.ENGINES, entries, random);
+        engines.add(engineRule(PlacementPolicy.ENGINES, entries, random));
+        for (int i = 1; i <= RESERVE_STEPS; i++) {
+            PlacementPolicy policy = PlacementPolicy.ENGINES.withReserve(i * RESERVE_STEP);
+            engines.add(engineRule(policy, entries, random));
+        }
         lateEngines = engineRule(PlacementPolicy.ENGINES_LATE, entries, random);
         plain = bounded(leastLoaded);
     }
@@ -98,17 +116,37 @@
      * Returns the rule for the upstreams of a service.
      *
      * @param service service
+     * @param rank rank of the request, 0 for the highest
      * @param late whether the request was late already when it was received
      * @return for engines, a rule with a short queue and a bound on unreported requests, among a
      *     share of the engines if there are many entries, and with slots that a late request leaves
-     *     free; for plain services, a rule with a longer queue
+     *     free, or one of a lower rank while higher ones lack room; for plain services, a rule with
+     *     a longer queue
      */
-    PlacementRule rule(ServiceId service, boolean late) {
+    PlacementRule rule(ServiceId service, int rank, boolean late) {
         boolean hasEngines = desired().flatMap(d -> d.engine(service)).isPresent();
         if (!hasEngines) {
             return plain;
         }
-        return late ? lateEngines : engines;
+        int steps = settings.ranksCompete() ? reservedSteps(rank) : 0;
+        return late && steps < LATE_STEPS ? lateEngines : engines.get(steps);
+    }
+
+    /**
+     * Records that a request found no upstream with room.
+     *
+     * @param rank rank of the request, 0 for the highest
+     * @param now present time
+     */
+    void foundNoRoom(int rank, Instant now) {
+        if (settings.ranksCompete()) {
+            pressure.foundNoRoom(rank, now);
+        }
+    }
+
+    private int reservedSteps(int rank) {
+        double reserve = pressure.reserve(rank, clock.instant());
+        return (int) Math.min(RESERVE_STEPS, Math.round(reserve / RESERVE_STEP));
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamChoice.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/UpstreamChoice.java
@@ -168,7 +168,7 @@
             candidates.removeIf(c -> arrivesLate(c.upstream(), now));
         }
         return entry.placement()
-                .rule(service(), timing.cameLate())
+                .rule(service(), authorized.priority(), timing.cameLate())
                 .choose(candidates, attempts.upstreams(), now);
     }
 
--- a/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
+++ b/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
@@ -7,9 +7,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.papayawalk.core.id.DomainId;
 import org.papayawalk.core.id.HostId;
 import org.papayawalk.core.id.RegionId;
@@ -46,6 +48,9 @@
 
     private static final double DEFAULT_LINK_MEGABITS_PER_SECOND = 1000;
 
+    /** Contract of sites whose callers compete for too little room at times. */
+    private static final String PRESSURE_CONTRACT = "pressure";
+
     private static final int DEFAULT_DESCRIPTORS = 4096;
 
     private static final double BITS_PER_MEGABIT = 1e6;
@@ -113,9 +118,16 @@
                         * BITS_PER_MEGABIT
                         / Byte.SIZE,
                 root.path("limits").path("maxFds").asInt(DEFAULT_DESCRIPTORS),
+                contracts(root).contains(PRESSURE_CONTRACT),
                 operatorLimits(root.path("bounds")));
     }
 
+    private static Set<String> contracts(JsonNode root) {
+        Set<String> contracts = new HashSet<>();
+        root.path("contracts").forEach(c -> contracts.add(c.asText()));
+        return contracts;
+    }
+
     private static OperatorLimits operatorLimits(JsonNode node) {
         return new OperatorLimits(
                 Duration.ofMillis(node.path("contactMs").asLong(DEFAULT_MAX_STALENESS_MILLIS)),
