Let an entry use only engines of its share, near and far

Cause: an entry whose engines were all full went on to the shares of the rule before, whose load it does not hear of; and 14 entries shared an engine, where 8 served best in the model (docs/design/load.md).

Change: an entry with a usable engine in its domain uses its share there and its share of the others, nothing else. Six entries of a domain share an engine, and one of each other domain. Both rules take shares from one place.

LocalEnginesTest, SharedEnginesProperties and LoadSimulationTest pass.

--- a/src/main/java/org/papayawalk/core/place/LocalEngines.java
+++ b/src/main/java/org/papayawalk/core/place/LocalEngines.java
@@ -20,15 +20,16 @@
  *
  * <p>The entries of a domain share its engines among them, as in {@link SharedEngines}, and each
  * engine of another domain is left to fewer of them, so that the entries of all domains together
- * stay few enough for its load reports. Engines that state no pace, and a domain without a usable
- * engine, are left to another rule. Not thread-safe: confined to the event loop thread.
+ * stay few enough for its load reports. If all engines of this entry are full, it uses no others,
+ * of which it has no reports. Engines that state no pace, and a domain without a usable engine, are
+ * left to another rule. Not thread-safe: confined to the event loop thread.
  */
 public final class LocalEngines implements PlacementRule {
     /** Entries of a domain that share an engine of their domain. */
-    private static final int NEAR_ENTRIES_PER_ENGINE = 8;
+    private static final int NEAR_ENTRIES_PER_ENGINE = 6;
 
     /** Entries of a domain that share an engine of another domain. */
-    private static final int FAR_ENTRIES_PER_ENGINE = 3;
+    private static final int FAR_ENTRIES_PER_ENGINE = 1;
 
     private final PlacementRule rule;
 
@@ -78,28 +79,24 @@
         List<PlacementCandidate> near = new ArrayList<>();
         List<PlacementCandidate> far = new ArrayList<>();
         for (PlacementCandidate c : candidates) {
-            boolean isNear = c.upstream().domain().equals(domain);
             boolean usable = c.load().isSelectable(now) && !tried.contains(c.upstream().id());
-            if (usable && isShared(c, isNear)) {
-                (isNear ? near : far).add(c);
+            if (usable) {
+                (c.upstream().domain().equals(domain) ? near : far).add(c);
             }
         }
-        Optional<PlacementCandidate> nearest = rule.choose(near, tried, now);
-        Optional<PlacementCandidate> elsewhere = rule.choose(far, tried, now);
-        if (nearest.isEmpty() && elsewhere.isEmpty()) {
-            return otherwise.choose(candidates, tried, now);
+        if (near.isEmpty()) {
+            return otherwise.choose(far, tried, now);
         }
+        Optional<PlacementCandidate> nearest =
+                rule.choose(ranks.own(near, NEAR_ENTRIES_PER_ENGINE), tried, now);
+        Optional<PlacementCandidate> elsewhere =
+                rule.choose(ranks.own(far, FAR_ENTRIES_PER_ENGINE), tried, now);
         if (nearest.isEmpty() || elsewhere.isEmpty()) {
             return nearest.or(() -> elsewhere);
         }
         return leaves(nearest.get(), elsewhere.get(), now) ? elsewhere : nearest;
     }
 
-    private boolean isShared(PlacementCandidate candidate, boolean isNear) {
-        int sharers = isNear ? NEAR_ENTRIES_PER_ENGINE : FAR_ENTRIES_PER_ENGINE;
-        return ranks.rank(candidate.upstream().id()) < sharers;
-    }
-
     private boolean leaves(PlacementCandidate near, PlacementCandidate far, Instant now) {
         Duration longer = delay.apply(far).minus(delay.apply(near));
         Duration way = longer.isNegative() ? Duration.ZERO : longer;
--- a/src/main/java/org/papayawalk/core/place/RendezvousRanks.java
+++ b/src/main/java/org/papayawalk/core/place/RendezvousRanks.java
@@ -1,6 +1,9 @@
 package org.papayawalk.core.place;
 
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -60,4 +63,23 @@
     int entries() {
         return otherEntries.get().size() + 1;
     }
+
+    /**
+     * Returns the upstreams that rendezvous hashing assigns to this entry, and further ones in the
+     * order of their ranks up to the mean number.
+     *
+     * @param upstreams upstreams to assign
+     * @param sharers number of entries that share an upstream, at least 1
+     * @return at least one, unless there are none
+     */
+    List<PlacementCandidate> own(Collection<PlacementCandidate> upstreams, int sharers) {
+        int mean = (int) Math.ceil((double) upstreams.size() * sharers / entries());
+        long assigned = upstreams.stream().filter(c -> rank(c.upstream().id()) < sharers).count();
+        return upstreams.stream()
+                .sorted(
+                        Comparator.comparingInt((PlacementCandidate c) -> rank(c.upstream().id()))
+                                .thenComparing(c -> c.upstream().id().value()))
+                .limit(Math.max(assigned, mean))
+                .toList();
+    }
 }
--- a/src/main/java/org/papayawalk/core/place/SharedEngines.java
+++ b/src/main/java/org/papayawalk/core/place/SharedEngines.java
@@ -2,7 +2,6 @@
 
 import java.time.Instant;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -49,30 +48,14 @@
     @Override
     public Optional<PlacementCandidate> choose(
             Collection<PlacementCandidate> candidates, Set<UpstreamId> tried, Instant now) {
-        int entries = ranks.entries();
-        if (entries <= entriesPerEngine) {
+        if (ranks.entries() <= entriesPerEngine) {
             return rule.choose(candidates, tried, now);
         }
         List<PlacementCandidate> own =
-                own(candidates, entries).stream().filter(c -> c.load().isSelectable(now)).toList();
+                ranks.own(candidates, entriesPerEngine).stream()
+                        .filter(c -> c.load().isSelectable(now))
+                        .toList();
         boolean usable = own.stream().anyMatch(c -> !tried.contains(c.upstream().id()));
         return rule.choose(usable ? own : candidates, tried, now);
     }
-
-    // Returns the engines that rendezvous hashing assigns to this entry, and further ones in the
-    // order of their ranks up to the mean number.
-    private List<PlacementCandidate> own(Collection<PlacementCandidate> engines, int entries) {
-        int mean = (int) Math.ceil((double) engines.size() * entriesPerEngine / entries);
-        long assigned = engines.stream().filter(c -> rank(c) < entriesPerEngine).count();
-        return engines.stream()
-                .sorted(
-                        Comparator.comparingInt(this::rank)
-                                .thenComparing(c -> c.upstream().id().value()))
-                .limit(Math.max(assigned, mean))
-                .toList();
-    }
-
-    private int rank(PlacementCandidate engine) {
-        return ranks.rank(engine.upstream().id());
-    }
 }
