Check a desired state before it is sent

Cause: operators asked for a small tool: errors, entries that can never match, limits that contradict each other, and what differs from the version in force.

Change: papayawalk check FILE [--against FILE], with the decoder that the daemons use; the checks are pure and speak to nobody.

--- a/src/main/java/org/papayawalk/cli/CliMain.java
+++ b/src/main/java/org/papayawalk/cli/CliMain.java
@@ -77,6 +77,7 @@
                 new AuditCommand(),
                 new DrainCommand(),
                 new OutcomeCommand(),
+                new CheckCommand(),
                 new VersionCommand());
     }
 
--- a/src/main/java/org/papayawalk/core/desired/RouteTable.java
+++ b/src/main/java/org/papayawalk/core/desired/RouteTable.java
@@ -48,6 +48,19 @@
                 .findFirst();
     }
 
+    /**
+     * Returns the routes.
+     *
+     * @return routes by host; of each host the longest prefix first, and of two with the same
+     *     prefix the one that is used
+     */
+    public List<RouteRule> all() {
+        return byHost.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .flatMap(e -> e.getValue().stream())
+                .toList();
+    }
+
     /**
      * Returns the number of routes.
      *
