--- a/src/main/java/org/papayawalk/core/limit/ColdUpstreams.java
+++ b/src/main/java/org/papayawalk/core/limit/ColdUpstreams.java
@@ -28,6 +28,9 @@
     /** Time after its start in which an entry may not know the others. */
     static final Duration DISCOVERY = Duration.ofSeconds(5);
 
+    /** Time after which entries that are still heard of are recorded again. */
+    private static final Duration REFRESH = Duration.ofMillis(500);
+
     private static final int MAX_PACES = 4096;
 
     private final HostId self;
@@ -41,6 +44,11 @@
     /** When each other entry was last heard of. */
     private final Map<HostId, Instant> heardAt = new HashMap<>();
 
+    /** Set that was supplied last, and when it was looked at. */
+    private Set<HostId> lastHeard = Set.of();
+
+    private Instant refreshedAt = Instant.MIN;
+
     /** Entries among which the ranks were computed. */
     private Set<HostId> rankedAmong = Set.of();
 
@@ -114,6 +122,11 @@
     // Changes of the entries take new shares, which begin in turn.
     private void updateRanks(Instant now) {
         Set<HostId> heard = otherEntries.get();
+        if (heard == lastHeard && refreshedAt.plus(REFRESH).isAfter(now)) {
+            return;
+        }
+        lastHeard = heard;
+        refreshedAt = now;
         heard.forEach(h -> heardAt.put(h, now));
         boolean lapsed = heardAt.values().removeIf(t -> t.plus(MEMORY).isBefore(now));
         if (lapsed || heardAt.size() != rankedAmong.size()) {
--- a/src/main/java/org/papayawalk/core/place/RendezvousRanks.java
+++ b/src/main/java/org/papayawalk/core/place/RendezvousRanks.java
@@ -74,12 +74,16 @@
      */
     List<PlacementCandidate> own(Collection<PlacementCandidate> upstreams, int sharers) {
         int mean = (int) Math.ceil((double) upstreams.size() * sharers / entries());
-        long assigned = upstreams.stream().filter(c -> rank(c.upstream().id()) < sharers).count();
+        List<PlacementCandidate> assigned =
+                upstreams.stream().filter(c -> rank(c.upstream().id()) < sharers).toList();
+        if (assigned.size() >= mean) {
+            return assigned;
+        }
         return upstreams.stream()
                 .sorted(
                         Comparator.comparingInt((PlacementCandidate c) -> rank(c.upstream().id()))
                                 .thenComparing(c -> c.upstream().id().value()))
-                .limit(Math.max(assigned, mean))
+                .limit(mean)
                 .toList();
     }
 }
