--- a/src/main/java/org/papayawalk/core/place/LocalEngines.java
+++ b/src/main/java/org/papayawalk/core/place/LocalEngines.java
@@ -21,8 +21,9 @@
  * <p>The entries of a domain share its engines among them, as in {@link SharedEngines}, and each
  * engine of another domain is left to fewer of them, so that the entries of all domains together
  * stay few enough for its load reports. If all engines of this entry are full, it uses no others,
- * of which it has no reports. Engines that state no pace, and a domain without a usable engine, are
- * left to another rule. Not thread-safe: confined to the event loop thread.
+ * of which it has no reports. A domain without a usable engine is left to another rule, and so are
+ * engines that state no pace, unless the deployment asks for this one. Not thread-safe: confined to
+ * the event loop thread.
  */
 public final class LocalEngines implements PlacementRule {
     /** Entries of a domain that share an engine of their domain. */
@@ -39,6 +40,8 @@
 
     private final DomainId domain;
 
+    private final boolean always;
+
     private final RendezvousRanks ranks;
 
     private final Function<PlacementCandidate, Duration> delay;
@@ -51,6 +54,7 @@
      * @param preference decides whether leaving the domain pays
      * @param self this entry
      * @param domain failure domain of this entry
+     * @param always whether the rule also holds for engines that state no pace
      * @param nearEntries supplies the other running entries of this domain
      * @param delay returns the time that a message to an engine needs
      */
@@ -60,12 +64,14 @@
             DomainPreference preference,
             HostId self,
             DomainId domain,
+            boolean always,
             Supplier<Set<HostId>> nearEntries,
             Function<PlacementCandidate, Duration> delay) {
         this.rule = rule;
         this.otherwise = otherwise;
         this.preference = preference;
         this.domain = domain;
+        this.always = always;
         this.ranks = new RendezvousRanks(self, nearEntries);
         this.delay = delay;
     }
@@ -73,7 +79,7 @@
     @Override
     public Optional<PlacementCandidate> choose(
             Collection<PlacementCandidate> candidates, Set<UpstreamId> tried, Instant now) {
-        if (candidates.stream().noneMatch(c -> c.load().isPaced())) {
+        if (!always && candidates.stream().noneMatch(c -> c.load().isPaced())) {
             return otherwise.choose(candidates, tried, now);
         }
         List<PlacementCandidate> near = new ArrayList<>();
--- a/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
+++ b/src/main/java/org/papayawalk/core/settings/ManagedSettings.java
@@ -32,6 +32,7 @@
  * @param upstreamService service of that upstream, empty if there is none
  * @param linkBytesPerSecond bandwidth of the host's link in each direction, in bytes per second
  * @param maxDescriptors descriptors that the process may open
+ * @param domainsMatter whether requests should stay in the failure domain of their entry
  * @param ranksCompete whether requests of different ranks compete for too little room at times
  * @param limits limits set by the operators
  */
@@ -51,6 +52,7 @@
         Optional<ServiceId> upstreamService,
         double linkBytesPerSecond,
         int maxDescriptors,
+        boolean domainsMatter,
         boolean ranksCompete,
         OperatorLimits limits) {
     /** Descriptors that are no connections of callers: files, and a quarter of the rest. */
--- a/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/PlacementRules.java
@@ -209,6 +209,7 @@
                         DomainPreference.DEFAULT,
                         self,
                         settings.domain(),
+                        settings.domainsMatter(),
                         entries::near,
                         c -> upstreams.delays().estimate(c.upstream(), clock.instant()));
         return bounded(local);
--- a/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
+++ b/src/main/java/org/papayawalk/platform/ManagedSettingsCodec.java
@@ -48,6 +48,9 @@
 
     private static final double DEFAULT_LINK_MEGABITS_PER_SECOND = 1000;
 
+    /** Contract of sites whose operators decide in which places requests are served. */
+    private static final String PLACES_CONTRACT = "places";
+
     /** Contract of sites whose callers compete for too little room at times. */
     private static final String PRESSURE_CONTRACT = "pressure";
 
@@ -118,6 +121,7 @@
                         * BITS_PER_MEGABIT
                         / Byte.SIZE,
                 root.path("limits").path("maxFds").asInt(DEFAULT_DESCRIPTORS),
+                contracts(root).contains(PLACES_CONTRACT),
                 contracts(root).contains(PRESSURE_CONTRACT),
                 operatorLimits(root.path("bounds")));
     }
--- a/src/test/java/org/papayawalk/core/place/LocalEnginesTest.java
+++ b/src/test/java/org/papayawalk/core/place/LocalEnginesTest.java
@@ -117,22 +117,27 @@
         assertTrue(left > 0 && left < ENGINES * 2, left + " left");
     }
 
-    /** Engines that state no pace are placed by the other rule. */
+    /** Engines that state no pace are placed by the other rule, unless the deployment asks. */
     @Test
     public void enginesWithoutPaceAreLeftToTheOtherRule() {
         engines.replaceAll(c -> new PlacementCandidate(c.upstream(), new UpstreamLoad()));
+        PlacementCandidate last = engines.get(engines.size() - 1);
+        assertEquals(choose(false), last);
+        assertEquals(choose(true).upstream().domain(), NEAR);
+    }
+
+    private PlacementCandidate choose(boolean always) {
         PlacementRule rule =
                 new LocalEngines(
-                        (c, t, n) -> {
-                            throw new AssertionError("not expected");
-                        },
                         (c, t, n) -> c.stream().findFirst(),
+                        (c, t, n) -> c.stream().reduce((x, y) -> y),
                         DomainPreference.DEFAULT,
                         new HostId("10.0.0.1"),
                         NEAR,
+                        always,
                         Set::of,
                         c -> Duration.ZERO);
-        assertEquals(rule.choose(engines, Set.of(), NOW).orElseThrow(), engines.get(0));
+        return rule.choose(engines, Set.of(), NOW).orElseThrow();
     }
 
     private int leaving() {
@@ -158,6 +163,7 @@
                 DomainPreference.DEFAULT,
                 new HostId("10.0.0.1"),
                 NEAR,
+                false,
                 () -> others,
                 c -> c.upstream().domain().equals(NEAR) ? Duration.ofMillis(1) : farDelay);
     }
