Keep nothing of ordinary heads after their requests

Cause: the record of what a connection's heads hold kept the last 128 of them, with their headers, for as long as the connection was open.

Change: only heads with more lines than are free are recorded, until their request ends; trailers are released when they are read.

Measured: ConnectionHeadsTest, CallerHandlerTest, CallerDecoderFuzzTest pass.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/ConnectionHeads.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ConnectionHeads.java
@@ -3,8 +3,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Set;
 import org.papayawalk.core.limit.HeaderLines;
 
 /**
@@ -12,12 +14,10 @@
  * them when it closes. Confined to the event loop thread.
  */
 final class ConnectionHeads {
-    /** Headers that a connection may hold at once: those of all requests that wait, with theirs. */
-    private static final int MAX_TRACKED = 128;
-
     private final HeaderLines budget;
 
-    private final Deque<CountedHeaders> created = new ArrayDeque<>();
+    /** Headers that hold room. */
+    private final Set<CountedHeaders> holding = Collections.newSetFromMap(new IdentityHashMap<>());
 
     /**
      * Creates the heads of a connection.
@@ -48,30 +48,47 @@
 
     /** Gives the room of all lines back. Called when the connection has closed. */
     void release() {
-        created.forEach(CountedHeaders::release);
-        created.clear();
+        List.copyOf(holding).forEach(CountedHeaders::release);
+    }
+
+    /**
+     * Records that headers hold room.
+     *
+     * @param headers headers with more lines than are free
+     */
+    void roomHeld(CountedHeaders headers) {
+        holding.add(headers);
+    }
+
+    /**
+     * Records that headers hold no room any more.
+     *
+     * @param headers headers that have given theirs back
+     */
+    void roomReleased(CountedHeaders headers) {
+        holding.remove(headers);
+    }
+
+    /**
+     * Returns the number of headers that hold room.
+     *
+     * @return 0 or more
+     */
+    int holdingCount() {
+        return holding.size();
     }
 
     private HttpHeadersFactory factory(DefaultHttpHeadersFactory validation) {
         return new HttpHeadersFactory() {
             @Override
             public HttpHeaders newHeaders() {
-                return create(validation);
+                return new CountedHeaders(budget, ConnectionHeads.this, validation);
             }
 
             @Override
             public HttpHeaders newEmptyHeaders() {
-                return create(validation);
+                return new CountedHeaders(budget, ConnectionHeads.this, validation);
             }
         };
     }
-
-    private HttpHeaders create(DefaultHttpHeadersFactory validation) {
-        CountedHeaders headers = new CountedHeaders(budget, validation);
-        created.addLast(headers);
-        if (created.size() > MAX_TRACKED) {
-            created.removeFirst().release();
-        }
-        return headers;
-    }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/CountedHeaders.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/CountedHeaders.java
@@ -12,6 +12,8 @@
 final class CountedHeaders extends DefaultHttpHeaders {
     private final HeaderLines budget;
 
+    private final ConnectionHeads connection;
+
     private int lines;
 
     /** Lines that count in the budget. */
@@ -31,11 +33,14 @@
      * Creates headers without lines.
      *
      * @param budget bound of the lines of all requests
+     * @param connection heads of the connection, which knows those that hold room
      * @param validation decides which names and values are valid
      */
-    CountedHeaders(HeaderLines budget, DefaultHttpHeadersFactory validation) {
+    CountedHeaders(
+            HeaderLines budget, ConnectionHeads connection, DefaultHttpHeadersFactory validation) {
         super(validation.getNameValidator(), validation.getValueValidator());
         this.budget = budget;
+        this.connection = connection;
     }
 
     @Override
@@ -52,8 +57,11 @@
 
     /** Gives the room of the lines back. No effect if it was given back before. */
     void release() {
-        budget.release(heldLines);
-        heldLines = 0;
+        if (heldLines > 0) {
+            budget.release(heldLines);
+            heldLines = 0;
+            connection.roomReleased(this);
+        }
     }
 
     private void countLine() {
@@ -66,5 +74,8 @@
             throw new NoMemoryException();
         }
         heldLines++;
+        if (heldLines == 1) {
+            connection.roomHeld(this);
+        }
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
@@ -206,7 +206,10 @@
             rejectWithoutMemory();
             return;
         }
-        if (content instanceof LastHttpContent) {
+        if (content instanceof LastHttpContent last) {
+            if (last.trailingHeaders() instanceof CountedHeaders trailers) {
+                trailers.release();
+            }
             CallerRequest request = partial.complete(entry.clock().instant());
             timer.cancel();
             partial = null;
