--- a/src/main/java/org/papayawalk/core/place/LocalEngines.java
+++ b/src/main/java/org/papayawalk/core/place/LocalEngines.java
@@ -21,9 +21,10 @@
  * <p>The entries of a domain share its engines among them, as in {@link SharedEngines}, and each
  * engine of another domain is left to fewer of them, so that the entries of all domains together
  * stay few enough for its load reports. If all engines of this entry are full, it uses no others,
- * of which it has no reports. A domain without a usable engine is left to another rule, and so are
- * engines that state no pace, unless the deployment asks for this one. Not thread-safe: confined to
- * the event loop thread.
+ * of which it has no reports. The entries of a domain without a usable engine share those of the
+ * others, so that their callers find as much room as others do. Engines that state no pace are left
+ * to another rule, unless the deployment asks for this one. Not thread-safe: confined to the event
+ * loop thread.
  */
 public final class LocalEngines implements PlacementRule {
     /** Entries of a domain that share an engine of their domain. */
@@ -32,6 +33,9 @@
     /** Entries of a domain that share an engine of another domain. */
     private static final int FAR_ENTRIES_PER_ENGINE = 1;
 
+    /** The same while the domain of these entries has no usable engine. */
+    private static final int GUEST_ENTRIES_PER_ENGINE = 4;
+
     private final PlacementRule rule;
 
     private final PlacementRule otherwise;
@@ -50,7 +54,7 @@
      * Creates a rule.
      *
      * @param rule chooses among the engines of a domain, or of all others
-     * @param otherwise rule for engines that state no pace, and for a domain without usable engines
+     * @param otherwise rule for engines that state no pace
      * @param preference decides whether leaving the domain pays
      * @param self this entry
      * @param domain failure domain of this entry
@@ -91,7 +95,7 @@
             }
         }
         if (near.isEmpty()) {
-            return otherwise.choose(far, tried, now);
+            return rule.choose(ranks.own(far, GUEST_ENTRIES_PER_ENGINE), tried, now);
         }
         Optional<PlacementCandidate> nearest =
                 rule.choose(ranks.own(near, NEAR_ENTRIES_PER_ENGINE), tried, now);
