Add up all bounds of an entry's memory

Cause: the test of the sum left out answers of the store, waiting bodies and small responses; with them and 8 MB of header lines nothing was left for the entry itself.

Change: 4 MB for header lines, still one request of any legal head in a third of the heap; the test adds all bounds and 12 MB of the entry's own.

Measured: EntryMemoryTest passes.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryMemory.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryMemory.java
@@ -20,7 +20,7 @@
     static final long MAX_RESPONSE_BYTES = 40 * 1024 * 1024;
 
     /** Bound of all header lines beyond the first ones of each request, in bytes. */
-    static final long MAX_HEADER_LINE_BYTES = 8 * 1024 * 1024;
+    static final long MAX_HEADER_LINE_BYTES = 4 * 1024 * 1024;
 
     /** Memory of one short header line: its entry, name and value. */
     static final int HEADER_LINE_BYTES = 160;
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EntryMemoryTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EntryMemoryTest.java
@@ -15,7 +15,16 @@
     private static final long MEGABYTE = 1024 * 1024;
 
     /** Heap of an entry that holds nothing of callers and upstreams. */
-    private static final long OWN_BYTES = 16 * MEGABYTE;
+    private static final long OWN_BYTES = 12 * MEGABYTE;
+
+    /** What was read of long bodies that wait for room. */
+    private static final long WAITING_BODY_BYTES = 4 * MEGABYTE;
+
+    /** Small responses beyond the bound of all. */
+    private static final long SMALL_RESPONSE_BYTES = 4 * MEGABYTE;
+
+    /** Answers of the store, the origin and other entries. */
+    private static final long CLIENT_BYTES = 12 * MEGABYTE;
 
     /** Longest body and head that the users' sites allow. */
     private static final long SITE_BODY_BYTES = 4_194_304;
@@ -38,7 +47,10 @@
         long bounds =
                 EntryMemory.MAX_BODY_BYTES
                         + EntryMemory.MAX_RESPONSE_BYTES
-                        + EntryMemory.MAX_HEADER_LINE_BYTES;
+                        + EntryMemory.MAX_HEADER_LINE_BYTES
+                        + WAITING_BODY_BYTES
+                        + SMALL_RESPONSE_BYTES
+                        + CLIENT_BYTES;
         assertTrue(OWN_BYTES + bounds <= Long.parseLong(heap.group(1)) * MEGABYTE);
     }
 
