Keep the order of shares, and wait for removed servers in a test

Change: shares are in the order of their ranks again; that test waits until the old servers are gone, its checks are unchanged.

Measured: both classes pass, LocalEnginesTest and SharedEnginesProperties too.

--- a/src/main/java/org/papayawalk/core/place/RendezvousRanks.java
+++ b/src/main/java/org/papayawalk/core/place/RendezvousRanks.java
@@ -76,14 +76,13 @@
         int mean = (int) Math.ceil((double) upstreams.size() * sharers / entries());
         List<PlacementCandidate> assigned =
                 upstreams.stream().filter(c -> rank(c.upstream().id()) < sharers).toList();
-        if (assigned.size() >= mean) {
-            return assigned;
-        }
-        return upstreams.stream()
-                .sorted(
-                        Comparator.comparingInt((PlacementCandidate c) -> rank(c.upstream().id()))
-                                .thenComparing(c -> c.upstream().id().value()))
-                .limit(mean)
-                .toList();
+        boolean enough = assigned.size() >= mean;
+        Comparator<PlacementCandidate> byRank =
+                Comparator.comparingInt(c -> rank(c.upstream().id()));
+        return (enough ? assigned : upstreams)
+                .stream()
+                        .sorted(byRank.thenComparing(c -> c.upstream().id().value()))
+                        .limit(Math.max(assigned.size(), mean))
+                        .toList();
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EarlierAnswerOnKeptConnectionTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EarlierAnswerOnKeptConnectionTest.java
@@ -38,7 +38,11 @@
         fixture.store().put("servers", "i-3", ROW.formatted(server.address()));
         fixture.store().remove("servers", "i-1");
         fixture.store().remove("servers", "i-2");
-        ManagedEntryFixture.await(() -> fixture.knowsUsable("i-3"));
+        ManagedEntryFixture.await(
+                () ->
+                        fixture.knowsUsable("i-3")
+                                && !fixture.knowsUsable("i-1")
+                                && !fixture.knowsUsable("i-2"));
     }
 
     /** Waits until the entry uses the server, on a connection that it keeps. */
