Deny requests only by a desired state that lacks no change

Cause: callers got 404 or 401, which are final, for requests that the desired state allowed: their entry denied by a state that a change had not reached. An entry knows until when its state has every change (the answers of the store and the proofs of its source), but did not ask. The same holds for 413 and 431, by limits that may have been raised, or by the defaults before any state is known. Class: a final answer is derived from knowledge whose age is not asked.

Change: a denial needs a state that had every change up to configApplyMs ago. Else the caller gets 503 with a Retry-After; the request has not run. The first call for changes after a full read is not held by the store, as its answer proves that the read was not stale; an entry reports that it is ready after that proof, or 1 s later. In calm a proof is at most half of configApplyMs old, so wrong requests are denied as before.

LateDesiredStateTest failed before, 2 of 4 (404 and 401 in place of 503).

Measured: LateDesiredStateTest and DenialRuleTest pass, and 7 classes of the entry that ask for 401, 404, 413 and 431.

--- a/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
+++ b/src/main/java/org/papayawalk/daemon/managed/PlatformState.java
@@ -41,6 +41,8 @@
 public final class PlatformState {
     private final Map<String, TableReplica> tables = new HashMap<>();
 
+    private final TableProofs proofs = new TableProofs(tables);
+
     private final UpstreamTracker upstreams = new UpstreamTracker();
 
     private final EngineNotices engines = new EngineNotices();
@@ -93,6 +95,15 @@
         listeners.add(listener);
     }
 
+    /**
+     * Returns the record of the times until which the tables have every change.
+     *
+     * @return record, confined to the control thread
+     */
+    public TableProofs proofs() {
+        return proofs;
+    }
+
     /**
      * Returns the names of the tables that this daemon follows.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateSyncMessages.java
@@ -166,14 +166,12 @@
      */
     static void applyProofs(List<TableProof> proofs, PlatformState state, Instant toldAt) {
         for (TableProof p : proofs) {
-            TableReplica replica = state.table(p.getTable());
-            if (replica == null) {
-                continue;
-            }
             long age = Integer.toUnsignedLong(p.getAgeMillis());
-            replica.recordComplete(
-                    new TableVersion(new StoreEra(p.getEra()), p.getVersion()),
-                    toldAt.minusMillis(age));
+            state.proofs()
+                    .record(
+                            p.getTable(),
+                            new TableVersion(new StoreEra(p.getEra()), p.getVersion()),
+                            toldAt.minusMillis(age));
         }
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/StateTableReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StateTableReceiver.java
@@ -31,7 +31,7 @@
 
     @Override
     public void complete(TableVersion version, Instant until) {
-        state.table(table).recordComplete(version, until);
+        state.proofs().record(table, version, until);
     }
 
     @Override
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -217,17 +217,21 @@
         boolean direct = feed.followsStore();
         Kind kind = direct ? Kind.FOLLOW : Kind.CHECK;
         calledAt = clock.instant();
-        Duration wait =
-                direct
-                        ? feed.storeWait(
-                                schedule, contact.failures(), receiver.completeUntil(), calledAt)
-                        : Duration.ZERO;
+        Duration wait = direct ? longestHold() : Duration.ZERO;
         FeedCall call = new FeedCall(kind, receiver.version().number(), calledAt, wait);
         String target = StoreCodec.changesTarget(table, call.after(), wait);
         http.send(AsyncHttpRequest.get(storeAddress, target, schedule.timeout(wait)))
                 .thenAccept(r -> thread.execute(() -> handleChanges(r, call, callGeneration)));
     }
 
+    // The first call is not held, as its answer proves that the full read was not stale.
+    private Duration longestHold() {
+        Instant proven = receiver.completeUntil();
+        return proven.equals(Instant.MIN)
+                ? Duration.ZERO
+                : feed.storeWait(schedule, contact.failures(), proven, calledAt);
+    }
+
     private void handleChanges(
             Either<Fault, AsyncHttpResponse> result, FeedCall call, int callGeneration) {
         result.forEach(a -> receiver.eraSeen(era(a)));
--- a/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/EntryContext.java
@@ -11,6 +11,7 @@
 import org.papayawalk.core.RunningTime;
 import org.papayawalk.core.admit.StopSchedule;
 import org.papayawalk.core.desired.CallerLimits;
+import org.papayawalk.core.desired.DenialRule;
 import org.papayawalk.core.desired.DesiredState;
 import org.papayawalk.core.desired.RequestKind;
 import org.papayawalk.core.id.DomainId;
@@ -65,6 +66,8 @@
 
     private final TurnQueue turns;
 
+    private final DesiredStateAge desiredAge;
+
     private final PlacementRules placementRules;
 
     /** Null unless the entry is stopping. */
@@ -93,6 +96,7 @@
         this.metrics = metrics;
         this.callers = new CallerConnections(settings.maxCallerConnections());
         this.turns = new TurnQueue(loop);
+        this.desiredAge = new DesiredStateAge(new DenialRule(settings.limits().maxDelay()));
         this.poison = new PoisonGuard(loop, clock, new HostId(settings.ip()), otherEntries::all);
         this.limits = new UpstreamLimits(new HostId(settings.ip()), otherEntries::all);
         WithheldUpstreams withheld = new WithheldUpstreams();
@@ -318,6 +322,15 @@
         return turns;
     }
 
+    /**
+     * Returns the time until which the desired state in force has every change.
+     *
+     * @return age for use on the event loop thread only
+     */
+    DesiredStateAge desiredAge() {
+        return desiredAge;
+    }
+
     /**
      * Returns whether the entry is stopping.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/Exchange.java
@@ -97,7 +97,7 @@
                 RequestAuthorizer.authorize(
                         desired, host, request.head().uri(), metadata.apiKey(), draw);
         if (decision.isLeft()) {
-            completion.deny(decision.getLeft());
+            deny(decision.getLeft(), now);
             return;
         }
         authorized = decision.get();
@@ -121,6 +121,16 @@
         entry.queue(authorized.service()).dispatch(this, now);
     }
 
+    // A denial is final, so it needs a desired state that lacks no change.
+    private void deny(Denial denial, Instant now) {
+        if (entry.desiredAge().allowsDenial(now)) {
+            completion.deny(denial);
+            return;
+        }
+        completion.refuse(
+                "desired state may lack changes, by it denied: " + denial, NO_STATE_RETRY_AFTER);
+    }
+
     /**
      * Returns the end of the request.
      *
--- a/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/ManagedEntryRole.java
@@ -39,6 +39,9 @@
 
     private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(100);
 
+    /** Time for which an entry that knows all tables waits for a proof that they are not stale. */
+    private static final Duration MAX_PROOF_WAIT = Duration.ofSeconds(1);
+
     private final ManagedNode node;
 
     private final EventLoop loop;
@@ -76,6 +79,7 @@
     @Override
     public void start() throws IOException {
         node.state().addListener(this::snapshotChanged);
+        node.state().proofs().addOperatorListener(this::desiredStateProven);
         PoisonGuard poison = entry.poison();
         SharedEvidence evidence =
                 new SharedEvidence(poison.suspects(), entry.limits(), poison.promptParts());
@@ -181,12 +185,38 @@
                     entry.upstreams().update(snapshot);
                     entry.snapshotChanged();
                     if (!ready && snapshot.complete()) {
-                        ready = true;
-                        Event.named("ready").info();
+                        awaitProof();
+                    }
+                });
+    }
+
+    // Called on the control thread, after the snapshot that has these changes.
+    private void desiredStateProven(Instant completeUntil) {
+        loop.execute(
+                () -> {
+                    entry.desiredAge().recordComplete(completeUntil);
+                    if (entry.upstreams().snapshot().complete()) {
+                        reportReady();
                     }
                 });
     }
 
+    // Without a proof, requests can be served, but none can be denied.
+    private void awaitProof() {
+        if (entry.desiredAge().isProven()) {
+            reportReady();
+            return;
+        }
+        loop.schedule(this::reportReady, MAX_PROOF_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void reportReady() {
+        if (!ready) {
+            ready = true;
+            Event.named("ready").info();
+        }
+    }
+
     // Closes idle connections of callers. Returns true if no request is in progress or expected.
     private boolean closeIdleConnections(StopSchedule schedule) {
         try {
--- a/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
@@ -30,6 +30,9 @@
     /** Retry delay of a request whose body found no room. */
     private static final Duration NO_MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
 
+    /** Retry delay of a request that exceeds limits which may have changed. */
+    private static final Duration LATE_STATE_RETRY_AFTER = Duration.ofMillis(500);
+
     private final EntryContext entry;
 
     private final ChannelHandlerContext context;
@@ -228,11 +231,24 @@
         boolean tooLong =
                 cause instanceof TooLongHttpHeaderException
                         || cause instanceof TooLongHttpLineException;
+        String reason = String.valueOf(cause.getMessage());
+        if (tooLong) {
+            rejectByLimit(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, reason);
+        } else {
+            reject(HttpResponseStatus.BAD_REQUEST, reason);
+        }
+    }
+
+    // The limit may have been raised, unless the desired state that holds it lacks no change.
+    private void rejectByLimit(HttpResponseStatus status, String reason) {
+        if (entry.desiredAge().allowsDenial(entry.clock().instant())) {
+            reject(status, reason);
+            return;
+        }
         reject(
-                tooLong
-                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                        : HttpResponseStatus.BAD_REQUEST,
-                String.valueOf(cause.getMessage()));
+                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                "desired state may lack changes, by it " + reason,
+                LATE_STATE_RETRY_AFTER);
     }
 
     private void rejectTimedOut(String part, Duration limit) {
@@ -242,7 +258,7 @@
     }
 
     private void rejectTooLong() {
-        reject(
+        rejectByLimit(
                 HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
                 "request body is longer than " + partial.limits().maxBodyBytes() + " bytes");
     }
