Let large desired states reach all entries over a shared link

Cause: callers got 404 and 401 for what was added, and keys that were taken away went on being served, as entries outside the store's region stayed at an old desired state. Once the state is large, a source needs longer for it than the time between its proofs, so every entry of its region checks at the store at the same moment, and the check's answer is the whole state. All of them share one link, none has its answer within 1.2 s, each gives up and begins anew, the sources too: the link is full and nobody ever gets the state. Class: a fixed time for a whole answer whose length grows, and a repeat that costs as much as the first try, by all at once.

Change: a check of an entry whose source answers reads at most 16 KB. If there is more, it leaves it to the source, and reads it at the store after 0.5 to 1 s, with jitter, if nothing was delivered. A read of the store goes on while its bytes keep arriving, for 8 s at most; it fails once no byte has come for the time that it had before.

LargeStateOverNarrowLinkTest (12 entries, one link) failed before: the second change of a state of 2,000 routes did not arrive within 10 s. Now each of three changes is at all entries after 1 to 3 s.

Measured: that test, and 19 classes of the client, the watchers and the sources, pass.

--- a/src/main/java/org/papayawalk/core/FaultKind.java
+++ b/src/main/java/org/papayawalk/core/FaultKind.java
@@ -10,6 +10,8 @@
     UNREACHABLE,
     /** The request may have taken effect or not, for example after a timeout. */
     UNKNOWN_OUTCOME,
+    /** The response is longer than its request allows; it was not read. */
+    TOO_LONG,
     /** The received data does not match its digest or cannot be parsed. */
     CORRUPT
 }
--- a/src/main/java/org/papayawalk/daemon/managed/FeedCall.java
+++ b/src/main/java/org/papayawalk/daemon/managed/FeedCall.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import org.papayawalk.http.ResponseBounds;
 
 /**
  * Call to the store for the changes of a table. Immutable.
@@ -10,8 +11,29 @@
  * @param after version number after which changes are asked for
  * @param sentAt time at which it was sent
  * @param hold time for which the store may hold it while there are no changes
+ * @param delegates whether another daemon delivers the changes, so that only few are read here
  */
-record FeedCall(StoreCalls.Kind kind, long after, Instant sentAt, Duration hold) {
+record FeedCall(
+        StoreCalls.Kind kind, long after, Instant sentAt, Duration hold, boolean delegates) {
+    /**
+     * Bounds of an answer that is read whatever its length. A read that is given up and begun anew
+     * takes more of a link that is short for all who read.
+     */
+    static final ResponseBounds WHOLE =
+            new ResponseBounds(Duration.ofSeconds(8), ResponseBounds.MAX_BYTES);
+
+    /** Length of an answer up to which a check reads changes that another daemon delivers. */
+    private static final int CHECK_BYTES = 16 * 1024;
+
+    /**
+     * Returns the bounds of the answer.
+     *
+     * @return bounds, narrow for a check
+     */
+    ResponseBounds bounds() {
+        return delegates ? new ResponseBounds(WHOLE.longest(), CHECK_BYTES) : WHOLE;
+    }
+
     /**
      * Returns the time until which the answer has every change. The store has looked at the table
      * after the call was sent, and at the end of the wait if it has held the call to no avail.
--- a/src/main/java/org/papayawalk/daemon/managed/StoreCalls.java
+++ b/src/main/java/org/papayawalk/daemon/managed/StoreCalls.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.LongAdder;
 import org.papayawalk.core.Fault;
+import org.papayawalk.core.FaultKind;
 import org.papayawalk.http.AsyncHttpResponse;
 import org.papayawalk.log.Event;
 
@@ -33,6 +34,8 @@
         DONE,
         /** No rows. */
         NOTHING,
+        /** Rows that were not read, as another daemon delivers them. */
+        DELEGATED,
         /** Another status than success. */
         REFUSED,
         /** No whole answer in time. */
@@ -46,7 +49,8 @@
          */
         static Outcome of(Either<Fault, AsyncHttpResponse> result) {
             if (result.isLeft()) {
-                return UNANSWERED;
+                boolean unread = result.getLeft().kind() == FaultKind.TOO_LONG;
+                return unread ? DELEGATED : UNANSWERED;
             }
             return result.get().isSuccess() ? DONE : REFUSED;
         }
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -126,6 +126,8 @@
 
     private final CheckTimer checkTimer;
 
+    private final AwaitedDelivery delivery = new AwaitedDelivery();
+
     // Number of the present start; calls of earlier starts are not continued.
     private int generation;
 
@@ -218,9 +220,12 @@
         Kind kind = direct ? Kind.FOLLOW : Kind.CHECK;
         calledAt = clock.instant();
         Duration wait = direct ? longestHold() : Duration.ZERO;
-        FeedCall call = new FeedCall(kind, receiver.version().number(), calledAt, wait);
+        boolean delegates = !direct && !delivery.isOverdue();
+        FeedCall call = new FeedCall(kind, receiver.version().number(), calledAt, wait, delegates);
         String target = StoreCodec.changesTarget(table, call.after(), wait);
-        http.send(AsyncHttpRequest.get(storeAddress, target, schedule.timeout(wait)))
+        AsyncHttpRequest request =
+                AsyncHttpRequest.get(storeAddress, target, schedule.timeout(wait));
+        http.send(request.withBounds(call.bounds()))
                 .thenAccept(r -> thread.execute(() -> handleChanges(r, call, callGeneration)));
     }
 
@@ -251,10 +256,15 @@
                     () -> sendNextRequest(callGeneration));
             return;
         }
+        if (outcome == Outcome.DELEGATED && call.delegates()) {
+            awaitDelivery(call, callGeneration);
+            return;
+        }
         if (outcome != Outcome.DONE) {
             retryAfterFailure(result, callGeneration);
             return;
         }
+        delivery.done();
         if (era(result.get()).isAfter(receiver.version().era())) {
             readFullyInNewEra(callGeneration);
             return;
@@ -283,11 +293,33 @@
             thread.schedule(pause, () -> sendNextRequest(callGeneration));
             return;
         }
+        awaitNextCheck(callGeneration);
+    }
+
+    private void awaitNextCheck(int callGeneration) {
         checkTimer.start(
                 () -> lastProof().plus(schedule.checkInterval()),
                 () -> sendNextRequest(callGeneration));
     }
 
+    private void awaitDelivery(FeedCall call, int callGeneration) {
+        contact.succeeded(clock.instant());
+        Duration wait = delivery.waitTime(ThreadLocalRandom.current().nextDouble());
+        thread.schedule(wait, () -> endDelivery(call, callGeneration));
+    }
+
+    private void endDelivery(FeedCall call, int callGeneration) {
+        if (!running || callGeneration != generation) {
+            return;
+        }
+        if (receiver.version().number() > call.after()) {
+            awaitNextCheck(callGeneration);
+            return;
+        }
+        delivery.missed();
+        sendNextRequest(callGeneration);
+    }
+
     private Instant lastProof() {
         Instant proven = receiver.completeUntil();
         return proven.isAfter(calledAt) ? proven : calledAt;
@@ -309,7 +341,9 @@
 
     private void readPage(String from, FullRead read, int callGeneration) {
         String target = StoreCodec.readTarget(table, from);
-        http.send(AsyncHttpRequest.get(storeAddress, target, schedule.timeout(Duration.ZERO)))
+        AsyncHttpRequest request =
+                AsyncHttpRequest.get(storeAddress, target, schedule.timeout(Duration.ZERO));
+        http.send(request.withBounds(FeedCall.WHOLE))
                 .thenAccept(r -> thread.execute(() -> handlePage(r, read, callGeneration)));
     }
 
--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -72,12 +72,34 @@
             AsyncHttpRequest request, Optional<ClientConnection> pooled, boolean reusable) {
         long sentNanos = System.nanoTime();
         CompletableFuture<AsyncHttpResponse> response = new CompletableFuture<>();
+        ReceiveProgress progress = new ReceiveProgress(sentNanos);
         pooled.ifPresentOrElse(
-                c -> c.send(request, response), () -> connect(request, response, reusable));
-        return response.orTimeout(request.timeout().toNanos(), TimeUnit.NANOSECONDS)
+                c -> c.send(request, response, progress),
+                () -> connect(request, response, progress, reusable));
+        if (request.bounds().longest().compareTo(request.timeout()) > 0) {
+            checkProgress(request, response, progress);
+        }
+        return response.orTimeout(request.bounds().longest().toNanos(), TimeUnit.NANOSECONDS)
                 .handle((a, e) -> toResult(request, sentNanos, a, e));
     }
 
+    // Fails a request once no byte of its response has arrived for its timeout.
+    private static void checkProgress(
+            AsyncHttpRequest request,
+            CompletableFuture<AsyncHttpResponse> response,
+            ReceiveProgress progress) {
+        long left = request.timeout().toNanos() - progress.quietNanos(System.nanoTime());
+        if (response.isDone()) {
+            return;
+        }
+        if (left <= 0) {
+            response.completeExceptionally(new TimeoutException());
+            return;
+        }
+        CompletableFuture.delayedExecutor(left, TimeUnit.NANOSECONDS, Runnable::run)
+                .execute(() -> checkProgress(request, response, progress));
+    }
+
     /**
      * Returns the memory of the responses that are being received.
      *
@@ -144,6 +166,7 @@
     private void connect(
             AsyncHttpRequest request,
             CompletableFuture<AsyncHttpResponse> response,
+            ReceiveProgress progress,
             boolean reusable) {
         ClientConnection connection =
                 new ClientConnection(
@@ -154,7 +177,7 @@
                 group,
                 request.address(),
                 CONNECT_TIMEOUT_MILLIS,
-                channel -> connection.send(request, response),
+                channel -> connection.send(request, response, progress),
                 response::completeExceptionally,
                 connection.handlers());
     }
@@ -165,6 +188,9 @@
             String reason = "no complete response within " + request.timeout().toMillis() + " ms";
             return new Fault(FaultKind.UNKNOWN_OUTCOME, step, request.address(), reason);
         }
+        if (failure instanceof ResponseTooLongException) {
+            return Fault.of(FaultKind.TOO_LONG, step, request.address(), failure);
+        }
         boolean sent = !ConnectFailures.provesNoListener(failure);
         FaultKind kind = sent ? FaultKind.UNKNOWN_OUTCOME : FaultKind.UNREACHABLE;
         return Fault.of(kind, step, request.address(), failure);
--- a/src/main/java/org/papayawalk/http/ClientConnection.java
+++ b/src/main/java/org/papayawalk/http/ClientConnection.java
@@ -25,9 +25,6 @@
  * from any thread; the rest is confined to the event loop thread.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
-    /** Bound of one response in bytes, with its heads and framing. */
-    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
-
     /** Bound of the informational (1xx) responses to one request. */
     private static final int MAX_INFORMATIONAL_RESPONSES = 64;
 
@@ -45,6 +42,12 @@
     /** Response to the request in progress, null if there is none. */
     private volatile CompletableFuture<AsyncHttpResponse> pendingResponse;
 
+    /** Bound of the response to the request in progress, in bytes. */
+    private volatile int maxBytes;
+
+    /** Progress of the request that was sent last, null before the first. */
+    private volatile ReceiveProgress progress;
+
     /** Bytes received since the request was sent. */
     private int receivedBytes;
 
@@ -81,7 +84,7 @@
             new ReceivedBytesHandler(this::accepts),
             new HttpRequestEncoder(),
             decoder,
-            new HttpObjectAggregator(MAX_RESPONSE_BYTES),
+            new HttpObjectAggregator(ResponseBounds.MAX_BYTES),
             this
         };
     }
@@ -145,8 +148,14 @@
      *
      * @param request request to send
      * @param response completed with the response or the cause of the failure
+     * @param newProgress told of the bytes of the response
      */
-    void send(AsyncHttpRequest request, CompletableFuture<AsyncHttpResponse> response) {
+    void send(
+            AsyncHttpRequest request,
+            CompletableFuture<AsyncHttpResponse> response,
+            ReceiveProgress newProgress) {
+        maxBytes = request.bounds().maxBytes();
+        progress = newProgress;
         receivedBytes = 0;
         informationalCount = 0;
         pendingResponse = response;
@@ -213,9 +222,9 @@
             return false;
         }
         receivedBytes += bytes;
-        if (receivedBytes > MAX_RESPONSE_BYTES) {
-            String reason = "response is longer than " + MAX_RESPONSE_BYTES + " bytes";
-            failPending(new IOException(reason));
+        progress.received(System.nanoTime());
+        if (receivedBytes > maxBytes) {
+            failPending(new ResponseTooLongException(maxBytes));
             return false;
         }
         budget.resize(bufferHandle, receivedBytes);
--- /dev/null
+++ b/src/main/java/org/papayawalk/http/ResponseBounds.java
@@ -0,0 +1,15 @@
+package org.papayawalk.http;
+
+import java.time.Duration;
+
+/**
+ * Bounds of one response. Immutable.
+ *
+ * @param longest maximum time until the response is complete, connecting included, while its bytes
+ *     keep arriving
+ * @param maxBytes maximum length of the response in bytes, with its heads and framing
+ */
+public record ResponseBounds(Duration longest, int maxBytes) {
+    /** Bound of every response in bytes, with its heads and framing. */
+    public static final int MAX_BYTES = 8 * 1024 * 1024;
+}
