Pass on no refusal that no upstream vouches for

Cause: callers got 3xx and 4xx, which they take as final, from whatever answered at an upstream's address: only successes were checked for the upstream's stamp.

Change: a final answer below 500 needs a stamp that is not blank; one without is a broken answer. The request goes to another upstream if it may, else its caller gets 502. Answers that say "not run" are handled before, as they were; server errors promise nothing and pass as before.

--- a/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/StreamReceiver.java
@@ -65,12 +65,14 @@
      * @param head head of the response
      * @param body body
      * @param end what told the end of the body
-     * @return reason; empty if the body is complete or no event stream, and a success is stamped
+     * @return reason; empty if the body is complete or no event stream, and the upstream vouches
+     *     for what callers take as final
      */
     static Optional<String> bufferedDefect(HttpResponse head, byte[] body, BodyEnd end) {
-        boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
-        if (success && !HeaderCodec.responseMetadata(head.headers()).hasAuthenticationCode()) {
-            return Optional.of("success carries no authentication code");
+        boolean serverError = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+        if (!serverError && !HeaderCodec.responseMetadata(head.headers()).hasAuthenticationCode()) {
+            return Optional.of(
+                    "answer with status " + head.status().code() + " carries no stamp of a server");
         }
         if (!isEventStream(head) || !hasEvents(head)) {
             return Optional.empty();
--- a/src/main/java/org/papayawalk/platform/HeaderCodec.java
+++ b/src/main/java/org/papayawalk/platform/HeaderCodec.java
@@ -169,7 +169,7 @@
         return new ResponseMetadata(
                 singleValue(headers.getAll(REQUEST_ID)),
                 headers.contains(NOT_EXECUTED),
-                headers.contains(SERVER_STAMP),
+                !headers.get(SERVER_STAMP, "").isBlank(),
                 load(headers.get(LOAD)),
                 decimal(headers.get(LIMIT)),
                 headers.contains(LEAVING, YES, false),
