Know API keys whose letters are not ASCII

Cause: a caller got 401 for a key of the desired state if the key has other letters than ASCII: header bytes were read one character each, the state as UTF-8.

Change: the value of the key's header is decoded as UTF-8, as team names are encoded in it already.

--- a/src/main/java/org/papayawalk/platform/HeaderCodec.java
+++ b/src/main/java/org/papayawalk/platform/HeaderCodec.java
@@ -139,7 +139,7 @@
         int[] tokens = parseNumbers(headers.get(TOKENS));
         return new RequestMetadata(
                 requestId(headers),
-                Optional.ofNullable(headers.get(API_KEY)),
+                Optional.ofNullable(headers.get(API_KEY)).map(HeaderCodec::fromUtf8Value),
                 millis(headers.get(REMAINING_MILLIS)),
                 Optional.ofNullable(headers.get(MODEL)),
                 tokens.length > 0 ? tokens[0] : 0,
@@ -252,6 +252,11 @@
         return List.copyOf(parts);
     }
 
+    // Returns the text whose bytes in UTF-8 are those of a header value, one for each character.
+    private static String fromUtf8Value(String value) {
+        return new String(value.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
+    }
+
     // Returns a header value whose bytes on the wire, one for each character, are the text in
     // UTF-8.
     private static String utf8Value(String text) {
