Leave changes only to sources that deliver, and keep proofs young

Change: the wait for a source ends when the source is lost, is an eighth to a quarter of configApplyMs, and after one without any delivery, or two, the entry reads at the store until the source proves again that nothing is missing. A read goes on for 30 s while bytes arrive at least every 1.2 s; its timer is cancelled with it. The store holds a call only until the last proof is one call old. A 413 needs the limit to be in force still.

--- a/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
+++ b/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
@@ -80,7 +80,34 @@
     }
 
     /**
-     * Returns how long to wait for the complete answer to a call.
+     * Returns how long the store may hold the next call, so that the last proof that nothing is
+     * missing does not become much older than one call.
+     *
+     * @param failures failed calls in a row before this one
+     * @param completeUntil time until which the table is complete
+     * @param now present time
+     * @return zero after a failure, and if there is no proof
+     */
+    public Duration wait(int failures, Instant completeUntil, Instant now) {
+        Instant due = notBeforeYesterday(completeUntil, now).plus(longPollWait);
+        Duration wait = clamp(Duration.between(now, due), Duration.ZERO, longPollWait);
+        return failures == 0 ? wait : Duration.ZERO;
+    }
+
+    /**
+     * Returns how long a daemon waits for changes that a check has found and that another daemon
+     * should deliver.
+     *
+     * @param draw random number from 0 (inclusive) to 1 (exclusive), so that few daemons read at
+     *     the same moment
+     * @return time from the answer to the check
+     */
+    public Duration deliveryWait(double draw) {
+        return Duration.ofMillis((long) (checkInterval.toMillis() * (1 + draw) / 4));
+    }
+
+    /**
+     * Returns how long to wait for the answer to a call, and then for each further part of it.
      *
      * @param wait time for which the store may hold the call
      * @return time from sending the call
--- a/src/main/java/org/papayawalk/daemon/managed/AwaitedDelivery.java
+++ b/src/main/java/org/papayawalk/daemon/managed/AwaitedDelivery.java
@@ -1,46 +1,37 @@
 package org.papayawalk.daemon.managed;
 
-import java.time.Duration;
-
 /**
- * Changes that a check has found at the store and that another daemon should deliver. If it does
- * not, they are read at the store. Answers the load of large rows that many daemons would read over
- * one link at the same moment. Confined to the control thread.
+ * Counts how often a watcher has waited for another daemon to deliver changes that a check has
+ * found. Once nothing was delivered, or something twice that was not the newest, the watcher reads
+ * at the store, until the other daemon proves again that nothing is missing. Confined to the
+ * control thread.
  */
 final class AwaitedDelivery {
-    private static final Duration SHORTEST_WAIT = Duration.ofMillis(500);
-
-    /** Bound of the random part of the wait, so that few read at the same moment. */
-    private static final Duration MAX_JITTER = Duration.ofMillis(500);
+    /** Waits in a row after which the changes are read at the store. */
+    private static final int MAX_WAITS = 2;
 
-    private boolean overdue;
+    private int waits;
 
     /**
-     * Returns how long to wait for the other daemon.
+     * Records that a wait has ended.
      *
-     * @param draw random number from 0 (inclusive) to 1 (exclusive)
-     * @return time from the check
+     * @param delivered whether any change was delivered
      */
-    Duration waitTime(double draw) {
-        return SHORTEST_WAIT.plusMillis((long) (draw * MAX_JITTER.toMillis()));
-    }
-
-    /** Records that nothing was delivered in time. */
-    void missed() {
-        overdue = true;
+    void waited(boolean delivered) {
+        waits = delivered ? waits + 1 : MAX_WAITS;
     }
 
-    /** Records that the table has been read at the store. */
-    void done() {
-        overdue = false;
+    /** Records that the other daemon has proven that nothing is missing. */
+    void proven() {
+        waits = 0;
     }
 
     /**
      * Returns whether the changes have to be read at the store.
      *
-     * @return true after {@link #missed()}
+     * @return true after enough waits without a proof
      */
     boolean isOverdue() {
-        return overdue;
+        return waits >= MAX_WAITS;
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/FeedCall.java
+++ b/src/main/java/org/papayawalk/daemon/managed/FeedCall.java
@@ -15,23 +15,31 @@
  */
 record FeedCall(
         StoreCalls.Kind kind, long after, Instant sentAt, Duration hold, boolean delegates) {
-    /**
-     * Bounds of an answer that is read whatever its length. A read that is given up and begun anew
-     * takes more of a link that is short for all who read.
-     */
-    static final ResponseBounds WHOLE =
-            new ResponseBounds(Duration.ofSeconds(8), ResponseBounds.MAX_BYTES);
+    /** Longest time of a read whose bytes keep arriving. */
+    private static final Duration LONGEST_READ = Duration.ofSeconds(30);
 
     /** Length of an answer up to which a check reads changes that another daemon delivers. */
     private static final int CHECK_BYTES = 16 * 1024;
 
+    /**
+     * Returns the bounds of an answer that is read whatever its length. A read that is given up and
+     * begun anew takes more of a link that is short for all who read.
+     *
+     * @param quiet longest time between two parts of the answer
+     * @return bounds
+     */
+    static ResponseBounds whole(Duration quiet) {
+        return new ResponseBounds(quiet, LONGEST_READ, ResponseBounds.MAX_BYTES);
+    }
+
     /**
      * Returns the bounds of the answer.
      *
+     * @param quiet longest time between two parts of the answer
      * @return bounds, narrow for a check
      */
-    ResponseBounds bounds() {
-        return delegates ? new ResponseBounds(WHOLE.longest(), CHECK_BYTES) : WHOLE;
+    ResponseBounds bounds(Duration quiet) {
+        return delegates ? new ResponseBounds(quiet, LONGEST_READ, CHECK_BYTES) : whole(quiet);
     }
 
     /**
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -218,25 +218,24 @@
         }
         boolean direct = feed.followsStore();
         Kind kind = direct ? Kind.FOLLOW : Kind.CHECK;
+        if (receiver.completeUntil().isAfter(calledAt)) {
+            delivery.proven();
+        }
         calledAt = clock.instant();
-        Duration wait = direct ? longestHold() : Duration.ZERO;
+        Duration wait =
+                direct
+                        ? feed.storeWait(
+                                schedule, contact.failures(), receiver.completeUntil(), calledAt)
+                        : Duration.ZERO;
         boolean delegates = !direct && !delivery.isOverdue();
         FeedCall call = new FeedCall(kind, receiver.version().number(), calledAt, wait, delegates);
         String target = StoreCodec.changesTarget(table, call.after(), wait);
         AsyncHttpRequest request =
                 AsyncHttpRequest.get(storeAddress, target, schedule.timeout(wait));
-        http.send(request.withBounds(call.bounds()))
+        http.send(request.withBounds(call.bounds(schedule.timeout(Duration.ZERO))))
                 .thenAccept(r -> thread.execute(() -> handleChanges(r, call, callGeneration)));
     }
 
-    // The first call is not held, as its answer proves that the full read was not stale.
-    private Duration longestHold() {
-        Instant proven = receiver.completeUntil();
-        return proven.equals(Instant.MIN)
-                ? Duration.ZERO
-                : feed.storeWait(schedule, contact.failures(), proven, calledAt);
-    }
-
     private void handleChanges(
             Either<Fault, AsyncHttpResponse> result, FeedCall call, int callGeneration) {
         result.forEach(a -> receiver.eraSeen(era(a)));
@@ -264,7 +263,6 @@
             retryAfterFailure(result, callGeneration);
             return;
         }
-        delivery.done();
         if (era(result.get()).isAfter(receiver.version().era())) {
             readFullyInNewEra(callGeneration);
             return;
@@ -302,22 +300,17 @@
                 () -> sendNextRequest(callGeneration));
     }
 
+    // What the check has found is read at the store if nobody delivers it.
     private void awaitDelivery(FeedCall call, int callGeneration) {
         contact.succeeded(clock.instant());
-        Duration wait = delivery.waitTime(ThreadLocalRandom.current().nextDouble());
-        thread.schedule(wait, () -> endDelivery(call, callGeneration));
-    }
-
-    private void endDelivery(FeedCall call, int callGeneration) {
-        if (!running || callGeneration != generation) {
-            return;
-        }
-        if (receiver.version().number() > call.after()) {
-            awaitNextCheck(callGeneration);
-            return;
-        }
-        delivery.missed();
-        sendNextRequest(callGeneration);
+        double draw = ThreadLocalRandom.current().nextDouble();
+        Instant until = clock.instant().plus(schedule.deliveryWait(draw));
+        checkTimer.start(
+                () -> until,
+                () -> {
+                    delivery.waited(receiver.version().number() > call.after());
+                    sendNextRequest(callGeneration);
+                });
     }
 
     private Instant lastProof() {
@@ -341,9 +334,9 @@
 
     private void readPage(String from, FullRead read, int callGeneration) {
         String target = StoreCodec.readTarget(table, from);
-        AsyncHttpRequest request =
-                AsyncHttpRequest.get(storeAddress, target, schedule.timeout(Duration.ZERO));
-        http.send(request.withBounds(FeedCall.WHOLE))
+        Duration timeout = schedule.timeout(Duration.ZERO);
+        AsyncHttpRequest request = AsyncHttpRequest.get(storeAddress, target, timeout);
+        http.send(request.withBounds(FeedCall.whole(timeout)))
                 .thenAccept(r -> thread.execute(() -> handlePage(r, read, callGeneration)));
     }
 
--- a/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
+++ b/src/main/java/org/papayawalk/daemon/managed/entry/RequestReceiver.java
@@ -239,9 +239,11 @@
         }
     }
 
-    // The limit may have been raised, unless the desired state that holds it lacks no change.
+    // The limit may have been raised, unless the desired state that holds it lacks no change and
+    // is still in force.
     private void rejectByLimit(HttpResponseStatus status, String reason) {
-        if (entry.desiredAge().allowsDenial(entry.clock().instant())) {
+        boolean inForce = partial == null || partial.limits().equals(entry.callerLimits());
+        if (inForce && entry.desiredAge().allowsDenial(entry.clock().instant())) {
             reject(status, reason);
             return;
         }
--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.papayawalk.core.Fault;
@@ -72,32 +73,31 @@
             AsyncHttpRequest request, Optional<ClientConnection> pooled, boolean reusable) {
         long sentNanos = System.nanoTime();
         CompletableFuture<AsyncHttpResponse> response = new CompletableFuture<>();
-        ReceiveProgress progress = new ReceiveProgress(sentNanos);
+        ReceiveProgress progress = new ReceiveProgress(request, sentNanos);
         pooled.ifPresentOrElse(
                 c -> c.send(request, response, progress),
                 () -> connect(request, response, progress, reusable));
         if (request.bounds().longest().compareTo(request.timeout()) > 0) {
-            checkProgress(request, response, progress);
+            checkProgress(response, progress);
         }
         return response.orTimeout(request.bounds().longest().toNanos(), TimeUnit.NANOSECONDS)
                 .handle((a, e) -> toResult(request, sentNanos, a, e));
     }
 
-    // Fails a request once no byte of its response has arrived for its timeout.
-    private static void checkProgress(
-            AsyncHttpRequest request,
-            CompletableFuture<AsyncHttpResponse> response,
-            ReceiveProgress progress) {
-        long left = request.timeout().toNanos() - progress.quietNanos(System.nanoTime());
-        if (response.isDone()) {
+    // Fails a request once the next byte of its response is overdue.
+    private void checkProgress(
+            CompletableFuture<AsyncHttpResponse> response, ReceiveProgress progress) {
+        long left = progress.left(System.nanoTime()).toNanos();
+        if (response.isDone() || group.isShuttingDown()) {
             return;
         }
         if (left <= 0) {
             response.completeExceptionally(new TimeoutException());
             return;
         }
-        CompletableFuture.delayedExecutor(left, TimeUnit.NANOSECONDS, Runnable::run)
-                .execute(() -> checkProgress(request, response, progress));
+        ScheduledFuture<?> next =
+                group.schedule(() -> checkProgress(response, progress), left, TimeUnit.NANOSECONDS);
+        response.whenComplete((a, e) -> next.cancel(false));
     }
 
     /**
--- a/src/main/java/org/papayawalk/http/AsyncHttpRequest.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpRequest.java
@@ -11,7 +11,7 @@
  * @param method HTTP method
  * @param target path and query
  * @param body content of the body, empty for none; a body is sent as JSON
- * @param timeout maximum time without a byte of the response, connecting included
+ * @param timeout maximum time until the first byte of the response, connecting included
  * @param bounds bounds of the response
  */
 public record AsyncHttpRequest(
@@ -39,7 +39,7 @@
                 target,
                 body,
                 timeout,
-                new ResponseBounds(timeout, ResponseBounds.MAX_BYTES));
+                new ResponseBounds(timeout, timeout, ResponseBounds.MAX_BYTES));
     }
 
     /**
--- a/src/main/java/org/papayawalk/http/ReceiveProgress.java
+++ b/src/main/java/org/papayawalk/http/ReceiveProgress.java
@@ -1,16 +1,25 @@
 package org.papayawalk.http;
 
-/** Time of the last byte of the response to one request. Thread-safe. */
+import java.time.Duration;
+
+/** Times at which the response to one request arrives. Thread-safe. */
 final class ReceiveProgress {
-    private volatile long lastByteNanos;
+    private final AsyncHttpRequest request;
+
+    private final long sentNanos;
+
+    /** Time of the last byte, empty before the first. */
+    private volatile Long lastByteNanos;
 
     /**
      * Creates the progress of a request without a response.
      *
-     * @param sentNanos time of the request, as {@link System#nanoTime()}
+     * @param request request
+     * @param sentNanos time at which it was sent, as {@link System#nanoTime()}
      */
-    ReceiveProgress(long sentNanos) {
-        lastByteNanos = sentNanos;
+    ReceiveProgress(AsyncHttpRequest request, long sentNanos) {
+        this.request = request;
+        this.sentNanos = sentNanos;
     }
 
     /**
@@ -23,12 +32,15 @@
     }
 
     /**
-     * Returns the time since the last byte.
+     * Returns the time that is left for the next byte.
      *
      * @param nowNanos present time, as {@link System#nanoTime()}
-     * @return nanoseconds since the last byte, or the request
+     * @return time, not positive if the byte is overdue
      */
-    long quietNanos(long nowNanos) {
-        return nowNanos - lastByteNanos;
+    Duration left(long nowNanos) {
+        Long last = lastByteNanos;
+        return last == null
+                ? request.timeout().minusNanos(nowNanos - sentNanos)
+                : request.bounds().quiet().minusNanos(nowNanos - last);
     }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/FakeStore.java
+++ b/src/test/java/org/papayawalk/daemon/managed/FakeStore.java
@@ -27,6 +27,9 @@
     // Field of an answer that is sent as a header.
     private static final String ERA = "era";
 
+    // Longest time for which a call for changes is held.
+    private long maxWaitMillis = MAX_WAIT_MILLIS;
+
     private final ObjectMapper mapper = new ObjectMapper();
 
     // Rows by table and key, with removed ones.
@@ -86,20 +89,6 @@
         server.start();
     }
 
-    private interface Call {
-        /**
-         * Handles a call.
-         *
-         * @param query parameters by name
-         * @param body body of the request
-         * @return answer, null if the history was dropped
-         * @throws IOException if the body is not JSON
-         * @throws InterruptedException if the wait is interrupted
-         */
-        ObjectNode handle(Map<String, String> query, byte[] body)
-                throws IOException, InterruptedException;
-    }
-
     /**
      * Returns the address of the store.
      *
@@ -229,6 +218,15 @@
         notifyAll();
     }
 
+    /**
+     * Sets the longest time for which the store holds a call for changes.
+     *
+     * @param millis time in milliseconds
+     */
+    synchronized void setMaxWait(long millis) {
+        maxWaitMillis = millis;
+    }
+
     /**
      * Leaves calls without an answer for as long as the store is silent: those that arrive and
      * those that wait. They stay so also afterwards.
@@ -291,7 +289,7 @@
             throws InterruptedException {
         polls.addPoll(query.get("table"));
         long after = Long.parseLong(query.get("after"));
-        long wait = Math.min(MAX_WAIT_MILLIS, Long.parseLong(query.get("waitMs")));
+        long wait = Math.min(maxWaitMillis, Long.parseLong(query.get("waitMs")));
         long until = System.nanoTime() + wait * 1_000_000;
         long begunIn = era;
         while (refusalStatus == 0
@@ -349,7 +347,7 @@
         return mapper.createObjectNode().put("ver", version).put("nowMs", nowMillis).put(ERA, era);
     }
 
-    private void answer(HttpExchange exchange, Call call) throws IOException {
+    private void answer(HttpExchange exchange, FakeStoreCall call) throws IOException {
         Map<String, String> query = new HashMap<>();
         String text = exchange.getRequestURI().getQuery();
         for (String pair : text == null ? new String[0] : text.split("&")) {
