--- a/src/test/java/org/papayawalk/daemon/managed/entry/CrowdShape.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/CrowdShape.java
@@ -9,11 +9,11 @@
  * What each caller of a crowd sends on its connection. Heads and bodies have a legal size, and all
  * but the pipelined requests stop short of their end. Thread-safe.
  */
-enum CrowdShape {
+enum CrowdShape implements CrowdScript {
     /** Heads of very many short lines. */
     SHORT_LINES {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             out.write(bytes(START));
             out.write(bytes("a:\r\n".repeat(HEAD_BYTES / 4)));
         }
@@ -21,7 +21,7 @@
     /** Heads whose lines have blanks, tabs and one name. */
     ODD_LINES {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             out.write(bytes(START));
             out.write(bytes("x: \t\r\nx:\t \r\n".repeat(HEAD_BYTES / 12)));
         }
@@ -29,7 +29,7 @@
     /** Heads of short lines, complete, many on one connection. */
     PIPELINED_SHORT_LINES {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             String head = START + "a:\r\n".repeat(HEAD_BYTES / 4) + "\r\n";
             for (int i = 0; i < PIPELINED; i++) {
                 out.write(bytes(head));
@@ -39,7 +39,7 @@
     /** Bodies with a stated length, sent at once. */
     WHOLE_BODIES {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             out.write(bytes(START + "Content-Length: " + BODY_BYTES + "\r\n\r\n"));
             out.write(filled(BODY_BYTES - 1));
         }
@@ -47,7 +47,7 @@
     /** Bodies with a stated length, sent piece by piece. */
     PIECES_OF_BODIES {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             out.write(bytes(START + "Content-Length: " + BODY_BYTES + "\r\n\r\n"));
             for (int sent = 0; sent + PIECE_BYTES < BODY_BYTES; sent += PIECE_BYTES) {
                 out.write(filled(PIECE_BYTES));
@@ -57,7 +57,7 @@
     /** Chunked bodies in large chunks. */
     LARGE_CHUNKS {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             out.write(bytes(START + CHUNKED));
             byte[] head = bytes(Integer.toHexString(CHUNK_BYTES) + "\r\n");
             for (int sent = 0; sent + CHUNK_BYTES <= BODY_BYTES; sent += CHUNK_BYTES) {
@@ -70,7 +70,7 @@
     /** Chunked bodies in chunks of one byte. */
     SMALL_CHUNKS {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             out.write(bytes(START + CHUNKED));
             byte[] chunks = bytes("1\r\nx\r\n".repeat(SMALL_CHUNKS_AT_ONCE));
             for (int sent = 0; sent < SMALL_CHUNK_COUNT; sent += SMALL_CHUNKS_AT_ONCE) {
@@ -81,7 +81,7 @@
     /** A chunk extension that does not end. */
     LONG_EXTENSIONS {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             out.write(bytes(START + CHUNKED + "1;"));
             out.write(filled(HEAD_BYTES));
         }
@@ -89,7 +89,7 @@
     /** Trailers of very many short lines behind a long body. */
     LONG_TRAILERS {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             out.write(bytes(START + CHUNKED + "1\r\nx\r\n0\r\n"));
             out.write(bytes("a:\r\n".repeat(HEAD_BYTES / 4)));
         }
@@ -97,7 +97,7 @@
     /** Bodies of a length that is usual, which stop in the middle. */
     STALLED_SHORT_BODIES {
         @Override
-        void send(OutputStream out) throws IOException {
+        public void send(OutputStream out) throws IOException {
             out.write(bytes(START + "Content-Length: " + SHORT_BODY_BYTES + "\r\n\r\n"));
             out.write(filled(SHORT_BODY_BYTES / 2));
         }
@@ -105,7 +105,7 @@
     /** Nothing at all. */
     SILENCE {
         @Override
-        void send(OutputStream out) {
+        public void send(OutputStream out) {
             // The connection stays open.
         }
     };
@@ -131,14 +131,6 @@
     private static final String START =
             "POST /order/x HTTP/1.1\r\nHost: shop.example\r\nX-Credential: key-1\r\n";
 
-    /**
-     * Sends what one caller sends, and leaves the connection open.
-     *
-     * @param out connection to the entry
-     * @throws IOException if the connection is lost
-     */
-    abstract void send(OutputStream out) throws IOException;
-
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/CrowdTest.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/CrowdTest.java
@@ -28,11 +28,6 @@
 
     private static final int SILENT_CALLERS = 700;
 
-    /** An ordinary caller returns some times after a refusal. */
-    private static final int ATTEMPTS = 8;
-
-    private static final long RETURN_MILLIS = 500;
-
     private FakeStore store;
 
     private FakeUpstream upstream;
@@ -93,44 +88,18 @@
      */
     @Test(dataProvider = "shapes")
     public void crowdEndsNothing(CrowdShape shape, int callers) throws IOException {
-        try (EntryProcess entry = new EntryProcess(store, HEAP_MEGABYTES, DESCRIPTORS);
+        try (EntryProcess entry =
+                        new EntryProcess(
+                                store, HEAP_MEGABYTES, DESCRIPTORS, MAX_RESIDENT_MEGABYTES);
                 Crowd crowd = new Crowd(entry.port(), callers, shape)) {
             crowd.awaitSent();
             assertTrue(entry.isAlive(), "the process has ended");
             long descriptors = entry.descriptors();
-            assertTrue(isAnswered(entry), "no ordinary request is answered");
+            assertTrue(OrdinaryCaller.isAnswered(entry.port()), "no ordinary request is answered");
             assertTrue(entry.isAlive(), "the process has ended");
             long resident = entry.peakResidentMegabytes();
             assertTrue(resident <= MAX_RESIDENT_MEGABYTES, resident + " MB");
             assertTrue(descriptors <= DESCRIPTORS, descriptors + " descriptors");
         }
     }
-
-    private static boolean isAnswered(EntryProcess entry) {
-        TestCaller caller = new TestCaller(entry.port());
-        for (int i = 0; i < ATTEMPTS; i++) {
-            if (status(caller) == 200) {
-                return true;
-            }
-            sleep();
-        }
-        return false;
-    }
-
-    private static int status(TestCaller caller) {
-        try {
-            return caller.send("POST", "/pay/x", "key-1").status();
-        } catch (AssertionError | RuntimeException e) {
-            // The connection was lost; the caller returns.
-            return 0;
-        }
-    }
-
-    private static void sleep() {
-        try {
-            Thread.sleep(RETURN_MILLIS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/src/test/java/org/papayawalk/daemon/managed/entry/EntryProcess.java
+++ b/src/test/java/org/papayawalk/daemon/managed/entry/EntryProcess.java
@@ -33,9 +33,11 @@
      * @param store store that it reads
      * @param heapMegabytes largest heap
      * @param descriptors number of descriptors that the process may open
+     * @param memoryMegabytes memory of the machine, as its settings state it
      * @throws IOException if no port is free, or the process cannot be started
      */
-    EntryProcess(FakeStore store, int heapMegabytes, int descriptors) throws IOException {
+    EntryProcess(FakeStore store, int heapMegabytes, int descriptors, int memoryMegabytes)
+            throws IOException {
         port = FreePort.find();
         settings = Files.createTempFile("entry", ".json");
         int readyPort = FreePort.find();
@@ -53,7 +55,7 @@
                                 port,
                                 readyPort,
                                 store.address(),
-                                CrowdTest.MAX_RESIDENT_MEGABYTES,
+                                memoryMegabytes,
                                 descriptors);
         Files.write(settings, text.getBytes(StandardCharsets.UTF_8));
         String command =
@@ -93,6 +95,17 @@
         return process.isAlive();
     }
 
+    /**
+     * Returns how the process has ended.
+     *
+     * @return text for a failed check; code 3 means out of memory
+     */
+    String end() {
+        return process.isAlive()
+                ? "the process lives"
+                : "the process has ended with code " + process.exitValue();
+    }
+
     /**
      * Returns the resident memory of the process.
      *
