Say which bound a read of the store has met

Cause: the log said that a response was not complete within 1200 ms also where a pause in it, or 30 s, ended it; a divisor had no name.

Change: the text names the bounds; a constant for the divisor.

Measured: formatter and linter are clean; PollSchedule's and FeedRole's tests pass.

--- a/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
+++ b/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
@@ -35,6 +35,9 @@
     // Part of the longest delay of a change that may pass before it is read with later ones.
     private static final int COALESCE_DIVISOR = 10;
 
+    // Part of the time between two checks that another daemon has at least to deliver changes.
+    private static final int DELIVERY_DIVISOR = 4;
+
     private final Duration longPollWait;
 
     private final Duration longestPause;
@@ -103,7 +106,7 @@
      * @return time from the answer to the check
      */
     public Duration deliveryWait(double draw) {
-        return Duration.ofMillis((long) (checkInterval.toMillis() * (1 + draw) / 4));
+        return Duration.ofMillis((long) (checkInterval.toMillis() * (1 + draw) / DELIVERY_DIVISOR));
     }
 
     /**
--- a/src/main/java/org/papayawalk/http/AsyncHttpClient.java
+++ b/src/main/java/org/papayawalk/http/AsyncHttpClient.java
@@ -182,11 +182,22 @@
                 connection.handlers());
     }
 
+    private static String overdue(AsyncHttpRequest request) {
+        long timeoutMillis = request.timeout().toMillis();
+        ResponseBounds bounds = request.bounds();
+        return bounds.longest().equals(request.timeout())
+                ? "no complete response within " + timeoutMillis + " ms"
+                : "no response within %d ms, a pause of %d ms in it, or none complete within %d ms"
+                        .formatted(
+                                timeoutMillis,
+                                bounds.quiet().toMillis(),
+                                bounds.longest().toMillis());
+    }
+
     private static Fault toFault(AsyncHttpRequest request, Throwable failure) {
         String step = request.method() + " " + request.target();
         if (failure instanceof TimeoutException) {
-            String reason = "no complete response within " + request.timeout().toMillis() + " ms";
-            return new Fault(FaultKind.UNKNOWN_OUTCOME, step, request.address(), reason);
+            return new Fault(FaultKind.UNKNOWN_OUTCOME, step, request.address(), overdue(request));
         }
         if (failure instanceof ResponseTooLongException) {
             return Fault.of(FaultKind.TOO_LONG, step, request.address(), failure);
