Hold calls of entries without a source as before

Measured: StateFeedEmulationTest, FeedRoleTest, PollSchedule's tests, DelegatedCheckTest, TableWatcherTest and LateDesiredStateTest pass.

--- a/src/main/java/org/papayawalk/core/upstream/FeedRole.java
+++ b/src/main/java/org/papayawalk/core/upstream/FeedRole.java
@@ -121,7 +121,7 @@
     public Duration storeWait(int failures, Instant completeUntil, Instant now) {
         return hasFollowers && failures == 0
                 ? schedule.proofWait(completeUntil, now)
-                : schedule.wait(failures, completeUntil, now);
+                : schedule.wait(failures);
     }
 
     /**
--- a/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
+++ b/src/main/java/org/papayawalk/core/upstream/PollSchedule.java
@@ -82,21 +82,6 @@
         return failures == 0 ? longPollWait : Duration.ZERO;
     }
 
-    /**
-     * Returns how long the store may hold the next call, so that the last proof that nothing is
-     * missing does not become much older than one call.
-     *
-     * @param failures failed calls in a row before this one
-     * @param completeUntil time until which the table is complete
-     * @param now present time
-     * @return zero after a failure, and if there is no proof
-     */
-    public Duration wait(int failures, Instant completeUntil, Instant now) {
-        Instant due = notBeforeYesterday(completeUntil, now).plus(longPollWait);
-        Duration wait = clamp(Duration.between(now, due), Duration.ZERO, longPollWait);
-        return failures == 0 ? wait : Duration.ZERO;
-    }
-
     /**
      * Returns how long a daemon waits for changes that a check has found and that another daemon
      * should deliver.
--- a/src/main/java/org/papayawalk/daemon/managed/TableFeed.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableFeed.java
@@ -25,6 +25,6 @@
      */
     default Duration storeWait(
             PollSchedule schedule, int failures, Instant completeUntil, Instant now) {
-        return schedule.wait(failures, completeUntil, now);
+        return schedule.wait(failures);
     }
 }
--- a/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
+++ b/src/main/java/org/papayawalk/daemon/managed/TableWatcher.java
@@ -222,11 +222,7 @@
             delivery.proven();
         }
         calledAt = clock.instant();
-        Duration wait =
-                direct
-                        ? feed.storeWait(
-                                schedule, contact.failures(), receiver.completeUntil(), calledAt)
-                        : Duration.ZERO;
+        Duration wait = direct ? longestHold() : Duration.ZERO;
         boolean delegates = !direct && !delivery.isOverdue();
         FeedCall call = new FeedCall(kind, receiver.version().number(), calledAt, wait, delegates);
         String target = StoreCodec.changesTarget(table, call.after(), wait);
@@ -236,6 +232,14 @@
                 .thenAccept(r -> thread.execute(() -> handleChanges(r, call, callGeneration)));
     }
 
+    // The first call is not held, as its answer proves that the full read was not stale.
+    private Duration longestHold() {
+        Instant proven = receiver.completeUntil();
+        return proven.equals(Instant.MIN)
+                ? Duration.ZERO
+                : feed.storeWait(schedule, contact.failures(), proven, calledAt);
+    }
+
     private void handleChanges(
             Either<Fault, AsyncHttpResponse> result, FeedCall call, int callGeneration) {
         result.forEach(a -> receiver.eraSeen(era(a)));
